--- /dev/null
+++ b/src/catkindrift/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line with ``python -m catkindrift``."""
+
+import sys
+
+from catkindrift.cli import main
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/catkindrift/cli/__init__.py
@@ -0,0 +1,6 @@
+"""The command line."""
+
+from catkindrift.cli._exit_code import ExitCode
+from catkindrift.cli._main import main
+
+__all__ = ['ExitCode', 'main']
--- /dev/null
+++ b/src/catkindrift/cli/_main.py
@@ -0,0 +1,58 @@
+"""Entry point of the command line."""
+
+import argparse
+from collections.abc import Sequence
+from http import HTTPStatus
+
+from catkindrift.cli._client import (
+    OperatorClient,
+    RefusedError,
+    UnreachableError,
+)
+from catkindrift.cli._exit_code import ExitCode
+from catkindrift.cli._output import print_document, write_error
+from catkindrift.cli._parser import make_parser
+from catkindrift.cli._processes import (
+    check_settings,
+    report_mistakes,
+    run_demo,
+    run_entry,
+)
+from catkindrift.errors import SettingsFileError
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a command and return its exit code.
+
+    Args:
+        arguments: Words after the program's name; those of the process when
+            nothing is given.
+    """
+    args = make_parser().parse_args(arguments)
+    try:
+        return _run(args)
+    except (SettingsFileError, ExceptionGroup) as mistakes:
+        report_mistakes(mistakes)
+        return ExitCode.USAGE
+    except UnreachableError as unreachable:
+        write_error(str(unreachable))
+        return ExitCode.UNREACHABLE
+    except RefusedError as refused:
+        write_error(str(refused))
+        if refused.status == HTTPStatus.CONFLICT:
+            return ExitCode.CONFLICT
+        return ExitCode.REFUSED
+
+
+def _run(args: argparse.Namespace) -> ExitCode:
+    match args.command:
+        case 'demo':
+            return run_demo(args.deployment, args.seconds)
+        case 'entry':
+            return run_entry(args.settings)
+        case 'check-settings':
+            return check_settings(args.file)
+    client = OperatorClient(args.url, args.token, args.ca_file)
+    document = args.run(client, args)
+    print_document(document, as_json=args.json)
+    return ExitCode.DONE
--- /dev/null
+++ b/src/catkindrift/cli/_processes.py
@@ -0,0 +1,116 @@
+"""Commands that run processes of the system."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from absl import logging
+
+from catkindrift.cli._exit_code import ExitCode
+from catkindrift.cli._output import write_error, write_line
+from catkindrift.demo import DEMO_TOKEN, LocalDeployment, sample_deployment
+from catkindrift.errors import SettingsFileError
+from catkindrift.server import EntryVm
+from catkindrift.settings import (
+    Deployment,
+    EntrySettings,
+    load_settings,
+    read_document,
+)
+
+
+def run_entry(path: str) -> ExitCode:
+    """Run one entry VM until it is told to stop."""
+    settings = load_settings(Path(path), EntrySettings)
+    _log_to_stderr()
+    try:
+        asyncio.run(_serve(settings))
+    except OSError as failure:
+        write_error(str(failure))
+        return ExitCode.UNREACHABLE
+    return ExitCode.DONE
+
+
+def run_demo(path: str | None, seconds: float) -> ExitCode:
+    """Run a whole deployment on loopback until Ctrl-C."""
+    deployment = sample_deployment()
+    if path:
+        deployment = load_settings(Path(path), Deployment)
+    asyncio.run(_demonstrate(deployment, seconds))
+    return ExitCode.DONE
+
+
+def check_settings(path: str) -> ExitCode:
+    """Report every mistake in a settings or deployment file."""
+    document = read_document(Path(path))
+    if 'deployment' in document:
+        load_settings(Path(path), Deployment)
+    else:
+        load_settings(Path(path), EntrySettings)
+    write_line(f'{path}: no mistakes')
+    return ExitCode.DONE
+
+
+def report_mistakes(error: SettingsFileError | BaseExceptionGroup) -> None:
+    """Print every mistake in a settings file."""
+    if isinstance(error, BaseExceptionGroup):
+        for mistake in error.exceptions:
+            write_error(str(mistake))
+    else:
+        write_error(str(error))
+
+
+async def _serve(settings: EntrySettings) -> None:
+    entry_vm = EntryVm(settings)
+    stop = _stop_signal()
+    await entry_vm.start()
+    await stop.wait()
+    await entry_vm.stop()
+
+
+async def _demonstrate(deployment: Deployment, seconds: float) -> None:
+    local = LocalDeployment(deployment)
+    stop = _stop_signal()
+    await local.start()
+    _print_addresses(local)
+    try:
+        await asyncio.wait_for(stop.wait(), seconds or None)
+    except TimeoutError:
+        write_line('time is up')
+    await local.stop()
+    write_line('stopped')
+
+
+def _print_addresses(local: LocalDeployment) -> None:
+    write_line('Entry VMs (callers, operators):')
+    for name, settings in local.settings.items():
+        listen = settings.listen
+        write_line(
+            f'  {name}  http://{listen.callers}  http://{listen.operators}'
+        )
+    first = next(iter(local.settings.values())).listen
+    program = Path(sys.argv[0]).name
+    options = f'--url http://{first.operators} --token {DEMO_TOKEN}'
+    write_line('Try:')
+    write_line(f"  curl 'http://{first.callers}/lookup?block=10.21.0.0/24'")
+    write_line(f'  curl http://{first.callers}/services/tariffs/2026')
+    write_line(
+        f'  {program} intent shift tariffs --from asturias --to cantabria '
+        f'--cap 20 {options}',
+    )
+    write_line('Ctrl-C stops the demonstration.')
+
+
+def _stop_signal() -> asyncio.Event:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+def _log_to_stderr() -> None:
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold(logging.INFO)
--- /dev/null
+++ b/src/catkindrift/core/_answers.py
@@ -0,0 +1,83 @@
+"""Final answers that the system itself gives to callers."""
+
+from types import MappingProxyType
+from typing import final
+
+import attrs
+
+from catkindrift.claims import ClaimState
+from catkindrift.core._effects import EndClaim, Refuse
+from catkindrift.core._invariants import Invariant
+from catkindrift.core._pending import Pending
+from catkindrift.core._refusal import Refusal, RefusalReason
+from catkindrift.core._state import CoreState
+from catkindrift.retries import Outcome, RecordedAnswer
+
+_RETRY_AFTER_MS = MappingProxyType(
+    {
+        RefusalReason.IN_PROGRESS: 1000,
+        RefusalReason.CLAIM_UNAVAILABLE: 5000,
+        RefusalReason.QUEUE_FULL: 1000,
+        RefusalReason.TOO_LATE: 1000,
+        RefusalReason.DEADLINE: 1000,
+        RefusalReason.NO_ROOM: 2000,
+        RefusalReason.NO_UPSTREAM: 5000,
+        RefusalReason.UPSTREAM_FAILED: 1000,
+        RefusalReason.NOT_READY: 2000,
+    }
+)
+_JITTER = 1.0
+
+
+@final
+@attrs.define(eq=False)
+class Answers:
+    """Ends requests, and records how claimed ones ended.
+
+    Args:
+        state: State of the entry VM.
+    """
+
+    _state: CoreState
+
+    def refuse(
+        self,
+        request_id: int,
+        reason: RefusalReason,
+        outcome: Outcome = Outcome.NOT_RUN,
+    ) -> None:
+        """Refuse a request that is not pending."""
+        self._state.refusals[reason.value, outcome.value] += 1
+        refusal = Refusal(reason, outcome, self._retry_after_ms(reason))
+        self._state.emit(Refuse(request_id, refusal))
+
+    def end_refused(self, pending: Pending, reason: RefusalReason) -> None:
+        """End a pending request without an answer of an upstream."""
+        surely_not_run = pending.surely_not_run
+        outcome = Outcome.NOT_RUN if surely_not_run else Outcome.UNKNOWN
+        self._state.invariants.check(
+            Invariant.NOT_RUN_IS_TRUE,
+            holds=outcome is Outcome.UNKNOWN
+            or (surely_not_run and not pending.is_running),
+        )
+        self.end(
+            pending,
+            ClaimState.RELEASED if surely_not_run else ClaimState.UNKNOWN,
+        )
+        self.refuse(pending.request.request_id, reason, outcome)
+
+    def end(
+        self,
+        pending: Pending,
+        claim_state: ClaimState,
+        answer: RecordedAnswer | None = None,
+    ) -> None:
+        """Forget a request and record how its claim ended."""
+        self._state.pending.pop(pending.request.request_id, None)
+        if pending.held is not None:
+            self._state.emit(EndClaim(pending.held, claim_state, answer))
+
+    def _retry_after_ms(self, reason: RefusalReason) -> int:
+        """Return a jittered delay, so that callers do not return together."""
+        base_ms = _RETRY_AFTER_MS.get(reason, 0)
+        return round(base_ms * self._state.rng.uniform(1, 1 + _JITTER))
--- /dev/null
+++ b/src/catkindrift/core/_membership.py
@@ -0,0 +1,159 @@
+"""What this VM learns of others, and what it tells them."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.core._effects import LogChange, PublishRecord
+from catkindrift.core._events import ConfigurationSeen, RecordSeen
+from catkindrift.core._in_force import InForce
+from catkindrift.core._invariants import Invariant
+from catkindrift.core._outcomes import LEAVING_LIFE_MS
+from catkindrift.core._slots import Slots
+from catkindrift.core._state import CoreState
+from catkindrift.domain import Vm, VmRole, VmState
+from catkindrift.peers import (
+    LeavingFact,
+    PeerRecord,
+    ServiceRoom,
+    UpstreamLoad,
+)
+
+
+@final
+@attrs.define(eq=False)
+class Membership:
+    """Takes over configuration, the VM list and records of other VMs.
+
+    Args:
+        state: State of the entry VM.
+        slots: Slots that this VM owns.
+    """
+
+    _state: CoreState
+    _slots: Slots
+    _sequence: int = attrs.field(init=False, default=0)
+
+    def see_configuration(self, seen: ConfigurationSeen) -> None:
+        """Put a configuration in force if it is newer than all before."""
+        configuration = seen.configuration
+        in_force = self._state.in_force
+        if configuration.revision == in_force.revision:
+            self._confirm(seen.confirmed_ms)
+            return
+        if configuration.revision < in_force.revision:
+            return
+        if configuration.revision < self._state.members.revision_floor:
+            return
+        self._state.invariants.check(
+            Invariant.REVISION_RISES,
+            holds=configuration.revision
+            > max(in_force.revision, self._state.members.revision_floor - 1),
+        )
+        self._state.in_force = InForce.prepare(configuration)
+        self._state.confirmed_ms = seen.confirmed_ms
+        self._state.is_ready = True
+        self._state.emit(
+            LogChange(f'configuration {configuration.revision} is in force'),
+        )
+        self._state.emit(PublishRecord())
+
+    def see_vms(self, vms: tuple[Vm, ...]) -> None:
+        """Take over the VM list."""
+        news = any(self._starts_leaving(vm) for vm in vms)
+        self._state.upstreams.replace(vms)
+        self._state.members.list_vms(vms)
+        self._slots.refresh()
+        if news:
+            self._state.emit(PublishRecord())
+
+    def see_record(self, seen: RecordSeen) -> None:
+        """Take over a record of another entry VM."""
+        record = seen.record
+        known = self._state.members.record(record.vm.name)
+        if not self._state.members.merge(record):
+            return
+        if known and known.incarnation != record.incarnation:
+            self._state.book.forget_granter(record.vm.name)
+        self._state.suspects.merge(record.crashes, record.cleared)
+        for fact in record.leaving:
+            self._learn_leaving(fact)
+        shows_ours = record.revision == self._state.in_force.revision
+        if seen.is_first_hand and shows_ours and record.confirmed_age_ms >= 0:
+            self._confirm(seen.asked_ms - record.confirmed_age_ms)
+        self._slots.refresh()
+
+    def own_record(self) -> PeerRecord:
+        """Return this VM's record for the others."""
+        self._sequence += 1
+        state = self._state
+        now_ms = state.clock.now_ms()
+        confirmed_age_ms = -1
+        if state.confirmed_ms is not None:
+            confirmed_age_ms = now_ms - state.confirmed_ms
+        return PeerRecord(
+            vm=state.identity.vm,
+            region=state.identity.region,
+            incarnation=state.identity.incarnation,
+            sequence=self._sequence,
+            revision=state.in_force.revision,
+            confirmed_age_ms=confirmed_age_ms,
+            is_stopping=state.is_stopping,
+            pending=len(state.pending),
+            rooms=self._rooms(),
+            loads=self._loads(),
+            leaving=self._leaving(now_ms),
+            crashes=state.suspects.crashes(),
+            cleared=state.suspects.cleared_fingerprints(),
+        )
+
+    def _confirm(self, confirmed_ms: int | None) -> None:
+        if confirmed_ms is None:
+            return
+        known_ms = self._state.confirmed_ms
+        if known_ms is None or confirmed_ms > known_ms:
+            self._state.confirmed_ms = confirmed_ms
+
+    def _starts_leaving(self, vm: Vm) -> bool:
+        if vm.state is not VmState.LEAVING or vm.role is not VmRole.UPSTREAM:
+            return False
+        known = self._state.upstreams.get(vm.name)
+        return known is not None and known.vm.state is VmState.LIVE
+
+    def _learn_leaving(self, fact: LeavingFact) -> None:
+        upstream = self._state.upstreams.get(fact.upstream)
+        if upstream is None:
+            return
+        until_ms = self._state.clock.now_ms() - fact.age_ms + LEAVING_LIFE_MS
+        upstream.leaving_until_ms = max(upstream.leaving_until_ms, until_ms)
+
+    def _rooms(self) -> tuple[ServiceRoom, ...]:
+        rooms: list[ServiceRoom] = []
+        for service in self._state.in_force.configuration.services:
+            slots, taken = self._slots.room(service.name)
+            waiting = len(self._state.queues.get(service.name, ()))
+            rooms.append(ServiceRoom(service.name, slots, taken, waiting))
+        return tuple(rooms)
+
+    def _loads(self) -> tuple[UpstreamLoad, ...]:
+        return tuple(
+            UpstreamLoad(upstream.vm.name, upstream.in_flight)
+            for upstream in self._state.upstreams
+            if upstream.in_flight
+        )
+
+    def _leaving(self, now_ms: int) -> tuple[LeavingFact, ...]:
+        """Return what was seen leaving, by this VM or by others.
+
+        A fact keeps its age when it is passed on, so it ends everywhere at
+        the same time unless someone sees the upstream leaving again.
+        """
+        facts: list[LeavingFact] = []
+        for upstream in self._state.upstreams:
+            left_ms = upstream.leaving_until_ms - now_ms
+            if upstream.vm.state is VmState.LEAVING:
+                left_ms = LEAVING_LIFE_MS
+            if left_ms > 0:
+                age_ms = LEAVING_LIFE_MS - left_ms
+                facts.append(LeavingFact(upstream.vm.name, age_ms))
+        return tuple(facts)
--- /dev/null
+++ b/src/catkindrift/core/_refusal.py
@@ -0,0 +1,45 @@
+"""Why a request gets no answer of an upstream."""
+
+import enum
+from typing import final
+
+import attrs
+
+from catkindrift.retries import Outcome
+
+
+@final
+class RefusalReason(enum.StrEnum):
+    """Machine-readable reasons."""
+
+    UNKNOWN_SERVICE = 'unknown_service'
+    KEY_MISSING = 'idempotency_key_missing'
+    KEY_REUSED = 'idempotency_key_reused'
+    IN_PROGRESS = 'request_in_progress'
+    ALREADY_RUN = 'request_already_run'
+    CLAIM_UNAVAILABLE = 'claim_unavailable'
+    QUARANTINED = 'quarantined'
+    BODY_TOO_LARGE = 'body_too_large'
+    QUEUE_FULL = 'queue_full'
+    TOO_LATE = 'deadline_cannot_be_met'
+    DEADLINE = 'deadline_exceeded'
+    NO_ROOM = 'no_room'
+    NO_UPSTREAM = 'no_upstream'
+    UPSTREAM_FAILED = 'upstream_failed'
+    NOT_READY = 'not_ready'
+
+
+@final
+@attrs.frozen
+class Refusal:
+    """A final answer of the system's own.
+
+    Args:
+        reason: Why there is no answer of an upstream.
+        outcome: Whether the request surely did not run.
+        retry_after_ms: When to come back; 0 for never.
+    """
+
+    reason: RefusalReason
+    outcome: Outcome
+    retry_after_ms: int = 0
--- /dev/null
+++ b/src/catkindrift/core/_slots.py
@@ -0,0 +1,150 @@
+"""Slots that this entry VM may use, and those that it may lend."""
+
+from collections.abc import Iterator
+from typing import final
+
+import attrs
+
+from catkindrift.core._state import CoreState
+from catkindrift.limits import HolderLoad, slot_share
+from catkindrift.routing import (
+    Candidate,
+    Distance,
+    UpstreamState,
+    rendezvous_order,
+)
+
+
+@final
+@attrs.define(eq=False)
+class Slots:
+    """Divides slots by the members that are alive now.
+
+    Args:
+        state: State of the entry VM.
+    """
+
+    _state: CoreState
+    _zone_vms: frozenset[str] = attrs.field(init=False, default=frozenset())
+    _shares: dict[tuple[str, int], int] = attrs.field(
+        init=False,
+        factory=dict,
+    )
+
+    def refresh(self) -> None:
+        """Look again at who is alive in the zone."""
+        identity = self._state.identity
+        alive = self._state.members.alive_in_zone(identity.zone)
+        zone_vms = frozenset((identity.name, *alive))
+        if zone_vms != self._zone_vms:
+            self._zone_vms = zone_vms
+            self._shares = {}
+        self._state.ledger.settle(self._load_of)
+
+    def owned(self, upstream: UpstreamState) -> int:
+        """Return the slots of an upstream that this VM owns."""
+        vm = upstream.vm
+        if vm.zone != self._state.identity.zone:
+            return 0
+        key = (vm.name, vm.slots)
+        share = self._shares.get(key)
+        if share is None:
+            share = slot_share(
+                vm.name,
+                vm.slots,
+                self._state.identity.name,
+                self._zone_vms or (self._state.identity.name,),
+            )
+            self._shares[key] = share
+        return share
+
+    def owned_by_list(self, upstream: UpstreamState) -> int:
+        """Return the slots owned when all listed entry VMs share them.
+
+        VMs that cannot reach each other each take over the other's slots,
+        but none lends those to other zones, so grants stay within the room.
+        """
+        identity = self._state.identity
+        if upstream.vm.zone != identity.zone:
+            return 0
+        listed = [
+            vm.name
+            for vm in self._state.members.entry_vms()
+            if vm.zone == identity.zone
+        ]
+        vm = upstream.vm
+        listed.append(identity.name)
+        return slot_share(vm.name, vm.slots, identity.name, listed)
+
+    def usable(self, upstream: UpstreamState) -> int:
+        """Return the slots that this VM may use now, lent ones aside."""
+        name = upstream.vm.name
+        own = self.owned(upstream) - self._state.ledger.lent(name)
+        return max(own, 0) + self._state.book.slots(name)
+
+    def accepts_work(self, upstream: UpstreamState) -> bool:
+        """Return whether an upstream may receive new work."""
+        if self._state.in_force.is_drained(upstream.vm):
+            return False
+        return not upstream.is_leaving(self._state.clock.now_ms())
+
+    def candidates(self, service: str) -> Iterator[Candidate]:
+        """Yield the upstreams of a service where this VM has slots."""
+        in_force = self._state.in_force
+        for upstream in self._state.upstreams.of_service(service):
+            slots = self.usable(upstream)
+            if slots > 0 and self.accepts_work(upstream):
+                yield Candidate(
+                    upstream,
+                    slots,
+                    self._distance(upstream),
+                    in_force.expects_drain(upstream.vm),
+                )
+
+    def is_primary(self, upstream: UpstreamState) -> bool:
+        """Return whether this VM may run suspected requests there.
+
+        Only one entry VM of a zone may, so that two suspects of different
+        entry VMs never share an upstream.
+        """
+        if upstream.vm.zone != self._state.identity.zone:
+            return False
+        order = rendezvous_order(upstream.vm.name, self._zone_vms)
+        return bool(order) and order[0] == self._state.identity.name
+
+    def room(self, service: str) -> tuple[int, int]:
+        """Return own slots of a service, and how many of them are taken."""
+        now_ms = self._state.clock.now_ms()
+        slots = 0
+        taken = 0
+        for upstream in self._state.upstreams.of_service(service):
+            own = self.owned(upstream)
+            if own < 1 or not self.accepts_work(upstream):
+                continue
+            if upstream.is_ejected(now_ms):
+                continue
+            usable = upstream.usable_slots(own)
+            lent = self._state.ledger.lent(upstream.vm.name)
+            slots += usable
+            taken += min(usable, upstream.in_flight + lent)
+        return slots, taken
+
+    def _load_of(self, holder: str, upstream: str) -> HolderLoad | None:
+        members = self._state.members
+        record = members.record(holder)
+        silence_ms = members.silence_ms(holder)
+        if record is None or silence_ms is None:
+            return None
+        if not members.is_alive(holder):
+            return None
+        heard_ms = self._state.clock.now_ms() - silence_ms
+        return HolderLoad(heard_ms, record.in_flight(upstream))
+
+    def _distance(self, upstream: UpstreamState) -> Distance:
+        identity = self._state.identity
+        if upstream.vm.zone == identity.zone:
+            return Distance.SAME_ZONE
+        region = self._state.in_force.configuration.region_of(upstream.vm.zone)
+        if region == identity.region:
+            return Distance.SAME_REGION
+        return Distance.OTHER_REGION
--- /dev/null
+++ b/src/catkindrift/core/_state.py
@@ -0,0 +1,91 @@
+"""All state of an entry VM; only the loop touches it."""
+
+import random
+from collections import Counter
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.core._bounds import Bounds
+from catkindrift.core._effects import Effect
+from catkindrift.core._identity import Identity
+from catkindrift.core._in_force import InForce
+from catkindrift.core._invariants import Invariants
+from catkindrift.core._pending import Pending
+from catkindrift.domain import Configuration
+from catkindrift.limits import FairQueue, GrantBook, GrantLedger
+from catkindrift.peers import Members
+from catkindrift.retries import RetryBudget, Suspects
+from catkindrift.routing import UpstreamTable
+
+
+@final
+@attrs.define(eq=False)
+class CoreState:
+    """State that the parts of the decision core share.
+
+    Args:
+        identity: Who this entry VM is.
+        clock: Source of time.
+        rng: Source of jitter.
+        bounds: How much the VM takes on.
+    """
+
+    identity: Identity
+    clock: Clock
+    rng: random.Random
+    bounds: Bounds
+    in_force: InForce = attrs.field(
+        factory=lambda: InForce.prepare(Configuration()),
+    )
+    is_ready: bool = False
+    started_ms: int = attrs.field(init=False)
+    stopping_since_ms: int | None = None
+    confirmed_ms: int | None = None
+    invariants: Invariants = attrs.field(factory=Invariants)
+    retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
+    upstreams: UpstreamTable = attrs.field(factory=UpstreamTable)
+    pending: dict[int, Pending] = attrs.field(factory=dict)
+    queues: dict[str, FairQueue[Pending]] = attrs.field(factory=dict)
+    refusals: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    moved: Counter[str] = attrs.field(factory=Counter)
+    effects: list[Effect] = attrs.field(factory=list)
+    members: Members = attrs.field(init=False)
+    book: GrantBook = attrs.field(init=False)
+    ledger: GrantLedger = attrs.field(init=False)
+    suspects: Suspects = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the parts that need the clock or the identity."""
+        self.started_ms = self.clock.now_ms()
+        name = self.identity.name
+        incarnation = self.identity.incarnation
+        self.members = Members(self.clock, name, incarnation)
+        self.book = GrantBook(self.clock)
+        self.ledger = GrantLedger(self.clock, name, incarnation)
+        self.suspects = Suspects(self.clock)
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether new callers should go elsewhere."""
+        return self.stopping_since_ms is not None
+
+    def emit(self, effect: Effect) -> None:
+        """Queue an effect for the event that is being handled."""
+        self.effects.append(effect)
+
+    def take_effects(self) -> list[Effect]:
+        """Return and forget the queued effects."""
+        effects = self.effects
+        self.effects = []
+        return effects
+
+    def queue(self, service: str, limit: int) -> FairQueue[Pending]:
+        """Return the waiting requests of a service."""
+        found = self.queues.get(service)
+        if found is None:
+            found = FairQueue(limit)
+            self.queues[service] = found
+        found.limit = limit
+        return found
--- /dev/null
+++ b/src/catkindrift/demo/__init__.py
@@ -0,0 +1,15 @@
+"""A whole deployment on loopback, with stand-ins for outside systems."""
+
+from catkindrift.demo._deployment import DEMO_TOKEN, LocalDeployment
+from catkindrift.demo._ports import LOOPBACK, free_ports
+from catkindrift.demo._sample import sample_deployment
+from catkindrift.demo._upstream_app import UpstreamApp
+
+__all__ = [
+    'DEMO_TOKEN',
+    'LOOPBACK',
+    'LocalDeployment',
+    'UpstreamApp',
+    'free_ports',
+    'sample_deployment',
+]
--- /dev/null
+++ b/src/catkindrift/domain/_service.py
@@ -0,0 +1,54 @@
+"""A service that callers use."""
+
+import enum
+from typing import final
+
+import attrs
+
+_NAME_PATTERN = r'[a-z][a-z0-9-]{0,62}'
+
+
+@final
+class Measure(enum.StrEnum):
+    """What a service weighs most when upstreams are chosen."""
+
+    LATENCY = 'latency'
+    DRAIN_TIME = 'drain_time'
+
+
+@final
+class Repeat(enum.StrEnum):
+    """Whether requests of a service may run more than once."""
+
+    IDEMPOTENT = 'idempotent'
+    UNSAFE = 'unsafe'
+    ONCE = 'once'
+
+
+@final
+@attrs.frozen
+class Service:
+    """A service and the limits that hold for each of its requests.
+
+    Args:
+        name: Lower-case name, part of the callers' path.
+        measure: What upstream choice favours.
+        repeat: Whether writes may be repeated; reads always may.
+        deadline_ms: Time limit of a request that names none.
+        queue_limit: Requests that may wait in one entry VM.
+        max_body_bytes: Largest accepted request body.
+    """
+
+    name: str = attrs.field(
+        validator=attrs.validators.matches_re(_NAME_PATTERN)
+    )
+    measure: Measure = Measure.LATENCY
+    repeat: Repeat = Repeat.UNSAFE
+    deadline_ms: int = attrs.field(
+        default=10_000, validator=attrs.validators.ge(1)
+    )
+    queue_limit: int = attrs.field(default=16, validator=attrs.validators.ge(0))
+    max_body_bytes: int = attrs.field(
+        default=1_000_000,
+        validator=attrs.validators.ge(0),
+    )
--- /dev/null
+++ b/src/catkindrift/errors.py
@@ -0,0 +1,76 @@
+"""Errors of the package; each message names what to do about it."""
+
+from typing import final
+
+__all__ = [
+    'AuthenticationError',
+    'CatkindriftError',
+    'ConflictError',
+    'ForbiddenError',
+    'InvalidInputError',
+    'NotFoundError',
+    'PlatformAmbiguousError',
+    'PlatformConflictError',
+    'PlatformUnavailableError',
+    'SettingError',
+    'SettingsFileError',
+]
+
+
+class CatkindriftError(Exception):
+    """Base of all errors that the package raises on purpose."""
+
+
+@final
+class SettingError(CatkindriftError):
+    """One setting has a wrong value.
+
+    Args:
+        key: Dotted path of the setting.
+        found: The value in the file, as text.
+        expected: What the setting accepts.
+    """
+
+    def __init__(self, key: str, found: str, expected: str) -> None:
+        """Keep the parts, so that tools can print them apart."""
+        super().__init__(f'{key}: found {found}, expected {expected}')
+        self.key = key
+        self.found = found
+        self.expected = expected
+
+
+@final
+class SettingsFileError(CatkindriftError):
+    """A settings file cannot be read, or is not TOML."""
+
+
+class NotFoundError(CatkindriftError):
+    """The named object does not exist."""
+
+
+class ConflictError(CatkindriftError):
+    """The request was made from a state that has changed since."""
+
+
+class InvalidInputError(CatkindriftError):
+    """A request body or parameter is malformed."""
+
+
+class AuthenticationError(CatkindriftError):
+    """The caller of the operator API sent no valid token."""
+
+
+class ForbiddenError(CatkindriftError):
+    """The token is valid, but its role does not allow the request."""
+
+
+class PlatformUnavailableError(CatkindriftError):
+    """The platform did not take the call; nothing was written."""
+
+
+class PlatformAmbiguousError(CatkindriftError):
+    """A write was sent and its answer was lost; it may have taken effect."""
+
+
+class PlatformConflictError(CatkindriftError):
+    """A conditional write found another version than the expected one."""
--- /dev/null
+++ b/src/catkindrift/limits/__init__.py
@@ -0,0 +1,25 @@
+"""Limits on rates, queues and shared slots."""
+
+from catkindrift.limits._breaker import Breaker
+from catkindrift.limits._fair_queue import FairQueue
+from catkindrift.limits._grant import Grant
+from catkindrift.limits._grant_book import GrantBook
+from catkindrift.limits._grant_ledger import GrantLedger, HolderLoad
+from catkindrift.limits._jitter import jittered
+from catkindrift.limits._sliding_window import WINDOW_MS, SlidingWindow
+from catkindrift.limits._slot_shares import slot_share
+from catkindrift.limits._token_bucket import TokenBucket
+
+__all__ = [
+    'WINDOW_MS',
+    'Breaker',
+    'FairQueue',
+    'Grant',
+    'GrantBook',
+    'GrantLedger',
+    'HolderLoad',
+    'SlidingWindow',
+    'TokenBucket',
+    'jittered',
+    'slot_share',
+]
--- /dev/null
+++ b/src/catkindrift/limits/_breaker.py
@@ -0,0 +1,51 @@
+"""A circuit breaker."""
+
+import random
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+
+_FAILURES_TO_OPEN = 3
+_FIRST_PAUSE_MS = 200
+_LONGEST_PAUSE_MS = 5000
+
+
+@final
+@attrs.define
+class Breaker:
+    """Pauses calls to a service that keeps failing.
+
+    Pauses double up to a limit and are jittered, so that VMs that saw the
+    same outage do not come back together.
+
+    Args:
+        clock: Source of time.
+        rng: Source of jitter.
+    """
+
+    _clock: Clock
+    _rng: random.Random
+    _failures: int = attrs.field(init=False, default=0)
+    _open_until_ms: int = attrs.field(init=False, default=0)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether calls are refused."""
+        return self._clock.now_ms() < self._open_until_ms
+
+    def succeeded(self) -> None:
+        """Record an answered call."""
+        self._failures = 0
+        self._open_until_ms = 0
+
+    def failed(self) -> None:
+        """Record a failed call."""
+        self._failures += 1
+        excess = self._failures - _FAILURES_TO_OPEN
+        if excess < 0:
+            return
+        pause_ms = min(_FIRST_PAUSE_MS << min(excess, 8), _LONGEST_PAUSE_MS)
+        jittered_ms = round(pause_ms * self._rng.uniform(0.5, 1))
+        self._open_until_ms = self._clock.now_ms() + jittered_ms
--- /dev/null
+++ b/src/catkindrift/limits/_grant_ledger.py
@@ -0,0 +1,116 @@
+"""Grants that this entry VM has given to others."""
+
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.limits._grant import Grant
+
+# A holder's clock may run slower than the granter's by this part.
+_CLOCK_RATE_MARGIN = 0.01
+
+
+@final
+@attrs.frozen
+class HolderLoad:
+    """What a holder reported about an upstream.
+
+    Args:
+        heard_ms: When the report came in.
+        in_flight: Attempts that the holder runs there.
+    """
+
+    heard_ms: int
+    in_flight: int
+
+
+@final
+@attrs.frozen
+class _Loan:
+    grant: Grant
+    holder: str
+    ends_ms: int
+
+
+@final
+@attrs.define
+class GrantLedger:
+    """Keeps lent slots apart until their holder must have stopped.
+
+    The holder counts the life of a grant from before it asked, the granter
+    from after it answered and with a margin, so the holder ends first. Long
+    requests may outlive a grant: the slots stay lent until the holder reports
+    that it runs nothing there.
+
+    Args:
+        clock: Source of time.
+        granter: Name of this entry VM.
+        next_id: First grant id; differs between incarnations.
+    """
+
+    _clock: Clock
+    _granter: str
+    _next_id: int
+    _loans: list[_Loan] = attrs.field(init=False, factory=list)
+
+    def lend(
+        self,
+        holder: str,
+        upstream: str,
+        slots: int,
+        life_ms: int,
+    ) -> Grant:
+        """Lend slots to `holder` for `life_ms` milliseconds.
+
+        The caller has to check first that the slots are free.
+        """
+        now_ms = self._clock.now_ms()
+        grant = Grant(
+            self._next_id,
+            self._granter,
+            upstream,
+            slots,
+            now_ms + life_ms,
+        )
+        self._next_id += 1
+        margin_ms = round(life_ms * _CLOCK_RATE_MARGIN) + 1
+        ends_ms = grant.expires_ms + margin_ms
+        self._loans.append(_Loan(grant, holder, ends_ms))
+        return grant
+
+    def lent(self, upstream: str) -> int:
+        """Return the slots of `upstream` that are lent."""
+        return sum(
+            loan.grant.slots
+            for loan in self._loans
+            if loan.grant.upstream == upstream
+        )
+
+    def settle(
+        self,
+        load_of: Callable[[str, str], HolderLoad | None],
+    ) -> None:
+        """Take back what has expired and is not in use.
+
+        Args:
+            load_of: Gives the load that a holder reported for an upstream,
+                nothing when the holder is not alive.
+        """
+        now_ms = self._clock.now_ms()
+        self._loans = [
+            loan
+            for loan in self._loans
+            if loan.ends_ms > now_ms or _may_be_used(loan, load_of)
+        ]
+
+
+def _may_be_used(
+    loan: _Loan,
+    load_of: Callable[[str, str], HolderLoad | None],
+) -> bool:
+    load = load_of(loan.holder, loan.grant.upstream)
+    if load is None:
+        return False
+    return load.heard_ms <= loan.ends_ms or load.in_flight > 0
--- /dev/null
+++ b/src/catkindrift/limits/_token_bucket.py
@@ -0,0 +1,58 @@
+"""A token bucket."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@final
+@attrs.define
+class TokenBucket:
+    """Limits a mean rate while allowing short bursts.
+
+    Args:
+        clock: Source of time.
+        per_second: Tokens added each second.
+        burst: Most tokens held.
+    """
+
+    _clock: Clock
+    _per_second: float
+    _burst: float
+    _tokens: float = attrs.field(init=False)
+    _filled_ms: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start full."""
+        self._tokens = self._burst
+        self._filled_ms = self._clock.now_ms()
+
+    @property
+    def tokens(self) -> float:
+        """Return the tokens held now."""
+        now_ms = self._clock.now_ms()
+        elapsed_ms = max(now_ms - self._filled_ms, 0)
+        added = elapsed_ms * self._per_second / _MILLISECONDS_PER_SECOND
+        self._tokens = min(self._burst, self._tokens + added)
+        self._filled_ms = now_ms
+        return self._tokens
+
+    def try_take(self, reserve: float = 0) -> bool:
+        """Take one token and return whether that was allowed.
+
+        Args:
+            reserve: Tokens that must remain for more important use.
+        """
+        if self.tokens < 1 + reserve:
+            return False
+        self._tokens -= 1
+        return True
+
+    def wait_ms(self) -> int:
+        """Return milliseconds until one token is held."""
+        missing = max(1 - self.tokens, 0)
+        return round(missing * _MILLISECONDS_PER_SECOND / self._per_second)
--- /dev/null
+++ b/src/catkindrift/peers/__init__.py
@@ -0,0 +1,27 @@
+"""Entry VMs among themselves: records, membership, exchange."""
+
+from catkindrift.peers._client import PeerAddress, PeerClient
+from catkindrift.peers._members import SILENCE_MS, Members
+from catkindrift.peers._record import (
+    LeavingFact,
+    PeerRecord,
+    ServiceRoom,
+    UpstreamLoad,
+)
+from catkindrift.peers._service import PeerHandler, PeersService
+from catkindrift.peers._wire import record_from_wire, record_to_wire
+
+__all__ = [
+    'SILENCE_MS',
+    'LeavingFact',
+    'Members',
+    'PeerAddress',
+    'PeerClient',
+    'PeerHandler',
+    'PeerRecord',
+    'PeersService',
+    'ServiceRoom',
+    'UpstreamLoad',
+    'record_from_wire',
+    'record_to_wire',
+]
--- /dev/null
+++ b/src/catkindrift/peers/_client.py
@@ -0,0 +1,93 @@
+"""Client side of the protocol between entry VMs."""
+
+import ssl
+from typing import final
+
+import attrs
+from grpclib.client import Channel
+
+from catkindrift.peers._service import SECRET_KEY
+from catkindrift.peers.protocol import peers_pb2
+from catkindrift.peers.protocol.peers_grpc import PeersStub
+
+_TIMEOUT_SECONDS = 1.0
+
+
+@final
+@attrs.frozen
+class PeerAddress:
+    """Where another entry VM listens for its peers.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+    """
+
+    host: str
+    port: int
+
+
+@final
+@attrs.define(eq=False)
+class PeerClient:
+    """Calls other entry VMs over connections that stay open.
+
+    Args:
+        secret: Secret that all entry VMs share.
+        tls: TLS context, or nothing for plain connections.
+    """
+
+    _secret: str
+    _tls: ssl.SSLContext | None
+    _channels: dict[PeerAddress, Channel] = attrs.field(
+        init=False,
+        factory=dict,
+    )
+
+    async def exchange(
+        self,
+        peer: PeerAddress,
+        request: peers_pb2.ExchangeRequest,
+    ) -> peers_pb2.ExchangeReply:
+        """Exchange records with another entry VM.
+
+        Raises:
+            OSError: It cannot be reached.
+            GRPCError: It refused the call.
+            TimeoutError: It did not answer in time.
+        """
+        reply: peers_pb2.ExchangeReply = await self._stub(peer).Exchange(
+            request,
+            timeout=_TIMEOUT_SECONDS,
+            metadata=self._metadata(),
+        )
+        return reply
+
+    async def lend(
+        self,
+        peer: PeerAddress,
+        request: peers_pb2.LendRequest,
+    ) -> peers_pb2.LendReply:
+        """Ask another entry VM for slots; raises as `exchange` does."""
+        reply: peers_pb2.LendReply = await self._stub(peer).Lend(
+            request,
+            timeout=_TIMEOUT_SECONDS,
+            metadata=self._metadata(),
+        )
+        return reply
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels = {}
+
+    def _metadata(self) -> dict[str, str]:
+        return {SECRET_KEY: self._secret} if self._secret else {}
+
+    def _stub(self, peer: PeerAddress) -> PeersStub:
+        channel = self._channels.get(peer)
+        if channel is None:
+            channel = Channel(peer.host, peer.port, ssl=self._tls)
+            self._channels[peer] = channel
+        return PeersStub(channel)
--- /dev/null
+++ b/src/catkindrift/peers/_members.py
@@ -0,0 +1,135 @@
+"""Which entry VMs are alive, as this one sees it."""
+
+from collections.abc import Iterable
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.domain import Vm, VmRole, VmState
+from catkindrift.peers._record import PeerRecord
+
+SILENCE_MS = 3000
+_FORGET_MS = 600_000
+
+
+@final
+@attrs.define
+class _Member:
+    record: PeerRecord
+    advanced_ms: int
+
+
+@final
+@attrs.define
+class Members:
+    """Newest records of all entry VMs, and when each last advanced.
+
+    A VM counts as alive while its record advances, by whatever path the
+    record comes. A VM that is listed but was not heard yet counts as alive for
+    the same time, so that a process that has just started does not take over
+    what its neighbours own.
+
+    Args:
+        clock: Source of time.
+        name: This entry VM.
+        incarnation: This process.
+    """
+
+    _clock: Clock
+    _name: str
+    _incarnation: int
+    _members: dict[str, _Member] = attrs.field(init=False, factory=dict)
+    _listed: dict[str, Vm] = attrs.field(init=False, factory=dict)
+    _listed_ms: dict[str, int] = attrs.field(init=False, factory=dict)
+    revision_floor: int = attrs.field(init=False, default=0)
+
+    def merge(self, record: PeerRecord) -> bool:
+        """Keep a record if it is newer and return whether it is.
+
+        A record of an earlier process of this VM gives the lowest revision
+        that this process may put in force.
+        """
+        if record.vm.name == self._name:
+            if record.incarnation != self._incarnation:
+                self.revision_floor = max(self.revision_floor, record.revision)
+            return False
+        known = self._members.get(record.vm.name)
+        if known and known.record.version >= record.version:
+            return False
+        self._members[record.vm.name] = _Member(record, self._clock.now_ms())
+        return True
+
+    def list_vms(self, vms: Iterable[Vm]) -> None:
+        """Take over the entry VMs of the platform's VM list."""
+        self._listed = {
+            vm.name: vm
+            for vm in vms
+            if vm.role is VmRole.ENTRY and vm.name != self._name
+        }
+        now_ms = self._clock.now_ms()
+        self._listed_ms = {
+            name: self._listed_ms.get(name, now_ms) for name in self._listed
+        }
+        self._forget_silent(now_ms)
+
+    def records(self) -> tuple[PeerRecord, ...]:
+        """Return the newest record of each other entry VM."""
+        return tuple(member.record for member in self._members.values())
+
+    def alive_records(self) -> tuple[PeerRecord, ...]:
+        """Return the records of other entry VMs that are alive."""
+        return tuple(
+            member.record
+            for name, member in self._members.items()
+            if self.is_alive(name)
+        )
+
+    def record(self, name: str) -> PeerRecord | None:
+        """Return the newest record of an entry VM."""
+        member = self._members.get(name)
+        return member.record if member else None
+
+    def is_alive(self, name: str) -> bool:
+        """Return whether an entry VM counts as alive."""
+        if name == self._name:
+            return True
+        now_ms = self._clock.now_ms()
+        member = self._members.get(name)
+        if member is not None:
+            return now_ms - member.advanced_ms < SILENCE_MS
+        listed_ms = self._listed_ms.get(name)
+        return listed_ms is not None and now_ms - listed_ms < SILENCE_MS
+
+    def silence_ms(self, name: str) -> int | None:
+        """Return the time since an entry VM was heard, if it ever was."""
+        member = self._members.get(name)
+        if member is None:
+            return None
+        return self._clock.now_ms() - member.advanced_ms
+
+    def entry_vms(self) -> tuple[Vm, ...]:
+        """Return all other entry VMs that are known, alive or not."""
+        known = {
+            name: member.record.vm for name, member in self._members.items()
+        }
+        return tuple((known | self._listed).values())
+
+    def alive_in_zone(self, zone: str) -> list[str]:
+        """Return the names of other entry VMs that are alive in a zone."""
+        return [
+            vm.name
+            for vm in self.entry_vms()
+            if vm.zone == zone and self.is_alive(vm.name)
+        ]
+
+    def is_listed_leaving(self, name: str) -> bool:
+        """Return whether the VM list shows an entry VM as leaving."""
+        listed = self._listed.get(name)
+        return listed is not None and listed.state is VmState.LEAVING
+
+    def _forget_silent(self, now_ms: int) -> None:
+        for name in list(self._members):
+            silent_ms = now_ms - self._members[name].advanced_ms
+            if silent_ms > _FORGET_MS and name not in self._listed:
+                self._members.pop(name)
--- /dev/null
+++ b/src/catkindrift/peers/_service.py
@@ -0,0 +1,69 @@
+"""Server side of the protocol between entry VMs."""
+
+import hmac
+from typing import Any, Protocol, final
+
+import attrs
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from catkindrift.peers.protocol import peers_pb2
+from catkindrift.peers.protocol.peers_grpc import PeersBase
+
+SECRET_KEY = 'catkindrift-secret'
+
+
+class PeerHandler(Protocol):
+    """Answers other entry VMs."""
+
+    def exchange(
+        self,
+        request: peers_pb2.ExchangeRequest,
+    ) -> peers_pb2.ExchangeReply:
+        """Take over the caller's record and return what it lacks."""
+
+    def lend(self, request: peers_pb2.LendRequest) -> peers_pb2.LendReply:
+        """Lend slots, or none."""
+
+
+@final
+@attrs.define(eq=False)
+class PeersService(PeersBase):
+    """Checks the shared secret and passes calls on.
+
+    Args:
+        handler: Answers the calls.
+        secret: Secret that all entry VMs share; empty on loopback only.
+    """
+
+    _handler: PeerHandler
+    _secret: str
+
+    async def Exchange(  # noqa: N802
+        self,
+        stream: Any,
+    ) -> None:
+        """Exchange records."""
+        request = await self._receive(stream)
+        await stream.send_message(self._handler.exchange(request))
+
+    async def Lend(  # noqa: N802
+        self,
+        stream: Any,
+    ) -> None:
+        """Lend slots."""
+        request = await self._receive(stream)
+        await stream.send_message(self._handler.lend(request))
+
+    async def _receive(self, stream: Any) -> Any:
+        shown = str(stream.metadata.get(SECRET_KEY, ''))
+        if not hmac.compare_digest(shown.encode(), self._secret.encode()):
+            raise GRPCError(
+                Status.UNAUTHENTICATED,
+                'wrong peer secret; give all entry VMs the same '
+                'peers.secret_file',
+            )
+        request = await stream.recv_message()
+        if request is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, 'send one message')
+        return request
--- /dev/null
+++ b/src/catkindrift/peers/_wire.py
@@ -0,0 +1,114 @@
+"""Conversion between records and protocol messages."""
+
+from catkindrift.domain import Vm, VmRole
+from catkindrift.peers._record import (
+    LeavingFact,
+    PeerRecord,
+    ServiceRoom,
+    UpstreamLoad,
+)
+from catkindrift.peers.protocol import peers_pb2
+from catkindrift.retries import Cleared, Crash
+
+
+def record_to_wire(record: PeerRecord) -> peers_pb2.Record:
+    """Return the message of a record."""
+    return peers_pb2.Record(
+        vm=_vm_to_wire(record.vm),
+        region=record.region,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        revision=record.revision,
+        confirmed_age_ms=record.confirmed_age_ms,
+        is_stopping=record.is_stopping,
+        pending=record.pending,
+        rooms=[
+            peers_pb2.ServiceRoom(
+                service=room.service,
+                slots=room.slots,
+                used=room.used,
+                waiting=room.waiting,
+            )
+            for room in record.rooms
+        ],
+        loads=[
+            peers_pb2.UpstreamLoad(
+                upstream=load.upstream,
+                in_flight=load.in_flight,
+            )
+            for load in record.loads
+        ],
+        leaving=[
+            peers_pb2.LeavingFact(upstream=fact.upstream, age_ms=fact.age_ms)
+            for fact in record.leaving
+        ],
+        crashes=[
+            peers_pb2.Crash(
+                fingerprint=crash.fingerprint,
+                upstream=crash.upstream,
+                age_ms=crash.age_ms,
+            )
+            for crash in record.crashes
+        ],
+        cleared=[
+            peers_pb2.Cleared(
+                fingerprint=cleared.fingerprint,
+                age_ms=cleared.age_ms,
+            )
+            for cleared in record.cleared
+        ],
+    )
+
+
+def record_from_wire(message: peers_pb2.Record) -> PeerRecord:
+    """Return the record of a message."""
+    return PeerRecord(
+        vm=_vm_from_wire(message.vm),
+        region=message.region,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        revision=message.revision,
+        confirmed_age_ms=message.confirmed_age_ms,
+        is_stopping=message.is_stopping,
+        pending=message.pending,
+        rooms=tuple(
+            ServiceRoom(room.service, room.slots, room.used, room.waiting)
+            for room in message.rooms
+        ),
+        loads=tuple(
+            UpstreamLoad(load.upstream, load.in_flight)
+            for load in message.loads
+        ),
+        leaving=tuple(
+            LeavingFact(fact.upstream, fact.age_ms) for fact in message.leaving
+        ),
+        crashes=tuple(
+            Crash(crash.fingerprint, crash.upstream, crash.age_ms)
+            for crash in message.crashes
+        ),
+        cleared=tuple(
+            Cleared(cleared.fingerprint, cleared.age_ms)
+            for cleared in message.cleared
+        ),
+    )
+
+
+def _vm_to_wire(vm: Vm) -> peers_pb2.Vm:
+    return peers_pb2.Vm(
+        name=vm.name,
+        zone=vm.zone,
+        address=vm.address,
+        port=vm.port,
+        peer_port=vm.peer_port,
+    )
+
+
+def _vm_from_wire(message: peers_pb2.Vm) -> Vm:
+    return Vm(
+        name=message.name,
+        zone=message.zone,
+        role=VmRole.ENTRY,
+        address=message.address,
+        port=message.port,
+        peer_port=message.peer_port,
+    )
--- /dev/null
+++ b/src/catkindrift/plans/__init__.py
@@ -0,0 +1,39 @@
+"""Operators' changes, intents and plans."""
+
+from catkindrift.plans._changes import (
+    put_service,
+    put_zone,
+    remove_service,
+    remove_zone,
+)
+from catkindrift.plans._executor import PlanExecutor
+from catkindrift.plans._fleet_view import FleetView
+from catkindrift.plans._lifecycle import (
+    add_plan,
+    cancel_plan,
+    confirm_plan,
+    pause_plan,
+    resume_plan,
+)
+from catkindrift.plans._planner import Planner
+from catkindrift.plans._store import (
+    ConfigurationStore,
+    SeenConfiguration,
+)
+
+__all__ = [
+    'ConfigurationStore',
+    'FleetView',
+    'PlanExecutor',
+    'Planner',
+    'SeenConfiguration',
+    'add_plan',
+    'cancel_plan',
+    'confirm_plan',
+    'pause_plan',
+    'put_service',
+    'put_zone',
+    'remove_service',
+    'remove_zone',
+    'resume_plan',
+]
--- /dev/null
+++ b/src/catkindrift/plans/_executor.py
@@ -0,0 +1,279 @@
+"""Carries out running plans, one conditional update a step."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.core import share_release_wait_ms
+from catkindrift.domain import (
+    BringBackIntent,
+    Configuration,
+    Plan,
+    PlanState,
+    Shift,
+    Step,
+    StepKind,
+)
+from catkindrift.plans._changes import changed, changed_basis
+from catkindrift.plans._fleet_view import FleetView
+from catkindrift.plans._lifecycle import replace_plan, shift_intent
+from catkindrift.plans._planner import drain_of
+from catkindrift.plans._shares import (
+    divide_cap,
+    release_retired,
+    retire_gone,
+)
+from catkindrift.routing import rendezvous_order
+
+_RAMP_HOLD_MS = 3000
+# Steps after which plans made before are still valid.
+_KEEPS_BASIS = frozenset((StepKind.SET_PERCENT, StepKind.AWAIT_EMPTY))
+
+
+@final
+@attrs.define(eq=False)
+class PlanExecutor:
+    """Proposes the next state of the configuration while plans run.
+
+    One entry VM holds the executor's lease, named in the configuration with
+    an epoch. It lapses when the holder's record stops advancing. Safety does
+    not depend on that: every step is written on condition of the version that
+    it was computed from, so a holder that wakes after a pause is refused, and
+    every step is idempotent.
+
+    Args:
+        clock: Source of time.
+        name: This entry VM.
+    """
+
+    _clock: Clock
+    _name: str
+    _retiring_since_ms: dict[tuple[str, str], int] = attrs.field(
+        init=False,
+        factory=dict,
+    )
+
+    def advance(
+        self,
+        configuration: Configuration,
+        view: FleetView,
+    ) -> Configuration | None:
+        """Return the configuration after the next step.
+
+        Args:
+            configuration: The newest configuration.
+            view: What is known of all VMs.
+
+        Returns:
+            Nothing when there is no step to take now, or when another entry
+            VM holds the lease.
+        """
+        if not self._has_work(configuration, view):
+            return None
+        if configuration.executor != self._name:
+            return self._take_lease(configuration, view)
+        return self._advance_shares(configuration, view) or self._advance_plans(
+            configuration,
+            view,
+        )
+
+    def _has_work(self, configuration: Configuration, view: FleetView) -> bool:
+        if any(plan.state is PlanState.RUNNING for plan in configuration.plans):
+            return True
+        return any(
+            share.retiring
+            or share.vm not in _holders(shift, configuration, view)
+            for shift in configuration.shifts
+            for share in shift.shares
+        )
+
+    def _take_lease(
+        self,
+        configuration: Configuration,
+        view: FleetView,
+    ) -> Configuration | None:
+        alive = [vm.name for vm in view.entry_vms]
+        if configuration.executor in alive:
+            return None
+        if rendezvous_order('executor', alive)[:1] != [self._name]:
+            return None
+        return changed(
+            configuration,
+            executor=self._name,
+            executor_epoch=configuration.executor_epoch + 1,
+        )
+
+    def _advance_plans(
+        self,
+        configuration: Configuration,
+        view: FleetView,
+    ) -> Configuration | None:
+        for plan in configuration.plans:
+            step = plan.next_step
+            if plan.state is not PlanState.RUNNING or step is None:
+                continue
+            stepped = self._take_step(configuration, plan, step, view)
+            if stepped is not None:
+                done = plan.with_step_done(
+                    configuration.revision + 1,
+                    self._clock.wall_ms(),
+                )
+                change = changed_basis
+                if step.kind in _KEEPS_BASIS:
+                    change = changed
+                return change(stepped, plans=replace_plan(stepped, done))
+        return None
+
+    def _take_step(
+        self,
+        configuration: Configuration,
+        plan: Plan,
+        step: Step,
+        view: FleetView,
+    ) -> Configuration | None:
+        match step.kind:
+            case StepKind.START_SHIFT:
+                return _start_shift(configuration, plan, view)
+            case StepKind.SET_PERCENT:
+                return self._set_percent(configuration, plan, step)
+            case StepKind.START_DRAIN:
+                return _start_drain(configuration, plan)
+            case StepKind.AWAIT_EMPTY:
+                return _await_empty(configuration, plan, view)
+            case StepKind.BRING_BACK:
+                return _bring_back(configuration, plan)
+
+    def _set_percent(
+        self,
+        configuration: Configuration,
+        plan: Plan,
+        step: Step,
+    ) -> Configuration | None:
+        """Raise a shift's percentage after caches had time to warm up."""
+        held_ms = self._clock.wall_ms() - plan.stepped_wall_ms
+        if held_ms < _RAMP_HOLD_MS:
+            return None
+        shifts = tuple(
+            attrs.evolve(shift, percent=step.amount)
+            if shift.name == plan.name
+            else shift
+            for shift in configuration.shifts
+        )
+        return attrs.evolve(configuration, shifts=shifts)
+
+    def _advance_shares(
+        self,
+        configuration: Configuration,
+        view: FleetView,
+    ) -> Configuration | None:
+        shifts = tuple(
+            self._advance_shift(shift, _holders(shift, configuration, view))
+            for shift in configuration.shifts
+        )
+        if shifts == configuration.shifts:
+            return None
+        return changed(configuration, shifts=shifts)
+
+    def _advance_shift(self, shift: Shift, holders: frozenset[str]) -> Shift:
+        released = self._released(shift)
+        if released:
+            return release_retired(shift, released, holders)
+        return retire_gone(shift, holders)
+
+    def _released(self, shift: Shift) -> frozenset[str]:
+        """Return the retiring holders that must have stopped by now.
+
+        The wait starts when this process first sees that the platform has
+        taken the change, so a new executor waits in full.
+        """
+        now_ms = self._clock.now_ms()
+        released: set[str] = set()
+        retiring = {share.vm for share in shift.shares if share.retiring}
+        for key in list(self._retiring_since_ms):
+            if key[0] == shift.name and key[1] not in retiring:
+                self._retiring_since_ms.pop(key)
+        for vm in retiring:
+            since_ms = self._retiring_since_ms.setdefault(
+                (shift.name, vm),
+                now_ms,
+            )
+            if now_ms - since_ms > share_release_wait_ms():
+                released.add(vm)
+        return frozenset(released)
+
+
+def _holders(
+    shift: Shift,
+    configuration: Configuration,
+    view: FleetView,
+) -> frozenset[str]:
+    return frozenset(
+        vm.name
+        for vm in view.entry_vms
+        if configuration.region_of(vm.zone) == shift.source_region
+    )
+
+
+def _start_shift(
+    configuration: Configuration,
+    plan: Plan,
+    view: FleetView,
+) -> Configuration:
+    if any(shift.name == plan.name for shift in configuration.shifts):
+        return configuration
+    intent = shift_intent(plan)
+    shift = Shift(
+        plan.name,
+        intent.service,
+        intent.source_region,
+        intent.target_region,
+        0,
+        intent.cap_per_second,
+    )
+    holders = _holders(shift, configuration, view)
+    shares = divide_cap(shift.name, shift.cap_per_second, holders)
+    shift = attrs.evolve(shift, shares=shares)
+    return attrs.evolve(configuration, shifts=(*configuration.shifts, shift))
+
+
+def _start_drain(configuration: Configuration, plan: Plan) -> Configuration:
+    drain = drain_of(plan)
+    if drain is None or drain in configuration.drains:
+        return configuration
+    return attrs.evolve(configuration, drains=(*configuration.drains, drain))
+
+
+def _await_empty(
+    configuration: Configuration,
+    plan: Plan,
+    view: FleetView,
+) -> Configuration | None:
+    """Return the same configuration when the drained VMs are empty."""
+    drain = drain_of(plan)
+    if drain is None:
+        return configuration
+    if view.lagging(plan.stepped_revision):
+        return None
+    if any(view.in_flight(vm) for vm in view.targets(drain)):
+        return None
+    return configuration
+
+
+def _bring_back(configuration: Configuration, plan: Plan) -> Configuration:
+    intent = plan.intent
+    if not isinstance(intent, BringBackIntent):
+        return configuration
+    return attrs.evolve(
+        configuration,
+        shifts=tuple(
+            shift
+            for shift in configuration.shifts
+            if shift.name != intent.target
+        ),
+        drains=tuple(
+            drain
+            for drain in configuration.drains
+            if drain.target != intent.target
+        ),
+    )
--- /dev/null
+++ b/src/catkindrift/platform/_standin.py
@@ -0,0 +1,128 @@
+"""An in-memory stand-in for the platform, for demonstrations and tests."""
+
+import threading
+from typing import final
+
+import attrs
+
+from catkindrift.domain import Vm
+from catkindrift.errors import NotFoundError, PlatformConflictError
+from catkindrift.platform._object import StoredObject
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@final
+@attrs.define(eq=False)
+class StandinStore:
+    """Objects with versions, and the VM list.
+
+    Request threads of the stand-in server share one store, so a condition
+    variable guards it.
+    """
+
+    _changed: threading.Condition = attrs.field(
+        init=False,
+        factory=threading.Condition,
+    )
+    _objects: dict[tuple[str, str], StoredObject] = attrs.field(
+        init=False,
+        factory=dict,
+    )
+    _vms: dict[str, Vm] = attrs.field(init=False, factory=dict)
+    _version: int = attrs.field(init=False, default=0)
+
+    def get(self, kind: str, name: str) -> StoredObject:
+        """Return an object.
+
+        Raises:
+            NotFoundError: There is none.
+        """
+        with self._changed:
+            found = self._objects.get((kind, name))
+        if found is None:
+            raise NotFoundError(f'no {kind} named {name}; create it first')
+        return found
+
+    def list_objects(self, kind: str) -> list[StoredObject]:
+        """Return all objects of a kind."""
+        return self.changed_after(kind, 0)
+
+    def changed_after(self, kind: str, version: int) -> list[StoredObject]:
+        """Return the objects of a kind written after `version`."""
+        with self._changed:
+            return [
+                each
+                for each in self._objects.values()
+                if each.kind == kind and each.version > version
+            ]
+
+    def put(
+        self,
+        kind: str,
+        name: str,
+        text: str,
+        expected: int,
+    ) -> StoredObject:
+        """Write an object if its version is `expected`, 0 for none.
+
+        Raises:
+            PlatformConflictError: It has another version.
+        """
+        with self._changed:
+            self._check(kind, name, expected)
+            self._version += 1
+            written = StoredObject(kind, name, self._version, text)
+            self._objects[kind, name] = written
+            self._changed.notify_all()
+            return written
+
+    def delete(self, kind: str, name: str, expected: int) -> None:
+        """Remove an object if its version is `expected`.
+
+        Raises:
+            PlatformConflictError: It has another version.
+        """
+        with self._changed:
+            self._check(kind, name, expected)
+            self._objects.pop((kind, name), None)
+
+    def wait_changed(
+        self,
+        kind: str,
+        version: int,
+        wait_ms: int,
+    ) -> list[StoredObject]:
+        """Return changes after `version`, waiting up to `wait_ms` for one."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: any(
+                    each.kind == kind and each.version > version
+                    for each in self._objects.values()
+                ),
+                wait_ms / _MILLISECONDS_PER_SECOND,
+            )
+        return self.changed_after(kind, version)
+
+    def list_vm(self, vm: Vm) -> None:
+        """Add a VM to the VM list or replace its entry."""
+        with self._changed:
+            self._vms[vm.name] = vm
+
+    def unlist_vm(self, name: str) -> None:
+        """Remove a VM from the VM list."""
+        with self._changed:
+            self._vms.pop(name, None)
+
+    def vms(self) -> list[Vm]:
+        """Return the VM list."""
+        with self._changed:
+            return list(self._vms.values())
+
+    def _check(self, kind: str, name: str, expected: int) -> None:
+        found = self._objects.get((kind, name))
+        version = found.version if found else 0
+        if version != expected:
+            raise PlatformConflictError(
+                f'{kind} {name} has version {version}; read it and retry',
+            )
--- /dev/null
+++ b/src/catkindrift/platform/_standin_app.py
@@ -0,0 +1,109 @@
+"""HTTP form of the stand-in platform."""
+
+import json
+import time
+from collections.abc import Iterable
+from typing import Any, final
+from urllib.parse import parse_qs, unquote
+
+import attrs
+
+from catkindrift.domain import plain_form
+from catkindrift.errors import NotFoundError, PlatformConflictError
+from catkindrift.platform._object import StoredObject
+from catkindrift.platform._standin import StandinStore
+from catkindrift.platform._standin_faults import StandinFaults
+
+_MILLISECONDS_PER_SECOND = 1000
+_ANY = '*'
+
+
+class _LostAnswer(Exception):
+    """Makes the server drop the connection without an answer."""
+
+
+@final
+@attrs.define(eq=False)
+class StandinApp:
+    """WSGI application that serves a `StandinStore`.
+
+    Args:
+        store: The objects.
+        faults: Faults to show.
+    """
+
+    _store: StandinStore
+    _faults: StandinFaults
+
+    def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        """Serve one call."""
+        time.sleep(self._faults.slow_ms / _MILLISECONDS_PER_SECOND)
+        if self._faults.is_down:
+            return _answer(start_response, '503 Service Unavailable', {})
+        try:
+            body = self._serve(environ)
+        except NotFoundError:
+            return _answer(start_response, '404 Not Found', {})
+        except PlatformConflictError:
+            return _answer(start_response, '412 Precondition Failed', {})
+        return _answer(start_response, '200 OK', body)
+
+    def _serve(self, environ: Any) -> Any:
+        segments = [
+            unquote(segment) for segment in environ['PATH_INFO'].split('/')[1:]
+        ]
+        match segments:
+            case ['vms']:
+                return [plain_form(vm) for vm in self._store.vms()]
+            case ['watch', kind]:
+                return self._watch(kind, environ)
+            case ['objects', kind]:
+                return _plain(self._store.list_objects(kind))
+            case ['objects', kind, name]:
+                return self._serve_object(kind, name, environ)
+        raise NotFoundError('no such path')
+
+    def _serve_object(self, kind: str, name: str, environ: Any) -> Any:
+        match environ['REQUEST_METHOD']:
+            case 'PUT':
+                return self._put(kind, name, environ)
+            case 'DELETE':
+                self._store.delete(kind, name, _expected(environ))
+                return {}
+        return attrs.asdict(self._store.get(kind, name))
+
+    def _watch(self, kind: str, environ: Any) -> Any:
+        query = parse_qs(environ['QUERY_STRING'])
+        after = int(query['after'][0])
+        wait_ms = int(query['wait_ms'][0])
+        return _plain(self._store.wait_changed(kind, after, wait_ms))
+
+    def _put(self, kind: str, name: str, environ: Any) -> Any:
+        length = int(environ.get('CONTENT_LENGTH') or 0)
+        text = environ['wsgi.input'].read(length).decode()
+        written = self._store.put(kind, name, text, _expected(environ))
+        if self._faults.loses_answer():
+            raise _LostAnswer('the answer is lost on purpose')
+        return {'version': written.version}
+
+
+def _expected(environ: Any) -> int:
+    if environ.get('HTTP_IF_NONE_MATCH') == _ANY:
+        return 0
+    return int(environ['HTTP_IF_MATCH'].strip('"'))
+
+
+def _plain(found: list[StoredObject]) -> list[dict[str, Any]]:
+    return [attrs.asdict(each) for each in found]
+
+
+def _answer(start_response: Any, status: str, body: Any) -> Iterable[bytes]:
+    content = json.dumps(body).encode()
+    start_response(
+        status,
+        [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(content))),
+        ],
+    )
+    return [content]
--- /dev/null
+++ b/src/catkindrift/retries/__init__.py
@@ -0,0 +1,32 @@
+"""Which attempts may be followed by another, and which never again."""
+
+from catkindrift.retries._attempt_result import (
+    Answered,
+    AttemptResult,
+    Broken,
+    BrokenReason,
+    CallerGone,
+    NotStarted,
+    NotStartedReason,
+    RecordedAnswer,
+)
+from catkindrift.retries._budget import RetryBudget
+from catkindrift.retries._decision import Outcome, RetryRule
+from catkindrift.retries._suspects import Cleared, Crash, Suspects
+
+__all__ = [
+    'Answered',
+    'AttemptResult',
+    'Broken',
+    'BrokenReason',
+    'CallerGone',
+    'Cleared',
+    'Crash',
+    'NotStarted',
+    'NotStartedReason',
+    'Outcome',
+    'RecordedAnswer',
+    'RetryBudget',
+    'RetryRule',
+    'Suspects',
+]
--- /dev/null
+++ b/src/catkindrift/routing/__init__.py
@@ -0,0 +1,21 @@
+"""Which entry VM a caller uses, and which upstream an attempt goes to."""
+
+from catkindrift.routing._block_table import BlockTable
+from catkindrift.routing._candidate import Candidate, Distance
+from catkindrift.routing._chooser import Chooser
+from catkindrift.routing._lookup import LookupAnswer, order_entries
+from catkindrift.routing._rendezvous import rendezvous_order
+from catkindrift.routing._upstream_state import UpstreamState
+from catkindrift.routing._upstream_table import UpstreamTable
+
+__all__ = [
+    'BlockTable',
+    'Candidate',
+    'Chooser',
+    'Distance',
+    'LookupAnswer',
+    'UpstreamState',
+    'UpstreamTable',
+    'order_entries',
+    'rendezvous_order',
+]
--- /dev/null
+++ b/src/catkindrift/server/_composition.py
@@ -0,0 +1,254 @@
+"""Composition root: wires the parts of an entry VM."""
+
+import asyncio
+import random
+from pathlib import Path
+from typing import final
+
+import attrs
+from grpclib.server import Server as PeerServer
+
+from catkindrift.claims import ClaimStore
+from catkindrift.clock import Clock
+from catkindrift.core import Bounds, EntryCore, Event, Identity
+from catkindrift.domain import Vm, VmRole
+from catkindrift.limits import Breaker, Grant, TokenBucket
+from catkindrift.peers import PeerAddress, PeerClient, PeersService
+from catkindrift.plans import ConfigurationStore, PlanExecutor
+from catkindrift.platform import CallGate, GuardedPlatform, HttpPlatform
+from catkindrift.server._bridge import Bridge
+from catkindrift.server._caller_app import CallerApp
+from catkindrift.server._core_collector import CoreCollector
+from catkindrift.server._effect_runner import EffectRunner
+from catkindrift.server._forwarder import Forwarder
+from catkindrift.server._handlers import ApiContext
+from catkindrift.server._http_server import HttpServer
+from catkindrift.server._lookup_app import LookupApp
+from catkindrift.server._metrics import Metrics
+from catkindrift.server._observer import Observer
+from catkindrift.server._operator_app import operator_application
+from catkindrift.server._operator_service import OperatorService
+from catkindrift.server._operators import Operators
+from catkindrift.server._peer_answers import PeerAnswers
+from catkindrift.server._peer_exchange import PeerExchange
+from catkindrift.server._plan_runner import PlanRunner
+from catkindrift.server._platform_watcher import PlatformWatcher
+from catkindrift.server._tls import peer_client_context
+from catkindrift.server._upstream_client import UpstreamClient
+from catkindrift.server._vm_list_cache import VmListCache
+from catkindrift.settings import Endpoint, EntrySettings
+
+_OPERATOR_THREADS = 8
+
+
+@final
+@attrs.define(eq=False)
+class Composition:
+    """All parts of one entry VM, wired to each other.
+
+    Has to be created on the loop that the parts will run on.
+
+    Args:
+        settings: Checked settings.
+        clock: Source of time.
+        rng: Source of jitter.
+    """
+
+    settings: EntrySettings
+    clock: Clock
+    rng: random.Random
+    core: EntryCore = attrs.field(init=False)
+    http_platform: HttpPlatform = attrs.field(init=False)
+    platform: GuardedPlatform = attrs.field(init=False)
+    peers: PeerClient = attrs.field(init=False)
+    runner: EffectRunner = attrs.field(init=False)
+    exchange: PeerExchange = attrs.field(init=False)
+    watcher: PlatformWatcher = attrs.field(init=False)
+    plans: PlanRunner = attrs.field(init=False)
+    claims: ClaimStore = attrs.field(init=False)
+    callers: HttpServer = attrs.field(init=False)
+    operators: HttpServer = attrs.field(init=False)
+    peer_server: PeerServer = attrs.field(init=False)
+    news: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
+    _gate: CallGate = attrs.field(init=False)
+    _vm_list: VmListCache = attrs.field(init=False)
+    _observer: Observer = attrs.field(init=False)
+    _bridge: Bridge = attrs.field(init=False)
+    _upstreams: UpstreamClient = attrs.field(init=False, factory=UpstreamClient)
+
+    def __attrs_post_init__(self) -> None:
+        """Wire all parts, those that others need first."""
+        self._make_core()
+        self._make_platform()
+        self._make_peers()
+        self._make_servers()
+
+    def post(self, event: Event) -> None:
+        """Let the core decide on an event and carry out what follows."""
+        self.runner.run(self.core.handle(event))
+
+    def _make_core(self) -> None:
+        settings = self.settings
+        callers, _, peers = settings.listen.endpoints
+        vm = Vm(
+            name=settings.vm.name,
+            zone=settings.vm.zone,
+            role=VmRole.ENTRY,
+            address=callers.host,
+            port=callers.port,
+            peer_port=peers.port,
+        )
+        limits = settings.limits
+        self.core = EntryCore.create(
+            Identity(vm, settings.vm.region, self.clock.wall_ms()),
+            self.clock,
+            self.rng,
+            Bounds(
+                requests=limits.caller_threads - limits.reserved_threads,
+                lookup_lifetime_ms=limits.lookup_lifetime_ms,
+            ),
+        )
+
+    def _make_platform(self) -> None:
+        settings = self.settings.platform
+        self.http_platform = HttpPlatform(settings.url, settings.timeout_ms)
+        budget = TokenBucket(
+            self.clock,
+            settings.calls_per_second,
+            settings.burst_calls,
+        )
+        self._gate = CallGate(budget, Breaker(self.clock, self.rng))
+        self.platform = GuardedPlatform(self.http_platform, self._gate)
+        identity = self.core.state.identity
+        holder = f'{identity.name}/{identity.incarnation}'
+        self.claims = ClaimStore(self.platform, self.clock, holder)
+        self._observer = Observer(self.core, self.platform)
+
+    def _make_peers(self) -> None:
+        settings = self.settings
+        secret = _read_secret(settings.peers.secret_file)
+        identity = self.core.state.identity
+        self.peers = PeerClient(secret, peer_client_context(settings.tls))
+        self._bridge = Bridge(asyncio.get_running_loop(), self.post)
+        self._vm_list = VmListCache(self.clock, self.post)
+        self.runner = EffectRunner(
+            identity.vm,
+            self.clock,
+            self.core.state.members,
+            self._bridge,
+            self.claims,
+            self.peers,
+            self._upstreams,
+            self.news.set,
+            self.post,
+        )
+        self.exchange = PeerExchange(
+            self.core,
+            self.clock,
+            self.rng,
+            self.peers,
+            _seeds(settings.peers.seeds),
+            self._vm_list,
+            self.post,
+        )
+        answers = PeerAnswers(
+            self.core,
+            self.clock,
+            self._vm_list,
+            self.post,
+            self._take_lent,
+        )
+        self.peer_server = PeerServer([PeersService(answers, secret)])
+
+    def _take_lent(self, ask_id: int) -> tuple[Grant, ...]:
+        return self.runner.lent.pop(ask_id, ())
+
+    def _make_servers(self) -> None:
+        settings = self.settings
+        store = ConfigurationStore(self.platform, self.clock)
+        self.watcher = PlatformWatcher(
+            self.core,
+            self.clock,
+            self.rng,
+            self.platform,
+            store,
+            settings.platform.watch_wait_ms,
+            self.post,
+            self._vm_list.see,
+        )
+        self.plans = PlanRunner(
+            PlanExecutor(self.clock, settings.vm.name),
+            store,
+            self._observer,
+            self.rng,
+            self.post,
+        )
+        metrics = Metrics()
+        metrics.registry.register(
+            CoreCollector(
+                self.core,
+                self.platform,
+                self._gate,
+                self._bridge.call,
+            ),
+        )
+        self.callers = self._caller_server(metrics)
+        service = OperatorService(
+            store,
+            self._observer,
+            self.clock,
+            self.post,
+        )
+        self.operators = self._operator_server(service, metrics)
+
+    def _caller_server(self, metrics: Metrics) -> HttpServer:
+        settings = self.settings
+        callers, _, _ = settings.listen.endpoints
+        scheme = 'https' if settings.tls.enabled else 'http'
+        forwarder = Forwarder(
+            self._bridge,
+            self.clock,
+            self._upstreams,
+            metrics,
+        )
+        lookups = LookupApp(self.core, self._bridge, scheme)
+        return HttpServer(
+            callers,
+            CallerApp(forwarder, lookups),
+            settings.limits.caller_threads,
+            settings.limits.max_header_bytes,
+            settings.tls,
+        )
+
+    def _operator_server(
+        self,
+        service: OperatorService,
+        metrics: Metrics,
+    ) -> HttpServer:
+        settings = self.settings
+        _, operators, _ = settings.listen.endpoints
+        context = ApiContext(self._bridge, Operators(settings.operators))
+        application = operator_application(
+            context,
+            service,
+            self._observer,
+            metrics.registry,
+        )
+        return HttpServer(
+            operators,
+            application,
+            _OPERATOR_THREADS,
+            settings.limits.max_header_bytes,
+            settings.tls,
+        )
+
+
+def _read_secret(path: str) -> str:
+    if not path:
+        return ''
+    return Path(path).read_text(encoding='utf-8').strip()
+
+
+def _seeds(texts: tuple[str, ...]) -> tuple[PeerAddress, ...]:
+    endpoints = [Endpoint.parse(text) for text in texts]
+    return tuple(PeerAddress(each.host, each.port) for each in endpoints)
--- /dev/null
+++ b/src/catkindrift/server/_core_collector.py
@@ -0,0 +1,169 @@
+"""Metrics that are read from the decision core when they are scraped."""
+
+from collections.abc import Callable, Iterable
+from typing import final
+
+import attrs
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from catkindrift.core import EntryCore, Invariant
+from catkindrift.platform import CallGate, GuardedPlatform
+
+_MILLISECONDS_PER_SECOND = 1000
+_Families = list[Metric]
+_CallOnLoop = Callable[[Callable[[], _Families]], _Families]
+
+
+@final
+@attrs.define(eq=False)
+class CoreCollector(Collector):
+    """Reads counters and gauges on the loop.
+
+    Args:
+        core: The decision core.
+        platform: The platform.
+        gate: Budget and breaker of platform calls.
+        call: Runs a function on the loop.
+    """
+
+    _core: EntryCore
+    _platform: GuardedPlatform
+    _gate: CallGate
+    _call: _CallOnLoop
+
+    def collect(self) -> Iterable[Metric]:
+        """Return all metric families."""
+        return self._call(self._read)
+
+    def _read(self) -> list[Metric]:
+        return [
+            *self._request_metrics(),
+            *self._invariant_metrics(),
+            *self._room_metrics(),
+            *self._state_metrics(),
+            *self._platform_metrics(),
+        ]
+
+    def _request_metrics(self) -> list[Metric]:
+        state = self._core.state
+        requests = _counter(
+            'catkindrift_requests',
+            'Requests taken on',
+            state.retry_budget.requests,
+        )
+        retries = _counter(
+            'catkindrift_retries',
+            'Attempts beyond the first of a request',
+            state.retry_budget.retries,
+        )
+        refusals = CounterMetricFamily(
+            'catkindrift_refusals',
+            'Requests without an answer of an upstream',
+            labels=('reason', 'outcome'),
+        )
+        for (reason, outcome), count in sorted(state.refusals.items()):
+            refusals.add_metric((reason, outcome), count)
+        moved = CounterMetricFamily(
+            'catkindrift_moved_requests',
+            'Requests that a shift moved to another region',
+            labels=('shift',),
+        )
+        for shift, count in sorted(state.moved.items()):
+            moved.add_metric((shift,), count)
+        return [requests, retries, refusals, moved]
+
+    def _invariant_metrics(self) -> list[Metric]:
+        invariants = self._core.state.invariants
+        checked = CounterMetricFamily(
+            'catkindrift_invariants_checked',
+            'Checks of an invariant',
+            labels=('invariant',),
+        )
+        breached = CounterMetricFamily(
+            'catkindrift_invariants_breached',
+            'Checks of an invariant that failed',
+            labels=('invariant',),
+        )
+        for invariant in Invariant:
+            label = (invariant.value,)
+            checked.add_metric(label, invariants.checked[invariant])
+            breached.add_metric(label, invariants.breached[invariant])
+        return [checked, breached]
+
+    def _room_metrics(self) -> list[Metric]:
+        slots = GaugeMetricFamily(
+            'catkindrift_slots',
+            'Own slots of a service',
+            labels=('service', 'state'),
+        )
+        waiting = GaugeMetricFamily(
+            'catkindrift_waiting_requests',
+            'Requests that wait for a slot',
+            labels=('service',),
+        )
+        configuration = self._core.state.in_force.configuration
+        for service in configuration.services:
+            owned, taken = self._core.slots.room(service.name)
+            slots.add_metric((service.name, 'free'), owned - taken)
+            slots.add_metric((service.name, 'taken'), taken)
+            queue = self._core.state.queues.get(service.name, ())
+            waiting.add_metric((service.name,), len(queue))
+        return [slots, waiting]
+
+    def _state_metrics(self) -> list[Metric]:
+        state = self._core.state
+        confirmed_age = -1.0
+        if state.confirmed_ms is not None:
+            age_ms = state.clock.now_ms() - state.confirmed_ms
+            confirmed_age = age_ms / _MILLISECONDS_PER_SECOND
+        return [
+            _gauge(
+                'catkindrift_configuration_revision',
+                'Revision in force',
+                state.in_force.revision,
+            ),
+            _gauge(
+                'catkindrift_configuration_confirmed_age_seconds',
+                'Time since the revision was last shown to be the newest; '
+                '-1 for never',
+                confirmed_age,
+            ),
+            _gauge(
+                'catkindrift_pending_requests',
+                'Requests without a final answer',
+                len(state.pending),
+            ),
+            _gauge(
+                'catkindrift_alive_entry_vms',
+                'Entry VMs heard from, this one included',
+                len(state.members.alive_records()) + 1,
+            ),
+        ]
+
+    def _platform_metrics(self) -> list[Metric]:
+        calls = CounterMetricFamily(
+            'catkindrift_platform_calls',
+            'Calls of the platform',
+            labels=('state',),
+        )
+        calls.add_metric(('made',), self._gate.calls_made)
+        calls.add_metric(('refused',), self._gate.calls_refused)
+        resolved = _counter(
+            'catkindrift_platform_writes_resolved',
+            'Writes whose answer was lost and that were found to be ours',
+            self._platform.writes_resolved,
+        )
+        return [calls, resolved]
+
+
+def _counter(name: str, text: str, count: float) -> CounterMetricFamily:
+    return CounterMetricFamily(name, text, value=count)
+
+
+def _gauge(name: str, text: str, level: float) -> GaugeMetricFamily:
+    return GaugeMetricFamily(name, text, value=level)
--- /dev/null
+++ b/src/catkindrift/server/_effect_runner.py
@@ -0,0 +1,168 @@
+"""Carries out the effects of the decision core."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, final
+
+import attrs
+from absl import logging
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from catkindrift.claims import ClaimStore
+from catkindrift.clock import Clock
+from catkindrift.core import (
+    AskGrants,
+    ClaimJudged,
+    Dispatch,
+    Effect,
+    EndClaim,
+    Event,
+    GrantsAnswered,
+    LendGrants,
+    LogChange,
+    ProbeUpstream,
+    PublishRecord,
+    Refuse,
+    Replay,
+    TakeClaim,
+    UpstreamProbed,
+)
+from catkindrift.domain import Vm
+from catkindrift.limits import Grant
+from catkindrift.peers import Members, PeerAddress, PeerClient
+from catkindrift.peers.protocol import peers_pb2
+from catkindrift.server._bridge import Bridge
+from catkindrift.server._upstream_client import UpstreamClient
+
+PEER_FAILURES = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    StreamTerminatedError,
+)
+
+
+@final
+@attrs.define(eq=False)
+class EffectRunner:
+    """Turns effects into calls, and their results into events.
+
+    Args:
+        vm: This entry VM.
+        clock: Source of time.
+        members: Addresses of other entry VMs.
+        bridge: Hands decisions to server threads.
+        claims: Claims in the platform.
+        peers: Calls other entry VMs.
+        upstreams: Probes upstreams.
+        publish: Sends this VM's record to the others.
+        post: Handles an event on the loop.
+    """
+
+    _vm: Vm
+    _clock: Clock
+    _members: Members
+    _bridge: Bridge
+    _claims: ClaimStore
+    _peers: PeerClient
+    _upstreams: UpstreamClient
+    _publish: Callable[[], None]
+    _post: Callable[[Event], None]
+    _tasks: 'set[asyncio.Task[None]]' = attrs.field(init=False, factory=set)
+    _probes: ThreadPoolExecutor = attrs.field(
+        init=False,
+        factory=lambda: ThreadPoolExecutor(2, 'probe'),
+    )
+    lent: dict[int, tuple[Grant, ...]] = attrs.field(init=False, factory=dict)
+
+    def run(self, effects: list[Effect]) -> None:
+        """Carry out effects; calls go on in the background."""
+        for effect in effects:
+            self._run_one(effect)
+
+    def close(self) -> None:
+        """Cancel the calls that are still open."""
+        for task in self._tasks:
+            task.cancel()
+        self._probes.shutdown(wait=False)
+
+    def _run_one(self, effect: Effect) -> None:
+        match effect:
+            case Dispatch() | Refuse() | Replay():
+                self._bridge.decide(effect.request_id, effect)
+            case TakeClaim():
+                self._spawn(self._take_claim(effect))
+            case EndClaim():
+                self._spawn(
+                    self._claims.end(effect.held, effect.state, effect.answer),
+                )
+            case AskGrants():
+                self._spawn(self._ask_grants(effect))
+            case LendGrants():
+                self.lent[effect.ask_id] = effect.grants
+            case ProbeUpstream():
+                self._spawn(self._probe(effect.upstream))
+            case PublishRecord():
+                self._publish()
+            case LogChange():
+                logging.info('%s: %s', self._vm.name, effect.message)
+
+    def _spawn(self, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _take_claim(self, effect: TakeClaim) -> None:
+        verdict = await self._claims.take(
+            effect.name,
+            effect.service,
+            effect.digest,
+            effect.time_limit_ms,
+        )
+        self._post(ClaimJudged(effect.request_id, verdict))
+
+    async def _ask_grants(self, effect: AskGrants) -> None:
+        asked_ms = self._clock.now_ms()
+        grants: tuple[Grant, ...] = ()
+        record = self._members.record(effect.granter)
+        if record is not None:
+            address = PeerAddress(record.vm.address, record.vm.peer_port)
+            request = peers_pb2.LendRequest(
+                holder=self._vm.name,
+                holder_zone=self._vm.zone,
+                service=effect.service,
+                slots=effect.slots,
+            )
+            try:
+                reply = await self._peers.lend(address, request)
+            except PEER_FAILURES:
+                reply = peers_pb2.LendReply()
+            grants = _grants(reply, asked_ms)
+        self._post(GrantsAnswered(effect.granter, effect.service, grants))
+
+    async def _probe(self, upstream: Vm) -> None:
+        loop = asyncio.get_running_loop()
+        is_up = await loop.run_in_executor(
+            self._probes,
+            self._upstreams.is_up,
+            upstream,
+        )
+        self._post(UpstreamProbed(upstream.name, is_up))
+
+
+def _grants(
+    reply: peers_pb2.LendReply,
+    asked_ms: int,
+) -> tuple[Grant, ...]:
+    """Return the grants of a reply, their lives counted from the question."""
+    return tuple(
+        Grant(
+            grant.grant_id,
+            reply.granter,
+            grant.upstream,
+            grant.slots,
+            asked_ms + grant.life_ms,
+        )
+        for grant in reply.grants
+    )
--- /dev/null
+++ b/src/catkindrift/server/_entry_vm.py
@@ -0,0 +1,137 @@
+"""Life of an entry VM."""
+
+import asyncio
+import random
+from typing import Any, final
+
+import attrs
+from absl import logging
+
+from catkindrift.clock import Clock, SystemClock
+from catkindrift.core import EntryCore, StopRequested, Ticked
+from catkindrift.limits import jittered
+from catkindrift.server._composition import Composition
+from catkindrift.server._tls import peer_server_context
+from catkindrift.settings import EntrySettings
+
+_TICK_SECONDS = 0.02
+_CLAIM_RETRY_SECONDS = 1.0
+_IDLE_POLL_SECONDS = 0.05
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@final
+@attrs.define(eq=False)
+class EntryVm:
+    """Starts, runs and stops the parts of one entry VM on one loop.
+
+    Args:
+        settings: Checked settings.
+        clock: Source of time.
+        rng: Source of jitter.
+    """
+
+    _settings: EntrySettings
+    _clock: Clock = attrs.field(factory=SystemClock)
+    _rng: random.Random = attrs.field(factory=random.Random)
+    _parts: Composition = attrs.field(init=False)
+    _tasks: list['asyncio.Task[Any]'] = attrs.field(init=False, factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Wire all parts; has to be called on the loop."""
+        self._parts = Composition(self._settings, self._clock, self._rng)
+
+    @property
+    def name(self) -> str:
+        """Return the name of the VM."""
+        return self._settings.vm.name
+
+    @property
+    def core(self) -> EntryCore:
+        """Return the decision core."""
+        return self._parts.core
+
+    async def start(self) -> None:
+        """Listen, learn the configuration, and serve.
+
+        Raises:
+            OSError: An address is in use.
+        """
+        parts = self._parts
+        await self._listen()
+        await parts.watcher.load_once()
+        await parts.exchange.bootstrap()
+        for job in (
+            parts.watcher.watch_configuration(),
+            parts.watcher.poll_vms(),
+            parts.plans.run(),
+            self._tick(),
+            self._exchange_rounds(),
+            self._publish_news(),
+            self._retry_claims(),
+        ):
+            self._tasks.append(asyncio.create_task(job))
+        logging.info('%s: serving callers', self.name)
+
+    async def stop(self) -> None:
+        """Finish what is in flight, then end.
+
+        Look-ups stop naming this VM at once. Callers that hold an older
+        answer are served until its lifetime has passed.
+        """
+        self._parts.post(StopRequested())
+        logging.info('%s: stopping, finishing requests', self.name)
+        limit_ms = self._settings.limits.stop_timeout_ms
+        until_ms = self._clock.now_ms() + limit_ms
+        while not self.core.is_idle and self._clock.now_ms() < until_ms:
+            await asyncio.sleep(_IDLE_POLL_SECONDS)
+        await self.close()
+        logging.info('%s: stopped', self.name)
+
+    async def close(self) -> None:
+        """End at once; requests in flight are cut off."""
+        parts = self._parts
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(None, parts.callers.stop)
+        await loop.run_in_executor(None, parts.operators.stop)
+        parts.runner.close()
+        parts.peers.close()
+        parts.peer_server.close()
+        parts.http_platform.close()
+
+    async def _listen(self) -> None:
+        _, _, peers = self._settings.listen.endpoints
+        await self._parts.peer_server.start(
+            peers.host,
+            peers.port,
+            ssl=peer_server_context(self._settings.tls),
+        )
+        self._parts.operators.start()
+        self._parts.callers.start()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            self._parts.post(Ticked())
+
+    async def _exchange_rounds(self) -> None:
+        interval_ms = self._settings.peers.exchange_interval_ms
+        while True:
+            pause_ms = jittered(self._rng, interval_ms)
+            await asyncio.sleep(pause_ms / _MILLISECONDS_PER_SECOND)
+            await self._parts.exchange.round()
+
+    async def _publish_news(self) -> None:
+        news = self._parts.news
+        while True:
+            await news.wait()
+            news.clear()
+            await self._parts.exchange.publish()
+
+    async def _retry_claims(self) -> None:
+        while True:
+            await asyncio.sleep(jittered(self._rng, _CLAIM_RETRY_SECONDS))
+            await self._parts.claims.retry_pending()
--- /dev/null
+++ b/src/catkindrift/server/_http_server.py
@@ -0,0 +1,113 @@
+"""An HTTP server whose threads move bytes."""
+
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any, final
+
+import attrs
+from absl import logging
+from cheroot import wsgi
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from catkindrift.settings import Endpoint, TlsSettings
+
+_IDLE_TIMEOUT_SECONDS = 30
+_ACCEPT_QUEUE = 128
+_STOP_TIMEOUT_SECONDS = 2
+
+
+@final
+class _ClosingGateway(wsgi.Gateway_10):
+    """Closes the connection after an answer that says so.
+
+    Without this the server would first read the whole rest of a refused
+    upload into memory.
+    """
+
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: Any = None,
+    ) -> Any:
+        """Note a Connection header of the application."""
+        if ('Connection', 'close') in headers:
+            self.req.close_connection = True
+        return super().start_response(status, headers, exc_info)
+
+
+@final
+@attrs.define(eq=False)
+class HttpServer:
+    """Serves a WSGI application on one address.
+
+    Args:
+        endpoint: Address to listen on; port 0 picks a free one.
+        application: The WSGI application.
+        threads: Requests that are served at a time.
+        max_header_bytes: Largest accepted request header.
+        tls: Certificate and key, when connections use TLS.
+    """
+
+    _endpoint: Endpoint
+    _application: Any
+    _threads: int
+    _max_header_bytes: int
+    _tls: TlsSettings
+    _server: Any = attrs.field(init=False)
+    _runner: ThreadPoolExecutor = attrs.field(init=False)
+    _running: 'Future[None] | None' = attrs.field(init=False, default=None)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the server without listening yet."""
+        self._server = wsgi.Server(
+            (self._endpoint.host, self._endpoint.port),
+            self._application,
+            numthreads=self._threads,
+            max=self._threads,
+            request_queue_size=_ACCEPT_QUEUE,
+            timeout=_IDLE_TIMEOUT_SECONDS,
+            shutdown_timeout=_STOP_TIMEOUT_SECONDS,
+        )
+        self._server.gateway = _ClosingGateway
+        self._server.max_request_header_size = self._max_header_bytes
+        self._server.error_log = _log_error
+        self._server.nodelay = True
+        if self._tls.enabled:
+            self._server.ssl_adapter = BuiltinSSLAdapter(
+                self._tls.certificate_file,
+                self._tls.key_file,
+            )
+        self._runner = ThreadPoolExecutor(1, 'http-accept')
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return int(self._server.bind_addr[1])
+
+    def start(self) -> None:
+        """Listen, and serve in the background.
+
+        Raises:
+            OSError: The address is in use or cannot be bound.
+        """
+        try:
+            self._server.prepare()
+        except OSError as failure:
+            raise OSError(
+                f'cannot listen on {self._endpoint.host}:{self._endpoint.port}'
+                f' ({failure}); stop the other process or change the address',
+            ) from failure
+        self._running = self._runner.submit(self._server.serve)
+
+    def stop(self) -> None:
+        """Stop listening; requests in flight must have ended before."""
+        self._server.stop()
+        self._runner.shutdown(wait=True)
+
+
+def _log_error(
+    message: str = '',
+    level: int = logging.INFO,
+    traceback: bool = False,
+) -> None:
+    logging.debug('http server: %s (level %s)', message, level)
--- /dev/null
+++ b/src/catkindrift/server/_metrics.py
@@ -0,0 +1,56 @@
+"""Metrics of one entry VM."""
+
+from typing import final
+
+import attrs
+from prometheus_client import CollectorRegistry, Histogram
+
+_LATENCY_SECONDS = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1,
+    2,
+    5,
+    10,
+    30,
+    60,
+    300,
+)
+
+
+@final
+@attrs.define(eq=False)
+class Metrics:
+    """Histograms that server threads fill; all else is read from the core.
+
+    Args:
+        registry: Registry of this entry VM.
+    """
+
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    request_seconds: Histogram = attrs.field(init=False)
+    upstream_seconds: Histogram = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register the histograms."""
+        self.request_seconds = Histogram(
+            'catkindrift_request_seconds',
+            'Time from dispatch to the last answer byte',
+            ('service',),
+            buckets=_LATENCY_SECONDS,
+            registry=self.registry,
+        )
+        self.upstream_seconds = Histogram(
+            'catkindrift_upstream_seconds',
+            'Time from dispatch to the first answer byte of the upstream',
+            ('service',),
+            buckets=_LATENCY_SECONDS,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/catkindrift/server/_observer.py
@@ -0,0 +1,130 @@
+"""Views of the deployment from one entry VM's state."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.core import EntryCore
+from catkindrift.domain import Configuration, PlanState, Zone
+from catkindrift.peers import PeerRecord
+from catkindrift.plans import FleetView
+from catkindrift.platform import GuardedPlatform
+from catkindrift.server._status import DeploymentStatus, Headroom, ZoneStatus
+
+_OPEN = frozenset((PlanState.PROPOSED, PlanState.RUNNING, PlanState.PAUSED))
+
+
+@final
+@attrs.define(eq=False)
+class Observer:
+    """Reads the decision core; loop side only.
+
+    Args:
+        core: The decision core.
+        platform: The platform with its breaker.
+    """
+
+    _core: EntryCore
+    _platform: GuardedPlatform
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force on this entry VM."""
+        return self._core.state.in_force.configuration
+
+    def reason_not_ready(self) -> str:
+        """Return why new callers should use another VM, empty if not."""
+        if self._core.state.is_stopping:
+            return 'stopping: requests in flight are being finished'
+        if not self._core.state.is_ready:
+            return 'no configuration: neither platform nor peers gave one'
+        return ''
+
+    def view(self) -> FleetView:
+        """Return what is known of all VMs, for plans."""
+        members = self._core.state.members
+        silent = tuple(
+            vm.name
+            for vm in members.entry_vms()
+            if members.record(vm.name) is None or not members.is_alive(vm.name)
+        )
+        return FleetView(
+            self._records(),
+            silent,
+            tuple(upstream.vm for upstream in self._core.state.upstreams),
+        )
+
+    def status(self) -> DeploymentStatus:
+        """Return the state of the deployment."""
+        configuration = self._core.state.in_force.configuration
+        view = self.view()
+        return DeploymentStatus(
+            vm=self._core.state.identity.name,
+            revision=configuration.revision,
+            is_platform_available=self._platform.is_available,
+            zones=tuple(
+                self._zone_status(zone, view) for zone in configuration.zones
+            ),
+            drains=configuration.drains,
+            shifts=configuration.shifts,
+            plans=tuple(
+                plan for plan in configuration.plans if plan.state in _OPEN
+            ),
+        )
+
+    def headroom(self) -> tuple[Headroom, ...]:
+        """Return the room of each service in each region."""
+        configuration = self._core.state.in_force.configuration
+        records = self._records()
+        return tuple(
+            _headroom(records, region, service.name)
+            for service in configuration.services
+            for region in configuration.regions
+        )
+
+    def _records(self) -> tuple[PeerRecord, ...]:
+        own = self._core.own_record()
+        return (own, *self._core.state.members.alive_records())
+
+    def _zone_status(self, zone: Zone, view: FleetView) -> ZoneStatus:
+        revisions = {
+            record.vm.name: record.revision
+            for record in view.records
+            if record.vm.zone == zone.name
+        }
+        silent = tuple(
+            vm.name
+            for vm in self._core.state.members.entry_vms()
+            if vm.zone == zone.name and vm.name in view.silent
+        )
+        newest = self._core.state.in_force.revision
+        oldest = min(revisions.values(), default=0)
+        return ZoneStatus(
+            zone.name,
+            zone.region,
+            tuple(sorted(revisions)),
+            silent,
+            oldest,
+            oldest >= newest and not silent,
+        )
+
+
+def _headroom(
+    records: tuple[PeerRecord, ...],
+    region: str,
+    service: str,
+) -> Headroom:
+    rooms = [
+        room
+        for record in records
+        if record.region == region
+        for room in record.rooms
+        if room.service == service
+    ]
+    return Headroom(
+        region,
+        service,
+        sum(room.slots for room in rooms),
+        sum(room.used for room in rooms),
+        sum(room.waiting for room in rooms),
+        len(rooms),
+    )
--- /dev/null
+++ b/src/catkindrift/server/_peer_answers.py
@@ -0,0 +1,118 @@
+"""Answers to other entry VMs."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any, final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.core import EntryCore, Event, GrantAsked, RecordSeen
+from catkindrift.domain import encode_json
+from catkindrift.limits import Grant
+from catkindrift.peers import record_from_wire, record_to_wire
+from catkindrift.peers.protocol import peers_pb2
+from catkindrift.server._vm_list_cache import NEVER_MS, VmListCache
+
+# A VM list is sent only when it is fresher by this much.
+_FRESHER_MS = 500
+
+
+@final
+@attrs.define(eq=False)
+class PeerAnswers:
+    """Tells others what they lack, and lends them slots.
+
+    Args:
+        core: The decision core.
+        clock: Source of time.
+        vm_list: The VM list, for VMs that cannot reach the platform.
+        post: Handles an event on the loop.
+        take_lent: Returns the grants that answer a question.
+    """
+
+    _core: EntryCore
+    _clock: Clock
+    _vm_list: VmListCache
+    _post: Callable[[Event], None]
+    _take_lent: Callable[[int], tuple[Grant, ...]]
+    _ask_ids: Any = attrs.field(
+        init=False,
+        factory=lambda: itertools.count(1),
+    )
+
+    def exchange(
+        self,
+        request: peers_pb2.ExchangeRequest,
+    ) -> peers_pb2.ExchangeReply:
+        """Answer another entry VM."""
+        now_ms = self._clock.now_ms()
+        record = record_from_wire(request.own)
+        earlier = self._core.state.members.record(record.vm.name)
+        self._post(RecordSeen(record, now_ms, is_first_hand=False))
+        known = {
+            version.vm: (version.incarnation, version.sequence)
+            for version in request.known
+        }
+        known[record.vm.name] = record.version
+        own = self._core.own_record()
+        newer = [
+            each
+            for each in self._core.state.members.records()
+            if each.version > known.get(each.vm.name, (0, 0))
+        ]
+        if earlier and earlier.incarnation != record.incarnation:
+            newer.append(earlier)
+        reply = peers_pb2.ExchangeReply(
+            records=[record_to_wire(each) for each in (own, *newer)],
+        )
+        self._add_configuration(reply, request.revision)
+        self._add_vms(reply, request.vm_list_age_ms)
+        return reply
+
+    def lend(self, request: peers_pb2.LendRequest) -> peers_pb2.LendReply:
+        """Lend slots to another entry VM."""
+        ask_id = next(self._ask_ids)
+        self._post(
+            GrantAsked(
+                ask_id,
+                request.holder,
+                request.holder_zone,
+                request.service,
+                request.slots,
+            ),
+        )
+        now_ms = self._clock.now_ms()
+        return peers_pb2.LendReply(
+            granter=self._core.state.identity.name,
+            grants=[
+                peers_pb2.Grant(
+                    grant_id=grant.grant_id,
+                    upstream=grant.upstream,
+                    slots=grant.slots,
+                    life_ms=grant.expires_ms - now_ms,
+                )
+                for grant in self._take_lent(ask_id)
+            ],
+        )
+
+    def _add_configuration(
+        self,
+        reply: peers_pb2.ExchangeReply,
+        known_revision: int,
+    ) -> None:
+        configuration = self._core.state.in_force.configuration
+        if configuration.revision > known_revision:
+            reply.configuration = encode_json(configuration)
+
+    def _add_vms(
+        self,
+        reply: peers_pb2.ExchangeReply,
+        known_age_ms: int,
+    ) -> None:
+        age_ms = self._vm_list.age_ms
+        if age_ms == NEVER_MS:
+            return
+        if known_age_ms == NEVER_MS or age_ms + _FRESHER_MS < known_age_ms:
+            reply.vm_list = encode_json(self._vm_list.vms)
+            reply.vm_list_age_ms = age_ms
--- /dev/null
+++ b/src/catkindrift/server/_peer_exchange.py
@@ -0,0 +1,148 @@
+"""Exchange of records, configuration and VM list between entry VMs."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.core import (
+    ConfigurationSeen,
+    EntryCore,
+    Event,
+    RecordSeen,
+)
+from catkindrift.domain import Configuration, Vm, decode_json
+from catkindrift.peers import (
+    PeerAddress,
+    PeerClient,
+    record_from_wire,
+    record_to_wire,
+)
+from catkindrift.peers.protocol import peers_pb2
+from catkindrift.server._effect_runner import PEER_FAILURES
+from catkindrift.server._vm_list_cache import VmListCache
+
+_FAR_PEERS = 3
+
+
+@final
+@attrs.define(eq=False)
+class PeerExchange:
+    """Keeps this entry VM and the others informed of each other.
+
+    Each round goes to all entry VMs of the own zone and to a few random others,
+    so every record reaches every VM within a few rounds. Sending the
+    versions that are known keeps answers small.
+
+    Args:
+        core: The decision core.
+        clock: Source of time.
+        rng: Chooses the others.
+        client: Calls other entry VMs.
+        seeds: Addresses to ask while nobody else is known.
+        vm_list: The VM list, for others and from others.
+        post: Handles an event on the loop.
+    """
+
+    _core: EntryCore
+    _clock: Clock
+    _rng: random.Random
+    _client: PeerClient
+    _seeds: tuple[PeerAddress, ...]
+    _vm_list: VmListCache
+    _post: Callable[[Event], None]
+    _held: Configuration | None = attrs.field(init=False, default=None)
+
+    async def bootstrap(self) -> None:
+        """Learn the newest configuration from all VMs that answer.
+
+        No configuration is taken over before all answers are in: one of them
+        may show that this VM had a newer one before it restarted.
+        """
+        self._held = Configuration()
+        await self.publish()
+        held = self._held
+        self._held = None
+        if held.revision:
+            self._post(ConfigurationSeen(held))
+
+    async def round(self) -> None:
+        """Exchange with the VMs of the own zone and a few others."""
+        await self._exchange_all(self._targets())
+
+    async def publish(self) -> None:
+        """Exchange with all entry VMs that are known."""
+        await self._exchange_all(self._addresses(self._peers()))
+
+    async def _exchange_all(self, targets: Iterable[PeerAddress]) -> None:
+        request = self._request()
+        await asyncio.gather(
+            *(self._exchange_with(target, request) for target in targets),
+        )
+
+    async def _exchange_with(
+        self,
+        target: PeerAddress,
+        request: peers_pb2.ExchangeRequest,
+    ) -> None:
+        asked_ms = self._clock.now_ms()
+        try:
+            reply = await self._client.exchange(target, request)
+        except PEER_FAILURES:
+            return
+        for index, message in enumerate(reply.records):
+            record = record_from_wire(message)
+            self._post(RecordSeen(record, asked_ms, is_first_hand=not index))
+        if reply.configuration:
+            self._see(decode_json(reply.configuration, Configuration))
+        if reply.vm_list:
+            vms = decode_json(reply.vm_list, tuple[Vm, ...])
+            self._vm_list.see(vms, asked_ms - reply.vm_list_age_ms)
+
+    def _see(self, configuration: Configuration) -> None:
+        if self._held is None:
+            self._post(ConfigurationSeen(configuration))
+        elif configuration.revision > self._held.revision:
+            self._held = configuration
+
+    def _request(self) -> peers_pb2.ExchangeRequest:
+        return peers_pb2.ExchangeRequest(
+            own=record_to_wire(self._core.own_record()),
+            known=[
+                peers_pb2.RecordVersion(
+                    vm=record.vm.name,
+                    incarnation=record.incarnation,
+                    sequence=record.sequence,
+                )
+                for record in self._core.state.members.records()
+            ],
+            revision=self._core.state.in_force.revision,
+            vm_list_age_ms=self._vm_list.age_ms,
+        )
+
+    def _targets(self) -> list[PeerAddress]:
+        peers = self._peers()
+        own_zone = self._core.state.identity.zone
+        near = [vm for vm in peers if vm.zone == own_zone]
+        far = [vm for vm in peers if vm.zone != own_zone]
+        chosen = self._rng.sample(far, min(_FAR_PEERS, len(far)))
+        return self._addresses([*near, *chosen])
+
+    def _peers(self) -> list[Vm]:
+        members = self._core.state.members
+        return [vm for vm in members.entry_vms() if vm.peer_port]
+
+    def _addresses(self, vms: list[Vm]) -> list[PeerAddress]:
+        found = [PeerAddress(vm.address, vm.peer_port) for vm in vms]
+        if len(found) < _FAR_PEERS:
+            own = self._core.state.identity.vm
+            itself = PeerAddress(own.address, own.peer_port)
+            found.extend(
+                seed
+                for seed in self._seeds
+                if seed not in found and seed != itself
+            )
+        return found
--- /dev/null
+++ b/src/catkindrift/server/_problem.py
@@ -0,0 +1,158 @@
+"""Error answers in the form of RFC 9457."""
+
+import json
+import math
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any, final
+
+import attrs
+
+from catkindrift.core import Refusal, RefusalReason
+from catkindrift.retries import Outcome
+
+MEDIA_TYPE = 'application/problem+json'
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@final
+@attrs.frozen
+class Problem:
+    """One error answer.
+
+    Args:
+        status: HTTP status.
+        reason: Machine-readable reason, last part of the problem's type.
+        detail: What went wrong and what to do about it.
+        outcome: Whether the request surely did not run; empty where that is
+            not a question.
+        retry_after_ms: When to come back; 0 for never.
+        closes: The connection is closed after the answer.
+    """
+
+    status: HTTPStatus
+    reason: str
+    detail: str
+    outcome: str = ''
+    retry_after_ms: int = 0
+    closes: bool = False
+
+    @property
+    def status_line(self) -> str:
+        """Return status code and phrase."""
+        return f'{self.status.value} {self.status.phrase}'
+
+    @property
+    def body(self) -> bytes:
+        """Return the JSON document."""
+        document: dict[str, Any] = {
+            'type': f'urn:catkindrift:{self.reason}',
+            'title': self.reason.replace('_', ' '),
+            'status': self.status.value,
+            'detail': self.detail,
+        }
+        if self.outcome:
+            document['outcome'] = self.outcome
+        if self.retry_after_ms:
+            document['retry_after_ms'] = self.retry_after_ms
+        return json.dumps(document).encode()
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Return the headers that go with `body`."""
+        headers = [
+            ('Content-Type', MEDIA_TYPE),
+            ('Content-Length', str(len(self.body))),
+            ('Cache-Control', 'no-store'),
+        ]
+        if self.outcome:
+            headers.append(('Catkindrift-Outcome', self.outcome))
+        if self.retry_after_ms:
+            seconds = math.ceil(self.retry_after_ms / _MILLISECONDS_PER_SECOND)
+            headers.append(('Retry-After', str(seconds)))
+        if self.closes:
+            headers.append(('Connection', 'close'))
+        return headers
+
+
+_STATUS = MappingProxyType(
+    {
+        RefusalReason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+        RefusalReason.KEY_MISSING: HTTPStatus.BAD_REQUEST,
+        RefusalReason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+        RefusalReason.IN_PROGRESS: HTTPStatus.CONFLICT,
+        RefusalReason.ALREADY_RUN: HTTPStatus.CONFLICT,
+        RefusalReason.QUARANTINED: HTTPStatus.UNPROCESSABLE_ENTITY,
+        RefusalReason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        RefusalReason.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+        RefusalReason.UPSTREAM_FAILED: HTTPStatus.BAD_GATEWAY,
+    }
+)
+_DETAIL = MappingProxyType(
+    {
+        RefusalReason.UNKNOWN_SERVICE: (
+            'there is no such service; check the name after /services/'
+        ),
+        RefusalReason.KEY_MISSING: (
+            'this service runs each request once; '
+            'send an Idempotency-Key header'
+        ),
+        RefusalReason.KEY_REUSED: (
+            'the Idempotency-Key belongs to another request; use a new key'
+        ),
+        RefusalReason.IN_PROGRESS: (
+            'the first request with this key has not ended; ask again later'
+        ),
+        RefusalReason.ALREADY_RUN: (
+            'the request with this key has run, but its answer was too large '
+            'to be kept; read the result from the service'
+        ),
+        RefusalReason.CLAIM_UNAVAILABLE: (
+            'the platform cannot record that this request runs once; retry '
+            'later with the same key'
+        ),
+        RefusalReason.QUARANTINED: (
+            'this request broke the upstreams that ran it; change it'
+        ),
+        RefusalReason.BODY_TOO_LARGE: (
+            'the body is larger than the service accepts; send a smaller one'
+        ),
+        RefusalReason.QUEUE_FULL: 'too many requests are waiting; retry later',
+        RefusalReason.TOO_LATE: (
+            'the deadline cannot be met now; retry later or allow more time'
+        ),
+        RefusalReason.DEADLINE: 'the deadline has passed; retry later',
+        RefusalReason.NO_ROOM: 'the upstreams are full; retry later',
+        RefusalReason.NO_UPSTREAM: 'no upstream serves this now; retry later',
+        RefusalReason.UPSTREAM_FAILED: (
+            'the upstream broke off; look up whether the request ran before '
+            'sending it again'
+        ),
+        RefusalReason.NOT_READY: (
+            'this entry VM has no configuration yet; look up another one'
+        ),
+    }
+)
+
+
+def problem_of(refusal: Refusal, *, closes: bool) -> Problem:
+    """Return the error answer for a refusal.
+
+    Args:
+        refusal: The decision.
+        closes: Part of the request's body was not read.
+    """
+    detail = _DETAIL[refusal.reason]
+    is_unrun_failure = (
+        refusal.reason is RefusalReason.UPSTREAM_FAILED
+        and refusal.outcome is Outcome.NOT_RUN
+    )
+    if is_unrun_failure:
+        detail = 'no upstream could be reached; retry later'
+    return Problem(
+        _STATUS.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE),
+        refusal.reason.value,
+        detail,
+        refusal.outcome.value,
+        refusal.retry_after_ms,
+        closes,
+    )
--- /dev/null
+++ b/src/catkindrift/server/_resources.py
@@ -0,0 +1,171 @@
+"""Page handlers of the operator API."""
+
+from typing import Any, final
+
+from catkindrift.domain import (
+    Configuration,
+    Intent,
+    Plan,
+    Service,
+    Zone,
+    decode_json,
+)
+from catkindrift.errors import InvalidInputError, NotFoundError
+from catkindrift.server._handlers import (
+    ApiContext,
+    Resource,
+    answers,
+    read_body,
+)
+from catkindrift.server._observer import Observer
+from catkindrift.server._operator_service import OperatorService
+from catkindrift.server._status import DeploymentStatus, Headroom
+from catkindrift.settings import OperatorRole
+
+
+class _ServiceResource(Resource):
+    """A resource that works through the operator service."""
+
+    def __init__(
+        self,
+        context: ApiContext,
+        service: OperatorService,
+        observer: Observer,
+    ) -> None:
+        """Keep the service and the observer."""
+        super().__init__(context)
+        self.service = service
+        self.observer = observer
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force on this entry VM."""
+        return self.context.bridge.call(self.observer.configuration)
+
+
+@final
+class ServicesResource(_ServiceResource):
+    """Serves ``/v1/services``."""
+
+    @answers(OperatorRole.VIEWER)
+    def GET(self, name: str = '') -> Any:  # noqa: N802
+        """Return one service or all."""
+        configuration = self.configuration()
+        if not name:
+            return configuration.services
+        return _one(configuration.service(name), 'service', name)
+
+    @answers(OperatorRole.OPERATOR)
+    def PUT(self, name: str) -> Service:  # noqa: N802
+        """Create or replace a service."""
+        service = decode_json(read_body(), Service)
+        _check_name(service.name, name)
+        self.context.bridge.run(self.service.put_service(service))
+        return service
+
+    @answers(OperatorRole.OPERATOR)
+    def DELETE(self, name: str) -> dict[str, str]:  # noqa: N802
+        """Remove a service."""
+        self.context.bridge.run(self.service.remove_service(name))
+        return {'removed': name}
+
+
+@final
+class ZonesResource(_ServiceResource):
+    """Serves ``/v1/zones``."""
+
+    @answers(OperatorRole.VIEWER)
+    def GET(self, name: str = '') -> Any:  # noqa: N802
+        """Return one availability zone or all."""
+        configuration = self.configuration()
+        if not name:
+            return configuration.zones
+        return _one(configuration.zone(name), 'zone', name)
+
+    @answers(OperatorRole.OPERATOR)
+    def PUT(self, name: str) -> Zone:  # noqa: N802
+        """Create or replace an availability zone."""
+        zone = decode_json(read_body(), Zone)
+        _check_name(zone.name, name)
+        self.context.bridge.run(self.service.put_zone(zone))
+        return zone
+
+    @answers(OperatorRole.OPERATOR)
+    def DELETE(self, name: str) -> dict[str, str]:  # noqa: N802
+        """Remove an availability zone."""
+        self.context.bridge.run(self.service.remove_zone(name))
+        return {'removed': name}
+
+
+@final
+class IntentsResource(_ServiceResource):
+    """Serves ``/v1/intents``."""
+
+    @answers(OperatorRole.OPERATOR)
+    def POST(self) -> Plan:  # noqa: N802
+        """Answer an intent with a plan."""
+        intent: Any = decode_json(read_body(), Intent)  # type: ignore[arg-type]
+        return self.context.bridge.run(self.service.plan(intent))
+
+
+@final
+class PlansResource(_ServiceResource):
+    """Serves ``/v1/plans``."""
+
+    @answers(OperatorRole.VIEWER)
+    def GET(self, name: str = '') -> Any:  # noqa: N802
+        """Return one plan or all that are kept."""
+        configuration = self.configuration()
+        if not name:
+            return configuration.plans
+        return _one(configuration.plan(name), 'plan', name)
+
+    @answers(OperatorRole.OPERATOR)
+    def POST(self, name: str, action: str) -> Plan:  # noqa: N802
+        """Confirm, pause, resume or cancel a plan."""
+        match action:
+            case 'confirm':
+                change = self.service.confirm(name)
+            case 'pause':
+                change = self.service.pause(name)
+            case 'resume':
+                change = self.service.resume(name)
+            case 'cancel':
+                change = self.service.cancel(name)
+            case _:
+                raise NotFoundError(
+                    f'no action {action}; use confirm, pause, resume or cancel',
+                )
+        return self.context.bridge.run(change)
+
+
+@final
+class StatusResource(_ServiceResource):
+    """Serves ``/v1/status``."""
+
+    @answers(OperatorRole.VIEWER)
+    def GET(self) -> DeploymentStatus:  # noqa: N802
+        """Return the state of the deployment."""
+        return self.context.bridge.call(self.observer.status)
+
+
+@final
+class HeadroomResource(_ServiceResource):
+    """Serves ``/v1/headroom``."""
+
+    @answers(OperatorRole.VIEWER)
+    def GET(self) -> tuple[Headroom, ...]:  # noqa: N802
+        """Return the room of each service in each region."""
+        return self.context.bridge.call(self.observer.headroom)
+
+
+def _one(found: Any, kind: str, name: str) -> Any:
+    if found is None:
+        raise NotFoundError(f'no {kind} {name}; list them with GET /{kind}s')
+    return found
+
+
+def _check_name(found: str, expected: str) -> None:
+    if found != expected:
+        raise InvalidInputError(
+            f'the body names {found}, the path {expected}; make them agree',
+        )
--- /dev/null
+++ b/src/catkindrift/settings/_loader.py
@@ -0,0 +1,140 @@
+"""Reads settings files and reports every mistake in them."""
+
+import tomllib
+from pathlib import Path
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+from cattrs.errors import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+
+from catkindrift.errors import SettingError, SettingsFileError
+from catkindrift.settings._deployment import Deployment
+from catkindrift.settings._entry import EntrySettings
+
+_Settings = TypeVar('_Settings', EntrySettings, Deployment)
+
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+
+
+def _keep_type(found: Any, wanted: type) -> Any:
+    # A truth value is an integer too, but never means one in a file.
+    is_mistaken = isinstance(found, bool) and wanted is not bool
+    if is_mistaken or not isinstance(found, wanted):
+        raise TypeError(f'a value of type {wanted.__name__}')
+    return found
+
+
+def _is_plain(wanted: Any) -> bool:
+    return wanted in {str, int, bool}
+
+
+_CONVERTER.register_structure_hook_func(_is_plain, _keep_type)
+
+
+def read_document(path: Path) -> dict[str, Any]:
+    """Return the TOML document at `path`.
+
+    Raises:
+        SettingsFileError: The file cannot be read, or is not TOML.
+    """
+    try:
+        return tomllib.loads(path.read_text(encoding='utf-8'))
+    except OSError as unreadable:
+        raise SettingsFileError(
+            f'{path}: {unreadable.strerror}; name a readable file',
+        ) from unreadable
+    except ValueError as malformed:
+        raise SettingsFileError(
+            f'{path} is not TOML: {malformed}; correct that line',
+        ) from malformed
+
+
+def load_settings(path: Path, as_type: type[_Settings]) -> _Settings:
+    """Return the settings at `path`.
+
+    Raises:
+        SettingsFileError: The file cannot be read, or is not TOML.
+        ExceptionGroup: Of a `SettingError` for each mistake.
+    """
+    document = read_document(path)
+    try:
+        return _CONVERTER.structure(document, as_type)
+    except (ClassValidationError, IterableValidationError) as invalid:
+        mistakes = _mistakes(invalid, '', document)
+        raise ExceptionGroup(f'mistakes in {path}', mistakes) from invalid
+
+
+def _mistakes(
+    error: Exception,
+    key: str,
+    found: Any,
+) -> list[SettingError]:
+    match error:
+        case ClassValidationError():
+            return _class_mistakes(error, key, found)
+        case IterableValidationError():
+            return _item_mistakes(error, key, found)
+        case ForbiddenExtraKeysError():
+            known = ', '.join(sorted(_field_names(error.cl)))
+            return [
+                SettingError(
+                    f'{key}.{extra}'.lstrip('.'),
+                    repr(found.get(extra)),
+                    f'one of the keys {known}; remove or rename it',
+                )
+                for extra in sorted(error.extra_fields)
+            ]
+        case KeyError():
+            missing = f'{key}.{error.args[0]}'.lstrip('.')
+            return [SettingError(missing, 'nothing', 'a value; add the key')]
+    return [SettingError(key or 'file', _shown(found), _expectation(error))]
+
+
+def _class_mistakes(
+    error: ClassValidationError,
+    key: str,
+    found: Any,
+) -> list[SettingError]:
+    mistakes: list[SettingError] = []
+    noted, bare = error.group_exceptions()
+    for inner, note in noted:
+        inner_key = f'{key}.{note.name}'.lstrip('.')
+        inner_found = found.get(note.name) if isinstance(found, dict) else found
+        mistakes.extend(_mistakes(inner, inner_key, inner_found))
+    for inner in bare:
+        mistakes.extend(_mistakes(inner, key, found))
+    return mistakes
+
+
+def _item_mistakes(
+    error: IterableValidationError,
+    key: str,
+    found: Any,
+) -> list[SettingError]:
+    mistakes: list[SettingError] = []
+    noted, bare = error.group_exceptions()
+    for inner, note in noted:
+        inner_key = f'{key}[{note.index}]'
+        mistakes.extend(_mistakes(inner, inner_key, found[note.index]))
+    for inner in bare:
+        mistakes.extend(_mistakes(inner, key, found))
+    return mistakes
+
+
+def _field_names(owner: type) -> list[str]:
+    return [field.name for field in attrs.fields(owner)]
+
+
+def _shown(found: Any) -> str:
+    if isinstance(found, dict):
+        return 'this table'
+    return repr(found)
+
+
+def _expectation(error: Exception) -> str:
+    return str(error.args[0]) if error.args else type(error).__name__
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,67 @@
+"""A deployment on loopback that tests use from outside."""
+
+import asyncio
+import json
+import threading
+import time
+
+import urllib3
+
+from catkindrift.demo import DEMO_TOKEN, LocalDeployment, sample_deployment
+
+POLL_SECONDS = 0.1
+HTTP = urllib3.PoolManager(retries=False, timeout=30)
+
+
+class RunningDeployment:
+    """A deployment on a loop of its own thread."""
+
+    def __init__(self) -> None:
+        """Start the deployment."""
+        self.local = LocalDeployment(sample_deployment())
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+        self.run(self.local.start())
+
+    def run(self, coroutine):
+        """Run a coroutine on the deployment's loop."""
+        running = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        return running.result(timeout=60)
+
+    def stop(self) -> None:
+        """Stop the deployment and its loop."""
+        self.run(self.local.stop())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def callers_url(self, number: int = 0) -> str:
+        """Return the address for callers of one entry VM."""
+        settings = list(self.local.settings.values())[number]
+        return f'http://{settings.listen.callers}'
+
+    def operators_url(self, number: int = 0) -> str:
+        """Return the address for operators of one entry VM."""
+        settings = list(self.local.settings.values())[number]
+        return f'http://{settings.listen.operators}'
+
+    def operate(self, method: str, path: str, body=None):
+        """Call the operator API and return status and document."""
+        answer = HTTP.request(
+            method,
+            f'{self.operators_url()}{path}',
+            body=b'' if body is None else json.dumps(body).encode(),
+            headers={'Authorization': f'Bearer {DEMO_TOKEN}'},
+        )
+        return answer.status, json.loads(answer.data)
+
+    def follow(self, name: str, seconds: float = 30):
+        """Wait until a plan has ended and return it."""
+        until = time.monotonic() + seconds
+        plan = None
+        while time.monotonic() < until:
+            _, plan = self.operate('GET', f'/v1/plans/{name}')
+            if plan['state'] in {'done', 'cancelled'}:
+                break
+            time.sleep(POLL_SECONDS)
+        return plan
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,81 @@
+"""The whole path, from look-up to upstream, on loopback."""
+
+import hashlib
+import json
+from collections.abc import Iterator
+
+import pytest
+
+from tests.deployment import HTTP, RunningDeployment
+
+
+@pytest.fixture(scope='module')
+def running() -> Iterator[RunningDeployment]:
+    """Run the sample deployment for the tests of this module."""
+    deployment = RunningDeployment()
+    yield deployment
+    deployment.stop()
+
+
+class TestLookup:
+    """Callers ask which entry VMs to use."""
+
+    def test_nearest_zone_first(self, running):
+        """The entry VMs of the block's own zone come first."""
+        url = f'{running.callers_url()}/lookup?block=10.21.3.0/24'
+        answer = json.loads(HTTP.request('GET', url).data)
+        zones = [entry['zone'] for entry in answer['entries']]
+        assert zones[:2] == ['cantabria-1', 'cantabria-1']
+        assert answer['lifetime_ms'] == 2000
+
+    def test_batch(self, running):
+        """A batch has one answer for each block."""
+        answer = HTTP.request(
+            'POST',
+            f'{running.callers_url()}/lookup',
+            body=json.dumps({'blocks': ['10.20.0.1', '10.21.0.1']}).encode(),
+        )
+        zones = [each['zone'] for each in json.loads(answer.data)['answers']]
+        assert zones == ['asturias-1', 'cantabria-1']
+
+
+class TestForwarding:
+    """Entry VMs pass requests to upstreams."""
+
+    def test_answer_of_an_upstream(self, running):
+        """A request reaches an upstream of its service."""
+        url = f'{running.callers_url()}/services/tariffs/2026?region=7'
+        answer = json.loads(HTTP.request('GET', url).data)
+        assert answer['upstream'].startswith('tariffs-')
+        assert answer['path'] == '/2026'
+
+    def test_upload_arrives_whole(self, running):
+        """A streamed upload has the same digest at the upstream."""
+        body = bytes(range(256)) * 40_000
+        url = f'{running.callers_url()}/services/surveys/roof'
+        answer = json.loads(HTTP.request('POST', url, body=body).data)
+        assert answer['sha256'] == hashlib.sha256(body).hexdigest()
+
+    def test_unknown_service(self, running):
+        """An unknown service is refused as not run."""
+        url = f'{running.callers_url()}/services/nothing/'
+        answer = HTTP.request('GET', url)
+        assert answer.status == 404
+        assert json.loads(answer.data)['outcome'] == 'not_run'
+
+
+class TestPlans:
+    """Operators state intents and confirm plans."""
+
+    def test_drain_reaches_empty(self, running):
+        """A drain goes from intent over plan and confirmation to empty."""
+        body = {
+            'kind': 'drain',
+            'drain': {'scope': 'vm', 'target': 'tariffs-1'},
+        }
+        status, plan = running.operate('POST', '/v1/intents', body)
+        assert status == 200
+        assert plan['state'] == 'proposed'
+        path = f'/v1/plans/{plan["name"]}'
+        assert running.operate('POST', f'{path}/confirm')[0] == 200
+        assert running.follow(plan['name'])['state'] == 'done'
