Fuzz the decision core of four entry VMs against simple oracles

Cause: the promises were built but not shown to hold under failure.

Change: small fakes at the core's interfaces (platform, upstreams, exchange, virtual clock), focused tests of each mechanism, a rule-based model with cuts, pauses, deaths, outages, lost answers and late configurations, and `make breakage`, which switches mechanisms off one by one. A binary is built by `make binary`.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+SOURCES := $(shell find src -name '*.py' -o -name '*.json')
 
-.PHONY: run test lint types unit format binary protocol clean
+.PHONY: run test lint types unit format breakage nightly binary protocol clean
 
 run: $(STAMP)
 	$(BIN)/catkindrift demo
@@ -18,13 +19,34 @@
 types: $(STAMP)
 	$(BIN)/mypy
 
-unit: $(STAMP)
+unit: $(STAMP) dist/catkindrift
 	$(BIN)/python -m pytest
 
+# Switches mechanisms off one by one; fails if the model does not notice.
+breakage: $(STAMP)
+	$(BIN)/python -m tests.breakage
+
+# Many more examples of each model than `make test` runs.
+nightly: $(STAMP)
+	HYPOTHESIS_PROFILE=nightly $(BIN)/python -m pytest tests/test_fleet_model.py
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix src tests
 	$(BIN)/ruff format src tests
 
+binary: dist/catkindrift
+
+# One executable file; unpacks itself once below SHIV_ROOT, or HOME/.shiv.
+dist/catkindrift: $(STAMP) requirements/runtime.txt $(SOURCES)
+	rm -rf build/site && mkdir -p build/site dist
+	$(BIN)/python -m pip install --quiet --target build/site --require-hashes \
+		-r requirements/runtime.txt
+	$(BIN)/python -m pip install --quiet --target build/site --no-deps \
+		--no-build-isolation .
+	$(BIN)/shiv --site-packages build/site --console-script catkindrift \
+		--python '/usr/bin/env python3.11' --reproducible \
+		--output-file dist/catkindrift
+
 # Writes the generated code that is committed.
 protocol: $(STAMP)
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -Isrc \
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,475 @@
+"""Small fakes at the interfaces of the decision core."""
+
+import random
+from collections import Counter
+
+import attrs
+
+from catkindrift.claims import ClaimStore
+from catkindrift.clock import ManualClock
+from catkindrift.core import (
+    AskGrants,
+    AttemptEnded,
+    Bounds,
+    ClaimJudged,
+    ConfigurationSeen,
+    Dispatch,
+    EndClaim,
+    EntryCore,
+    GrantAsked,
+    GrantsAnswered,
+    Identity,
+    LendGrants,
+    ProbeUpstream,
+    RecordSeen,
+    Refuse,
+    Replay,
+    Request,
+    RequestArrived,
+    TakeClaim,
+    Ticked,
+    UpstreamProbed,
+    VmListSeen,
+)
+from catkindrift.domain import (
+    Configuration,
+    Measure,
+    Repeat,
+    Service,
+    Vm,
+    VmRole,
+    Zone,
+)
+from catkindrift.errors import (
+    PlatformAmbiguousError,
+    PlatformConflictError,
+    PlatformUnavailableError,
+)
+from catkindrift.plans import FleetView, PlanExecutor, put_service, put_zone
+from catkindrift.platform import StoredObject
+from catkindrift.retries import (
+    Answered,
+    Broken,
+    BrokenReason,
+    NotStarted,
+    NotStartedReason,
+    Outcome,
+)
+
+STEP_MS = 100
+EXCHANGE_MS = 500
+ZONES = (
+    Zone('north-1', 'north', ('10.1.0.0/16',)),
+    Zone('south-1', 'south', ('10.2.0.0/16',)),
+)
+SERVICES = (
+    Service('read', repeat=Repeat.IDEMPOTENT, deadline_ms=4000),
+    Service('book', repeat=Repeat.ONCE, deadline_ms=4000),
+    Service('load', measure=Measure.DRAIN_TIME, deadline_ms=60_000),
+)
+
+
+def run_now(coroutine):
+    """Run a coroutine that never really waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as ended:
+        return ended.value
+    raise AssertionError('the coroutine waits')
+
+
+@attrs.define
+class FakePlatform:
+    """Objects with versions; can be down or lose answers."""
+
+    is_down: bool = False
+    lost_answers: int = 0
+    objects: dict = attrs.field(factory=dict)
+    version: int = 0
+
+    async def get(self, kind, name):
+        """Return an object."""
+        self._check()
+        return self.objects.get((kind, name))
+
+    async def create(self, kind, name, text):
+        """Create an object."""
+        self._check()
+        if (kind, name) in self.objects:
+            raise PlatformConflictError('it exists')
+        return self._write(kind, name, text)
+
+    async def update(self, known, text):
+        """Update an object."""
+        self._check()
+        found = self.objects.get((known.kind, known.name))
+        if found is None or found.version != known.version:
+            raise PlatformConflictError('it changed')
+        return self._write(known.kind, known.name, text)
+
+    def _write(self, kind, name, text):
+        self.version += 1
+        written = StoredObject(kind, name, self.version, text)
+        self.objects[kind, name] = written
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise PlatformAmbiguousError('the answer is lost')
+        return written
+
+    def _check(self):
+        if self.is_down:
+            raise PlatformUnavailableError('down')
+
+
+@attrs.define(eq=False)
+class FakeAttempt:
+    """A request at a fake upstream."""
+
+    vm: str
+    request: Request
+    upstream: str
+    did_run: bool = False
+
+
+@attrs.define(eq=False)
+class FakeVm:
+    """One entry VM: a core, its claims and its plan executor."""
+
+    name: str
+    core: EntryCore
+    claims: ClaimStore
+    executor: PlanExecutor
+    is_paused: bool = False
+    inbox: list = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Entry VMs, upstreams and a platform in virtual time."""
+
+    seed: int = 1
+    upstreams_per_zone: int = 2
+    slots: int = 3
+    clock: ManualClock = attrs.field(factory=ManualClock)
+    platform: FakePlatform = attrs.field(factory=FakePlatform)
+    vms: dict = attrs.field(factory=dict)
+    vm_list: dict = attrs.field(factory=dict)
+    configuration: Configuration = attrs.field(factory=Configuration)
+    cuts: set = attrs.field(factory=set)
+    down_upstreams: set = attrs.field(factory=set)
+    attempts: list = attrs.field(factory=list)
+    answers: dict = attrs.field(factory=dict)
+    reached: Counter = attrs.field(factory=Counter)
+    runs: Counter = attrs.field(factory=Counter)
+    dispatches: list = attrs.field(factory=list)
+    crashes: Counter = attrs.field(factory=Counter)
+    requests: dict = attrs.field(factory=dict)
+    history: list = attrs.field(factory=list)
+    moves: list = attrs.field(factory=list)
+    moved_counts: Counter = attrs.field(factory=Counter)
+    next_id: int = 1
+
+    def __attrs_post_init__(self):
+        """Create all VMs and let them learn of each other."""
+        self.clock.advance(1_000_000)
+        for service in SERVICES:
+            self.configuration = put_service(self.configuration, service)
+        for zone in ZONES:
+            self.configuration = put_zone(self.configuration, zone)
+            self._list_zone(zone)
+        for vm in list(self.vm_list.values()):
+            if vm.role is VmRole.ENTRY:
+                self.start_vm(vm.name)
+        self.advance(4000)
+
+    def _list_zone(self, zone):
+        for index in 'ab':
+            name = f'{zone.name}-{index}'
+            vm = Vm(name, zone.name, VmRole.ENTRY, '127.0.0.1', 1, 1)
+            self.vm_list[name] = vm
+        for service in SERVICES:
+            for index in range(self.upstreams_per_zone):
+                name = f'{service.name}-{zone.name}-{index}'
+                self.vm_list[name] = Vm(
+                    name,
+                    zone.name,
+                    VmRole.UPSTREAM,
+                    '127.0.0.1',
+                    1,
+                    service=service.name,
+                    slots=self.slots,
+                )
+
+    def start_vm(self, name):
+        """Start an entry VM that knows nothing."""
+        vm = self.vm_list[name]
+        region = self.configuration.region_of(vm.zone)
+        identity = Identity(vm, region, self.clock.now_ms())
+        rng = random.Random(f'{self.seed}/{name}')
+        core = EntryCore.create(identity, self.clock, rng, Bounds(requests=40))
+        self.vms[name] = FakeVm(
+            name,
+            core,
+            ClaimStore(self.platform, self.clock, name),
+            PlanExecutor(self.clock, name),
+        )
+        for peer in list(self.vms):
+            self.exchange(name, peer, with_configuration=False)
+        self.sync_platform(name)
+        for peer in list(self.vms):
+            self.exchange(name, peer)
+
+    def kill_vm(self, name):
+        """End an entry VM; what it ran breaks off at the upstreams."""
+        self.vms.pop(name)
+        self.attempts = [each for each in self.attempts if each.vm != name]
+
+    def post(self, name, event):
+        """Give an event to an entry VM, later if it is paused."""
+        vm = self.vms.get(name)
+        if vm is None:
+            return
+        if vm.is_paused:
+            vm.inbox.append(event)
+            return
+        effects = vm.core.handle(event)
+        self._log_moves(vm)
+        for effect in effects:
+            self._carry_out(vm, effect)
+
+    def _log_moves(self, vm):
+        for shift, count in vm.core.state.moved.items():
+            known = self.moved_counts[vm.core, shift]
+            self.moved_counts[vm.core, shift] = count
+            now_ms = self.clock.now_ms()
+            self.moves.extend((shift, now_ms) for _ in range(count - known))
+
+    def pause(self, name):
+        """Stop an entry VM from noticing anything."""
+        self.vms[name].is_paused = True
+
+    def wake(self, name):
+        """Let a paused entry VM go on with what came in meanwhile."""
+        vm = self.vms[name]
+        vm.is_paused = False
+        missed = vm.inbox
+        vm.inbox = []
+        for event in missed:
+            self.post(name, event)
+
+    def is_cut(self, first, second):
+        """Return whether two VMs cannot reach each other."""
+        return frozenset((first, second)) in self.cuts
+
+    def advance(self, by_ms):
+        """Let time pass in small steps, with all periodic work."""
+        for _ in range(by_ms // STEP_MS):
+            self.clock.advance(STEP_MS)
+            for name in list(self.vms):
+                self.post(name, Ticked())
+            if self.clock.now_ms() % EXCHANGE_MS == 0:
+                self.exchange_all()
+
+    def exchange_all(self):
+        """Exchange between all pairs, and look at the platform."""
+        for name in list(self.vms):
+            self.sync_platform(name)
+            for peer in list(self.vms):
+                self.exchange(name, peer)
+
+    def exchange(self, name, peer, *, with_configuration=True):
+        """Exchange records and configuration as the servers do."""
+        asking, asked = self.vms.get(name), self.vms.get(peer)
+        if name == peer or asking is None or asked is None:
+            return
+        if self.is_cut(name, peer) or asking.is_paused or asked.is_paused:
+            return
+        now_ms = self.clock.now_ms()
+        own = asking.core.own_record()
+        earlier = asked.core.state.members.record(name)
+        self.post(peer, RecordSeen(own, now_ms, is_first_hand=False))
+        shown = asked.core.own_record()
+        self.post(name, RecordSeen(shown, now_ms, is_first_hand=True))
+        others = [*asked.core.state.members.records(), earlier]
+        for record in filter(None, others):
+            self.post(name, RecordSeen(record, now_ms, is_first_hand=False))
+        configuration = asked.core.state.in_force.configuration
+        if with_configuration and configuration.revision > own.revision:
+            self.post(name, ConfigurationSeen(configuration))
+
+    def sync_platform(self, name):
+        """Show an entry VM the platform's state, if it can be reached."""
+        if self.platform.is_down or self.is_cut(name, 'platform'):
+            return
+        vm = self.vms[name]
+        if vm.is_paused:
+            return
+        now_ms = self.clock.now_ms()
+        if self.configuration not in self.history[-1:]:
+            self.history.append(self.configuration)
+        self.post(name, VmListSeen(tuple(self.vm_list.values())))
+        self.post(name, ConfigurationSeen(self.configuration, now_ms))
+        run_now(vm.claims.retry_pending())
+        self.step_plans(name)
+
+    def step_plans(self, name):
+        """Let the plan executor of an entry VM take a step."""
+        vm = self.vms[name]
+        new = vm.executor.advance(self.configuration, self.view(name))
+        if new is not None:
+            assert new.revision == self.configuration.revision + 1
+            self.configuration = new
+
+    def view(self, name):
+        """Return what an entry VM knows of all VMs."""
+        core = self.vms[name].core
+        members = core.state.members
+        silent = tuple(
+            vm.name
+            for vm in members.entry_vms()
+            if members.record(vm.name) is None or not members.is_alive(vm.name)
+        )
+        return FleetView(
+            (core.own_record(), *members.alive_records()),
+            silent,
+            tuple(each.vm for each in core.state.upstreams),
+        )
+
+    def arrive(self, name, service, **fields):
+        """Send a request to an entry VM and return its id."""
+        request_id = self.next_id
+        self.next_id += 1
+        values = {
+            'caller': 'caller',
+            'method': 'GET',
+            'fingerprint': f'print-{request_id}',
+        }
+        values.update(fields)
+        request = Request(request_id, service, **values)
+        self.requests[request_id] = request
+        self.post(name, RequestArrived(request))
+        return request_id
+
+    def end(self, attempt, ended):
+        """End an attempt with a result."""
+        if attempt not in self.attempts:
+            return
+        self.attempts.remove(attempt)
+        self.post(
+            attempt.vm,
+            AttemptEnded(attempt.request.request_id, ended),
+        )
+
+    def answer(self, attempt):
+        """Let an upstream run a request and answer."""
+        self.run(attempt)
+        self.answers[attempt.request.request_id] = 'answered'
+        self.end(attempt, Answered(200, 20))
+
+    def run(self, attempt):
+        """Let an upstream run a request."""
+        attempt.did_run = True
+        request = attempt.request
+        if request.idempotency_key:
+            key = (request.service, request.caller, request.idempotency_key)
+            self.runs[key] += 1
+
+    def refuse(self, attempt):
+        """Let an upstream refuse a request before it starts."""
+        self.reached[attempt.request.request_id] -= 1
+        reason = NotStartedReason.REFUSED_BY_UPSTREAM
+        self.end(attempt, NotStarted(reason, can_resend=True))
+
+    def crash(self, upstream):
+        """Break off all that an upstream runs."""
+        self.down_upstreams.add(upstream)
+        running = [each for each in self.attempts if each.upstream == upstream]
+        for attempt in running:
+            self.run(attempt)
+        for attempt in running:
+            self.end(attempt, Broken(BrokenReason.RESET, can_resend=True))
+
+    def restore(self, upstream):
+        """Let an upstream take connections again."""
+        self.down_upstreams.discard(upstream)
+
+    def _carry_out(self, vm, effect):
+        match effect:
+            case Dispatch():
+                self._dispatch(vm, effect)
+            case Refuse():
+                self.answers[effect.request_id] = effect.refusal
+                if effect.refusal.outcome is Outcome.NOT_RUN:
+                    assert not self.reached[effect.request_id]
+            case Replay():
+                self.answers[effect.request_id] = 'replayed'
+            case TakeClaim():
+                self._take_claim(vm, effect)
+            case EndClaim():
+                run_now(
+                    vm.claims.end(effect.held, effect.state, effect.answer),
+                )
+            case AskGrants():
+                self._ask_grants(vm, effect)
+            case ProbeUpstream(upstream=upstream):
+                is_up = upstream.name not in self.down_upstreams
+                self.post(vm.name, UpstreamProbed(upstream.name, is_up))
+
+    def _dispatch(self, vm, effect):
+        request = self.requests[effect.request_id]
+        assert effect.request_id not in self.answers
+        now_ms = self.clock.now_ms()
+        self.dispatches.append((now_ms, vm.name, effect.upstream))
+        attempt = FakeAttempt(vm.name, request, effect.upstream.name)
+        self.attempts.append(attempt)
+        if effect.upstream.name in self.down_upstreams:
+            reason = NotStartedReason.NOT_CONNECTED
+            self.end(attempt, NotStarted(reason, can_resend=True))
+            return
+        self.reached[effect.request_id] += 1
+
+    def _take_claim(self, vm, effect):
+        verdict = run_now(
+            vm.claims.take(
+                effect.name,
+                effect.service,
+                effect.digest,
+                effect.time_limit_ms,
+            ),
+        )
+        self.post(vm.name, ClaimJudged(effect.request_id, verdict))
+
+    def _ask_grants(self, vm, effect):
+        grants = ()
+        granter = self.vms.get(effect.granter)
+        is_reachable = granter and not granter.is_paused
+        if is_reachable and not self.is_cut(vm.name, effect.granter):
+            asked = GrantAsked(
+                1,
+                vm.name,
+                vm.core.state.identity.zone,
+                effect.service,
+                effect.slots,
+            )
+            for lent in granter.core.handle(asked):
+                if isinstance(lent, LendGrants):
+                    grants = lent.grants
+        self.post(
+            vm.name,
+            GrantsAnswered(effect.granter, effect.service, grants),
+        )
+
+    def warm_up(self):
+        """Let every upstream count as warm at every entry VM."""
+        for vm in self.vms.values():
+            for upstream in vm.core.state.upstreams:
+                for _ in range(30):
+                    upstream.answered(20)
+
+    def breaches(self):
+        """Return the invariants that were breached anywhere."""
+        return [
+            (vm.name, invariant)
+            for vm in self.vms.values()
+            for invariant in vm.core.state.invariants.breached
+        ]
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,415 @@
+"""Focused tests of the decision core."""
+
+from collections import Counter
+
+import attrs
+import pytest
+
+from catkindrift.core import (
+    RefusalReason,
+    StopRequested,
+)
+from catkindrift.domain import (
+    Drain,
+    DrainIntent,
+    DrainScope,
+    Shift,
+    ShiftIntent,
+)
+from catkindrift.plans import Planner, add_plan, confirm_plan
+from catkindrift.retries import Broken, BrokenReason, Outcome
+from tests.fakes import Fleet
+
+NORTH = 'north-1-a'
+NORTH_B = 'north-1-b'
+SOUTH = 'south-1-a'
+
+
+def state_intent(fleet, vm, intent):
+    """Plan and confirm an intent at the platform."""
+    name = f'plan-{fleet.configuration.revision}'
+    plan = Planner(fleet.configuration, fleet.view(vm)).plan(name, intent)
+    proposed = add_plan(fleet.configuration, plan)
+    fleet.configuration = confirm_plan(proposed, name, fleet.clock.wall_ms())
+    return name
+
+
+def region_of(fleet, vm):
+    """Return the region of an upstream."""
+    return fleet.configuration.region_of(vm.zone)
+
+
+class TestRouting:
+    """Requests go to the nearest upstream with room."""
+
+    def test_same_zone_first(self):
+        """With free slots at home no request leaves the zone."""
+        fleet = Fleet()
+        for _ in range(3):
+            fleet.arrive(NORTH, 'read')
+        zones = {upstream.zone for _, _, upstream in fleet.dispatches}
+        assert zones == {'north-1'}
+
+    def test_spreads_over_upstreams(self):
+        """Two requests at a time use two upstreams."""
+        fleet = Fleet()
+        fleet.arrive(NORTH, 'read')
+        fleet.arrive(NORTH, 'read')
+        names = {upstream.name for _, _, upstream in fleet.dispatches}
+        assert len(names) == 2
+
+    def test_borrows_in_zone_before_waiting(self):
+        """When own slots are taken, the zone's other VM lends its free ones."""
+        fleet = Fleet()
+        fleet.warm_up()
+        for _ in range(6):
+            fleet.arrive(NORTH, 'read')
+            fleet.advance(100)
+        in_zone = [
+            upstream
+            for _, _, upstream in fleet.dispatches
+            if upstream.zone == 'north-1'
+        ]
+        own = fleet.vms[NORTH].core.slots
+        owned = sum(
+            own.owned(each)
+            for each in fleet.vms[NORTH].core.state.upstreams.of_service('read')
+        )
+        assert len(in_zone) > owned
+
+    def test_slots_of_a_zone_never_exceeded(self):
+        """Both VMs of a zone together stay within the slots."""
+        fleet = Fleet()
+        for _ in range(12):
+            fleet.arrive(NORTH, 'read')
+            fleet.arrive(NORTH_B, 'read')
+            fleet.advance(100)
+        running = Counter(each.upstream for each in fleet.attempts)
+        assert max(running.values()) <= fleet.slots
+
+    def test_far_region_only_with_grant(self):
+        """A full region sends work to another one within granted room."""
+        fleet = Fleet()
+        for _ in range(16):
+            fleet.arrive(NORTH, 'load')
+            fleet.advance(100)
+        fleet.advance(1000)
+        far = [
+            upstream
+            for _, _, upstream in fleet.dispatches
+            if upstream.zone == 'south-1'
+        ]
+        assert far
+        assert not fleet.breaches()
+
+    def test_ejected_upstream_gets_a_rest(self):
+        """Repeated failures eject an upstream, but never all of them."""
+        fleet = Fleet()
+        for name in ('read-north-1-0', 'read-north-1-1'):
+            fleet.down_upstreams.add(name)
+        for _ in range(20):
+            fleet.arrive(NORTH, 'read')
+        now_ms = fleet.clock.now_ms()
+        upstreams = fleet.vms[NORTH].core.state.upstreams.of_service('read')
+        ejected = [each for each in upstreams if each.is_ejected(now_ms)]
+        assert len(ejected) == 1
+
+
+class TestLimits:
+    """Work that cannot be done in time is refused early."""
+
+    def test_full_queue_refuses_as_not_run(self):
+        """Requests beyond slots and queue are refused at once."""
+        fleet = Fleet()
+        ids = [fleet.arrive(NORTH, 'load') for _ in range(40)]
+        refused = [fleet.answers[each] for each in ids if each in fleet.answers]
+        assert refused
+        assert {each.reason for each in refused} == {RefusalReason.QUEUE_FULL}
+        assert {each.outcome for each in refused} == {Outcome.NOT_RUN}
+        assert all(each.retry_after_ms for each in refused)
+
+    def test_surge_leaves_other_services_alone(self):
+        """A surge of one service does not take the slots of another."""
+        fleet = Fleet()
+        for _ in range(60):
+            fleet.arrive(NORTH, 'load')
+        before = len(fleet.attempts)
+        fleet.arrive(NORTH, 'read')
+        assert len(fleet.attempts) == before + 1
+
+    def test_waiting_past_deadline(self):
+        """A request whose deadline passes in the queue gets its answer."""
+        fleet = Fleet()
+        for name in fleet.vm_list:
+            if name.startswith('read'):
+                fleet.down_upstreams.add(name)
+        request_id = fleet.arrive(NORTH, 'read')
+        fleet.advance(5000)
+        assert fleet.answers[request_id].outcome is Outcome.NOT_RUN
+
+
+class TestRetries:
+    """Only harmless retries are made, within a budget."""
+
+    def test_unsafe_request_is_not_retried(self):
+        """A write that may have run is reported as unknown."""
+        fleet = Fleet()
+        request_id = fleet.arrive(NORTH, 'load', method='POST')
+        broken = Broken(BrokenReason.RESET, can_resend=True)
+        fleet.end(fleet.attempts[0], broken)
+        assert fleet.answers[request_id].outcome is Outcome.UNKNOWN
+        assert not fleet.attempts
+
+    def test_idempotent_request_is_retried_elsewhere(self):
+        """A read that broke off runs again at another upstream."""
+        fleet = Fleet()
+        for _ in range(20):
+            fleet.arrive(NORTH, 'read')
+            fleet.answer(fleet.attempts[0])
+        fleet.arrive(NORTH, 'read')
+        first = fleet.attempts[0]
+        fleet.end(first, Broken(BrokenReason.TIMEOUT, can_resend=True))
+        assert fleet.attempts[0].upstream != first.upstream
+
+    def test_budget_bounds_retries(self):
+        """Retries never exceed a tenth of the requests."""
+        fleet = Fleet()
+        broken = Broken(BrokenReason.TIMEOUT, can_resend=True)
+        for _ in range(100):
+            fleet.arrive(NORTH, 'read')
+            while fleet.attempts:
+                fleet.end(fleet.attempts[0], broken)
+            fleet.advance(100)
+        budget = fleet.vms[NORTH].core.state.retry_budget
+        assert 0 < budget.retries <= budget.requests / 10
+
+
+class TestCrashes:
+    """A request that crashes upstreams is quarantined, others are not."""
+
+    def test_poison_takes_down_two_upstreams(self):
+        """The same request, sent again through all VMs, crashes two."""
+        fleet = Fleet()
+        for _ in range(8):
+            for vm in (NORTH, SOUTH, NORTH_B):
+                fleet.arrive(vm, 'read', fingerprint='poison')
+                running = [
+                    each
+                    for each in fleet.attempts
+                    if each.request.fingerprint == 'poison'
+                ]
+                for attempt in running:
+                    fleet.crash(attempt.upstream)
+                fleet.advance(500)
+        assert len(fleet.down_upstreams) == 2
+
+    def test_innocent_beside_poison(self):
+        """A request that ran beside the crashing one is not quarantined."""
+        fleet = Fleet()
+        for _ in range(12):
+            fleet.arrive(NORTH, 'read', fingerprint='innocent')
+            fleet.arrive(NORTH, 'read', fingerprint='poison')
+            fleet.advance(100)
+            for attempt in list(fleet.attempts):
+                if attempt.request.fingerprint == 'poison':
+                    fleet.crash(attempt.upstream)
+            fleet.advance(500)
+            for attempt in list(fleet.attempts):
+                fleet.answer(attempt)
+            for upstream in list(fleet.down_upstreams):
+                fleet.restore(upstream)
+        suspects = fleet.vms[NORTH].core.state.suspects
+        assert suspects.is_quarantined('poison')
+        assert not suspects.is_quarantined('innocent')
+
+    def test_broken_connection_alone_is_no_crash(self):
+        """An upstream that goes on taking connections has not crashed."""
+        fleet = Fleet()
+        fleet.arrive(NORTH, 'read', fingerprint='plain')
+        broken = Broken(BrokenReason.RESET, can_resend=False)
+        fleet.end(fleet.attempts[0], broken)
+        assert not fleet.vms[NORTH].core.state.suspects.is_suspect('plain')
+
+
+class TestOnce:
+    """A request with a key runs at most once in the whole system."""
+
+    def test_second_vm_sees_first_claim(self):
+        """The same key at another VM is refused while the first runs."""
+        fleet = Fleet()
+        fields = {'method': 'POST', 'fingerprint': 'same'}
+        fleet.arrive(NORTH, 'book', idempotency_key='k', **fields)
+        second = fleet.arrive(SOUTH, 'book', idempotency_key='k', **fields)
+        assert fleet.answers[second].reason is RefusalReason.IN_PROGRESS
+        assert len(fleet.attempts) == 1
+
+    def test_platform_down_is_not_run(self):
+        """Without the platform a request that runs once is refused."""
+        fleet = Fleet()
+        fleet.platform.is_down = True
+        request_id = fleet.arrive(
+            NORTH,
+            'book',
+            method='POST',
+            idempotency_key='k',
+        )
+        assert fleet.answers[request_id].reason is (
+            RefusalReason.CLAIM_UNAVAILABLE
+        )
+        assert not fleet.attempts
+
+    def test_lost_answer_releases_the_key_later(self):
+        """A claim whose answer was lost bars nobody for long."""
+        fleet = Fleet()
+        fields = {'method': 'POST', 'fingerprint': 'same'}
+        fleet.platform.lost_answers = 1
+        first = fleet.arrive(NORTH, 'book', idempotency_key='k', **fields)
+        assert fleet.answers[first].outcome is Outcome.NOT_RUN
+        fleet.advance(1000)
+        fleet.arrive(SOUTH, 'book', idempotency_key='k', **fields)
+        assert len(fleet.attempts) == 1
+
+    @pytest.mark.parametrize('key', ['', 'k'])
+    def test_key_rules(self, key):
+        """A missing key and a key of another request are errors."""
+        fleet = Fleet()
+        fleet.arrive(
+            NORTH,
+            'book',
+            method='POST',
+            fingerprint='other',
+            idempotency_key='k',
+        )
+        request_id = fleet.arrive(
+            NORTH,
+            'book',
+            method='POST',
+            idempotency_key=key,
+        )
+        expected = {
+            '': RefusalReason.KEY_MISSING,
+            'k': RefusalReason.KEY_REUSED,
+        }
+        assert fleet.answers[request_id].reason is expected[key]
+
+    def test_holder_dies_after_dispatch(self):
+        """After the holder's death the outcome is unknown, not run again."""
+        fleet = Fleet()
+        fields = {'method': 'POST', 'fingerprint': 'same'}
+        fleet.arrive(NORTH, 'book', idempotency_key='k', **fields)
+        fleet.kill_vm(NORTH)
+        fleet.advance(10_000)
+        again = fleet.arrive(SOUTH, 'book', idempotency_key='k', **fields)
+        assert fleet.answers[again].outcome is Outcome.UNKNOWN
+        assert not fleet.attempts
+
+
+class TestDrain:
+    """Leaving upstreams get no new work."""
+
+    def test_signal_spreads_without_platform(self):
+        """An upstream's own signal reaches other VMs while it is down."""
+        fleet = Fleet()
+        fleet.platform.is_down = True
+        fleet.arrive(NORTH, 'read')
+        attempt = fleet.attempts[0]
+        core = fleet.vms[NORTH].core
+        upstream = core.state.upstreams.get(attempt.upstream)
+        core._outcomes.saw_leaving(upstream)
+        fleet.advance(1000)
+        for vm in (NORTH, NORTH_B, SOUTH):
+            seen = fleet.vms[vm].core.state.upstreams.get(attempt.upstream)
+            assert seen.is_leaving(fleet.clock.now_ms())
+
+    def test_plan_waits_for_running_requests(self):
+        """A drain is done when the last request has ended."""
+        fleet = Fleet()
+        fleet.arrive(NORTH, 'load', method='POST')
+        target = fleet.attempts[0].upstream
+        drain = Drain(DrainScope.VM, target)
+        name = state_intent(fleet, SOUTH, DrainIntent(drain))
+        fleet.advance(5000)
+        assert fleet.configuration.plan(name).next_step is not None
+        fleet.answer(fleet.attempts[0])
+        fleet.advance(3000)
+        plan = fleet.configuration.plan(name)
+        assert plan.next_step is None
+        assert plan.drain_time_ms is not None
+
+    def test_queued_work_avoids_drained_upstream(self):
+        """Work that waited from before the drain is new work."""
+        fleet = Fleet()
+        for _ in range(20):
+            fleet.arrive(NORTH, 'load', method='POST')
+        drained = {f'load-north-1-{index}' for index in range(2)}
+        fleet.configuration = attrs.evolve(
+            fleet.configuration,
+            revision=fleet.configuration.revision + 1,
+            drains=tuple(Drain(DrainScope.VM, name) for name in drained),
+        )
+        fleet.advance(1000)
+        before = len(fleet.dispatches)
+        for attempt in list(fleet.attempts):
+            fleet.answer(attempt)
+        fleet.advance(1000)
+        later = {each.name for _, _, each in fleet.dispatches[before:]}
+        assert not later & drained
+
+    def test_stopping_vm_leaves_lookups_at_once(self):
+        """Look-ups at all VMs stop naming a VM that stops."""
+        fleet = Fleet()
+        fleet.post(NORTH, StopRequested())
+        fleet.exchange_all()
+        for vm in fleet.vms.values():
+            entries = vm.core.lookup('10.1.0.0/24').entries
+            assert NORTH not in {entry.name for entry in entries}
+        assert not fleet.vms[NORTH].core.is_idle
+        fleet.advance(2000)
+        assert fleet.vms[NORTH].core.is_idle
+
+
+class TestShift:
+    """A shift moves traffic within its cap."""
+
+    def test_shares_sum_to_the_cap(self):
+        """Whole shares never exceed a small cap."""
+        fleet = Fleet()
+        intent = ShiftIntent('read', 'north', 'south', 1, 100)
+        name = state_intent(fleet, NORTH, intent)
+        fleet.advance(2000)
+        shift = fleet.configuration.shifts[0]
+        assert shift.name == name
+        assert sum(each.requests_per_second for each in shift.shares) == 1
+
+    def test_requests_move(self):
+        """Requests go to the target region once the shift is in force."""
+        fleet = Fleet()
+        intent = ShiftIntent('read', 'north', 'south', 10, 100)
+        state_intent(fleet, NORTH, intent)
+        fleet.advance(15_000)
+        for _ in range(20):
+            fleet.arrive(NORTH, 'read')
+            fleet.advance(100)
+            for attempt in list(fleet.attempts):
+                fleet.answer(attempt)
+        moved = [
+            upstream
+            for _, _, upstream in fleet.dispatches
+            if region_of(fleet, upstream) == 'south'
+        ]
+        assert moved
+        assert not fleet.breaches()
+
+    def test_share_of_a_dead_vm_rests_first(self):
+        """A share is held by nobody until its old holder has stopped."""
+        fleet = Fleet()
+        intent = ShiftIntent('read', 'north', 'south', 10, 100)
+        state_intent(fleet, NORTH, intent)
+        fleet.advance(2000)
+        fleet.kill_vm(NORTH)
+        fleet.advance(8000)
+        shift: Shift = fleet.configuration.shifts[0]
+        assert shift.share_of(NORTH_B) == 5
+        fleet.advance(12_000)
+        shift = fleet.configuration.shifts[0]
+        assert shift.share_of(NORTH_B) == 10
