Test the real servers under failure, and say "no upstream" at once

Cause: tests of broken upstreams and planned stops found four faults. (1) After the only upstream refused a connection, a POST waited for its deadline (504 after 3 s) instead of its final answer. (2) Surplus bytes that came with an answer stayed in the reader's buffer, where the connection pool could not see them, and the connection was used again. (3) `catkindrift entry` with an address in use never ended, since servers already started were left running. (4) Nothing showed that uploads survive a stop.

Ruled out for (2): the pool's own check for dropped connections sees only what is still in the socket.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := $(shell find src -name '*.py' -o -name '*.json')
 
-.PHONY: run test lint types unit format breakage nightly binary protocol clean
+.PHONY: run test lint types unit format breakage nightly soak binary protocol clean
 
 run: $(STAMP)
 	$(BIN)/catkindrift demo
@@ -30,6 +30,12 @@
 nightly: $(STAMP)
 	HYPOTHESIS_PROFILE=nightly $(BIN)/python -m pytest tests/test_fleet_model.py
 
+# Real servers on loopback under random faults.
+SEED ?= 1
+MINUTES ?= 1
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES)
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix src tests
 	$(BIN)/ruff format src tests
--- a/src/catkindrift/core/_core.py
+++ b/src/catkindrift/core/_core.py
@@ -31,6 +31,7 @@
 from catkindrift.core._lookups import Lookups
 from catkindrift.core._membership import Membership
 from catkindrift.core._outcomes import Outcomes
+from catkindrift.core._selector import Selector
 from catkindrift.core._shift_gate import ShiftGate
 from catkindrift.core._slots import Slots
 from catkindrift.core._state import CoreState
@@ -84,7 +85,7 @@
             self.slots,
             answers,
             self._borrower,
-            self._gate,
+            Selector(state, self.slots, self._borrower, self._gate),
         )
         self._admission = Admission(state, answers, self._dispatcher)
         self._outcomes = Outcomes(state, answers, self._dispatcher)
--- a/src/catkindrift/core/_outcomes.py
+++ b/src/catkindrift/core/_outcomes.py
@@ -157,7 +157,7 @@
 
     def _retry_or_end(self, pending: Pending, ended: AttemptResult) -> None:
         if self._may_retry(pending, ended):
-            self._dispatcher.enqueue(pending)
+            self._dispatcher.enqueue(pending, _reason(ended))
             return
         self._answers.end_refused(pending, _reason(ended))
 
--- /dev/null
+++ b/src/catkindrift/core/_selector.py
@@ -0,0 +1,123 @@
+"""Choice of an upstream for a waiting request."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.core._borrower import Borrower
+from catkindrift.core._pending import Pending
+from catkindrift.core._shift_gate import ShiftGate
+from catkindrift.core._slots import Slots
+from catkindrift.core._state import CoreState
+from catkindrift.domain import Shift
+from catkindrift.routing import Candidate, Chooser
+
+# Slots are asked for in the target region before the last ones are taken.
+_SPARE_SLOTS = 1
+
+
+@final
+@attrs.define(eq=False)
+class Selector:
+    """Finds an upstream with room for a request.
+
+    Args:
+        state: State of the entry VM.
+        slots: Slots that may be used.
+        borrower: Asks other entry VMs for slots.
+        gate: Decides which requests a shift moves.
+    """
+
+    _state: CoreState
+    _slots: Slots
+    _borrower: Borrower
+    _gate: ShiftGate
+
+    def select(self, pending: Pending) -> Candidate | None:
+        """Return where to send a request now, if there is room."""
+        candidates = list(self._slots.candidates(pending.request.service))
+        if self._state.suspects.is_suspect(pending.request.fingerprint):
+            candidates = self._isolated(candidates)
+        shifted = self._select_shifted(pending, candidates)
+        return shifted or self._choose(pending, candidates)
+
+    def has_prospect(self, pending: Pending) -> bool:
+        """Return whether any upstream may still take a request.
+
+        Upstreams of other zones count while an entry VM of their zone, which
+        could lend their slots, is alive.
+        """
+        now_ms = self._state.clock.now_ms()
+        return any(
+            self._slots.is_within_reach(upstream)
+            and not upstream.is_ejected(now_ms)
+            and upstream.vm.name not in pending.tried
+            for upstream in self._state.upstreams.of_service(
+                pending.request.service,
+            )
+        )
+
+    def cannot_finish(self, pending: Pending, waiting: int) -> bool:
+        """Return whether the deadline passes before the queue is through."""
+        service = pending.request.service
+        slots, _ = self._slots.room(service)
+        upstreams = self._state.upstreams.of_service(service)
+        if not slots or not upstreams:
+            return False
+        quickest_ms = min(state.latency_ms for state in upstreams)
+        expected_ms = quickest_ms * waiting / slots
+        left_ms = pending.deadline_ms - self._state.clock.now_ms()
+        return expected_ms > left_ms
+
+    def _select_shifted(
+        self,
+        pending: Pending,
+        candidates: list[Candidate],
+    ) -> Candidate | None:
+        """Return an upstream of a shift's target, within the cap."""
+        shift = self._gate.wanted_shift(pending.request.service)
+        if shift is None:
+            return None
+        in_target = self._in_target(shift, candidates)
+        if sum(candidate.free for candidate in in_target) <= _SPARE_SLOTS:
+            self._borrower.ask_region(shift.service, shift.target_region)
+        chosen = self._choose(pending, in_target)
+        if chosen is None or not self._gate.try_move(shift):
+            return None
+        return chosen
+
+    def _in_target(
+        self,
+        shift: Shift,
+        candidates: list[Candidate],
+    ) -> list[Candidate]:
+        region_of = self._state.in_force.configuration.region_of
+        return [
+            candidate
+            for candidate in candidates
+            if region_of(candidate.upstream.vm.zone) == shift.target_region
+        ]
+
+    def _choose(
+        self,
+        pending: Pending,
+        candidates: list[Candidate],
+    ) -> Candidate | None:
+        chooser = Chooser(pending.service.measure)
+        now_ms = self._state.clock.now_ms()
+        return chooser.choose(candidates, now_ms, pending.tried)
+
+    def _isolated(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Return the upstreams where a suspect would be the only one."""
+        taken = {
+            pending.upstream
+            for pending in self._state.pending.values()
+            if pending.is_running
+            and self._state.suspects.is_suspect(pending.request.fingerprint)
+        }
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.upstream.vm.name not in taken
+            and self._slots.is_primary(candidate.upstream)
+        ]
--- a/src/catkindrift/core/_slots.py
+++ b/src/catkindrift/core/_slots.py
@@ -88,6 +88,15 @@
             return False
         return not upstream.is_leaving(self._state.clock.now_ms())
 
+    def is_within_reach(self, upstream: UpstreamState) -> bool:
+        """Return whether this VM has or may borrow slots of an upstream."""
+        if not self.accepts_work(upstream):
+            return False
+        zone = upstream.vm.zone
+        if zone == self._state.identity.zone or self.usable(upstream):
+            return True
+        return bool(self._state.members.alive_in_zone(zone))
+
     def candidates(self, service: str) -> Iterator[Candidate]:
         """Yield the upstreams of a service where this VM has slots."""
         in_force = self._state.in_force
--- a/src/catkindrift/demo/_upstream_app.py
+++ b/src/catkindrift/demo/_upstream_app.py
@@ -5,6 +5,7 @@
 import json
 import threading
 import time
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from typing import Any, final
 
@@ -44,6 +45,7 @@
     refusals: int = attrs.field(init=False, default=0)
     busy: int = attrs.field(init=False, default=0)
     most_busy: int = attrs.field(init=False, default=0)
+    paths: Counter[str] = attrs.field(init=False, factory=Counter)
     _lock: Any = attrs.field(init=False, factory=threading.Lock)
 
     def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
@@ -89,6 +91,7 @@
     def _run(self, environ: Any) -> bytes:
         digest = hashlib.sha256()
         received = 0
+        self.paths[environ['PATH_INFO']] += 1
         for piece in _pieces(environ['wsgi.input']):
             digest.update(piece)
             received += len(piece)
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -58,7 +58,11 @@
             OSError: An address is in use.
         """
         parts = self._parts
-        await self._listen()
+        try:
+            await self._listen()
+        except OSError:
+            await self.close()
+            raise
         await parts.watcher.load_once()
         await parts.exchange.bootstrap()
         for job in (
--- a/src/catkindrift/server/_http_server.py
+++ b/src/catkindrift/server/_http_server.py
@@ -101,7 +101,8 @@
 
     def stop(self) -> None:
         """Stop listening; requests in flight must have ended before."""
-        self._server.stop()
+        if self._running is not None:
+            self._server.stop()
         self._runner.shutdown(wait=True)
 
 
--- a/src/catkindrift/server/_upstream_client.py
+++ b/src/catkindrift/server/_upstream_client.py
@@ -24,6 +24,7 @@
 )
 from catkindrift.server._body import CallerBodyError, StreamedBody
 from catkindrift.server._caller_request import CallerRequest
+from catkindrift.server._checked_response import CheckedConnection
 
 OUTCOME_HEADER = 'Catkindrift-Outcome'
 STATE_HEADER = 'Catkindrift-State'
@@ -36,6 +37,12 @@
 _NO_BODY_STATUSES = frozenset((204, 304))
 
 
+class _CheckedPool(urllib3.HTTPConnectionPool):
+    """Connections that are checked for surplus bytes."""
+
+    ConnectionCls = CheckedConnection
+
+
 @final
 @attrs.frozen
 class OpenAnswer:
@@ -147,7 +154,7 @@
         key = (upstream.address, upstream.port)
         pool = self._pools.get(key)
         if pool is None:
-            pool = urllib3.HTTPConnectionPool(
+            pool = _CheckedPool(
                 upstream.address,
                 upstream.port,
                 maxsize=_CONNECTIONS,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,11 @@
 
 import os
 
+import pytest
 from hypothesis import HealthCheck, settings
 
+from tests.deployment import RunningDeployment
+
 settings.register_profile(
     'ci',
     max_examples=60,
@@ -21,3 +24,11 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
+
+
+@pytest.fixture(scope='module')
+def running():
+    """Run the sample deployment for the tests of one module."""
+    deployment = RunningDeployment()
+    yield deployment
+    deployment.stop()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -24,10 +24,13 @@
         self._thread.start()
         self.run(self.local.start())
 
+    def submit(self, coroutine):
+        """Start a coroutine on the deployment's loop."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
     def run(self, coroutine):
         """Run a coroutine on the deployment's loop."""
-        running = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
-        return running.result(timeout=60)
+        return self.submit(coroutine).result(timeout=60)
 
     def stop(self) -> None:
         """Stop the deployment and its loop."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -140,13 +140,32 @@
     def test_waiting_past_deadline(self):
         """A request whose deadline passes in the queue gets its answer."""
         fleet = Fleet()
+        ids = [fleet.arrive(NORTH, 'read') for _ in range(14)]
+        fleet.advance(5000)
+        reasons = {fleet.answers[each].reason for each in ids[-2:]}
+        assert reasons == {RefusalReason.DEADLINE}
+
+    def test_no_upstream_left_is_said_at_once(self):
+        """Nobody waits for a deadline when no upstream can take the work."""
+        fleet = Fleet()
         for name in fleet.vm_list:
             if name.startswith('read'):
                 fleet.down_upstreams.add(name)
         request_id = fleet.arrive(NORTH, 'read')
-        fleet.advance(5000)
         assert fleet.answers[request_id].outcome is Outcome.NOT_RUN
 
+    def test_no_upstream_left_while_waiting(self):
+        """Requests that wait are refused when the last upstream leaves."""
+        fleet = Fleet()
+        ids = [fleet.arrive(NORTH, 'load') for _ in range(20)]
+        fleet.configuration = attrs.evolve(
+            fleet.configuration,
+            revision=fleet.configuration.revision + 1,
+            drains=tuple(Drain(DrainScope.VM, each) for each in fleet.vm_list),
+        )
+        fleet.advance(1000)
+        assert fleet.answers[ids[-1]].reason is RefusalReason.NO_UPSTREAM
+
 
 class TestRetries:
     """Only harmless retries are made, within a budget."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,19 +2,8 @@
 
 import hashlib
 import json
-from collections.abc import Iterator
 
-import pytest
-
-from tests.deployment import HTTP, RunningDeployment
-
-
-@pytest.fixture(scope='module')
-def running() -> Iterator[RunningDeployment]:
-    """Run the sample deployment for the tests of this module."""
-    deployment = RunningDeployment()
-    yield deployment
-    deployment.stop()
+from tests.deployment import HTTP
 
 
 class TestLookup:
