--- a/src/catkindrift/cli/_main.py
+++ b/src/catkindrift/cli/_main.py
@@ -1,6 +1,8 @@
 """Entry point of the command line."""
 
 import argparse
+import os
+import sys
 from collections.abc import Sequence
 from http import HTTPStatus
 
@@ -18,7 +20,10 @@
     run_demo,
     run_entry,
 )
-from catkindrift.errors import SettingsFileError
+from catkindrift.cli._report_commands import run_report
+from catkindrift.errors import InvalidInputError, SettingsFileError
+
+_MISTAKES = (SettingsFileError, InvalidInputError, ExceptionGroup)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -31,9 +36,12 @@
     args = make_parser().parse_args(arguments)
     try:
         return _run(args)
-    except (SettingsFileError, ExceptionGroup) as mistakes:
+    except _MISTAKES as mistakes:
         report_mistakes(mistakes)
         return ExitCode.USAGE
+    except BrokenPipeError:
+        _discard_output()
+        return ExitCode.DONE
     except UnreachableError as unreachable:
         write_error(str(unreachable))
         return ExitCode.UNREACHABLE
@@ -52,7 +60,16 @@
             return run_entry(args.settings)
         case 'check-settings':
             return check_settings(args.file)
+        case 'report':
+            run_report(args)
+            return ExitCode.DONE
     client = OperatorClient(args.url, args.token, args.ca_file)
     document = args.run(client, args)
     print_document(document, as_json=args.json)
     return ExitCode.DONE
+
+
+def _discard_output() -> None:
+    """Drop what is left to print: its reader has seen enough."""
+    nowhere = os.open(os.devnull, os.O_WRONLY)
+    os.dup2(nowhere, sys.stdout.fileno())
--- a/src/catkindrift/cli/_parser.py
+++ b/src/catkindrift/cli/_parser.py
@@ -49,6 +49,7 @@
     _add_intent(commands, common)
     _add_plan(commands, common)
     _add_views(commands, common)
+    _add_report(commands)
     return parser
 
 
@@ -229,6 +230,40 @@
     follow.add_argument('--timeout', type=float, default=_FOLLOW_SECONDS)
 
 
+def _add_report(commands: Any) -> None:
+    parser = commands.add_parser(
+        'report',
+        help='collect samples and report on service-level burn',
+    )
+    parser.add_argument(
+        'action',
+        choices=('collect', 'burn'),
+        help='collect: only add to the samples; burn: report on them',
+    )
+    parser.add_argument(
+        '--metrics-url',
+        action='append',
+        default=[],
+        metavar='URL',
+        help='operator address of an entry VM; may be given again',
+    )
+    parser.add_argument('--samples', metavar='FILE', help='samples to extend')
+    parser.add_argument(
+        '--objectives',
+        metavar='FILE',
+        default='examples/objectives.toml',
+    )
+    parser.add_argument(
+        '--rounds', type=int, default=1, help='collect so often'
+    )
+    parser.add_argument('--interval', type=float, default=5, help='seconds')
+    parser.add_argument(
+        '--html', metavar='FILE', help='write a page with plots'
+    )
+    parser.add_argument('--json', action='store_true', help='print JSON')
+    parser.add_argument('--ca-file', default='')
+
+
 def _add_views(commands: Any, common: argparse.ArgumentParser) -> None:
     status = commands.add_parser(
         'status',
--- a/src/catkindrift/cli/_processes.py
+++ b/src/catkindrift/cli/_processes.py
@@ -10,7 +10,7 @@
 from catkindrift.cli._exit_code import ExitCode
 from catkindrift.cli._output import write_error, write_line
 from catkindrift.demo import DEMO_TOKEN, LocalDeployment, sample_deployment
-from catkindrift.errors import SettingsFileError
+from catkindrift.report import Objectives
 from catkindrift.server import EntryVm
 from catkindrift.settings import (
     Deployment,
@@ -46,14 +46,16 @@
     document = read_document(Path(path))
     if 'deployment' in document:
         load_settings(Path(path), Deployment)
+    elif 'objectives' in document:
+        load_settings(Path(path), Objectives)
     else:
         load_settings(Path(path), EntrySettings)
     write_line(f'{path}: no mistakes')
     return ExitCode.DONE
 
 
-def report_mistakes(error: SettingsFileError | BaseExceptionGroup) -> None:
-    """Print every mistake in a settings file."""
+def report_mistakes(error: Exception) -> None:
+    """Print every mistake in a file."""
     if isinstance(error, BaseExceptionGroup):
         for mistake in error.exceptions:
             write_error(str(mistake))
@@ -83,6 +85,7 @@
 
 
 def _print_addresses(local: LocalDeployment) -> None:
+    write_line(f'Stand-in platform {local.platform_url}')
     write_line('Entry VMs (callers, operators):')
     for name, settings in local.settings.items():
         listen = settings.listen
--- a/src/catkindrift/core/_dispatcher.py
+++ b/src/catkindrift/core/_dispatcher.py
@@ -120,6 +120,8 @@
                 self._answers.end_refused(pending, RefusalReason.DEADLINE)
 
     def _try_dispatch(self, pending: Pending) -> bool:
+        if pending.deadline_ms <= self._state.clock.now_ms():
+            return False
         chosen = self._selector.select(pending)
         if chosen is None:
             return False
--- a/src/catkindrift/demo/_deployment.py
+++ b/src/catkindrift/demo/_deployment.py
@@ -69,15 +69,20 @@
     upstreams: dict[str, UpstreamApp] = attrs.field(init=False, factory=dict)
     entry_vms: dict[str, EntryVm] = attrs.field(init=False, factory=dict)
     settings: dict[str, EntrySettings] = attrs.field(init=False, factory=dict)
+    platform_url: str = attrs.field(init=False, default='')
     _servers: dict[str, HttpServer] = attrs.field(init=False, factory=dict)
 
-    async def start(self) -> None:
-        """Start all parts, the platform first."""
-        platform_url = self._start_platform()
+    async def start(self, *, with_entry_vms: bool = True) -> None:
+        """Start all parts, the platform first.
+
+        Args:
+            with_entry_vms: Start the entry VMs too.
+        """
+        self.platform_url = self._start_platform()
         self._start_upstreams()
-        await self._write_configuration(platform_url)
-        self._make_settings(platform_url)
-        for name in self.settings:
+        await self._write_configuration(self.platform_url)
+        self._make_settings(self.platform_url)
+        for name in self.settings if with_entry_vms else ():
             await self.start_entry_vm(name)
 
     async def start_entry_vm(self, name: str) -> None:
--- /dev/null
+++ b/src/catkindrift/report/_page.py
@@ -0,0 +1,116 @@
+"""The report as one self-contained HTML page."""
+
+import html
+from collections.abc import Iterable
+
+import pygal
+
+from catkindrift.report._burn import WINDOWS, BurnRow
+from catkindrift.report._objective import Objective
+from catkindrift.report._sample import Sample
+from catkindrift.report._series import increases
+from catkindrift.report._table import TITLES, cells
+
+_MINUTE_MS = 60_000
+_CHART_HEIGHT = 360
+_STYLE = """
+body { font-family: sans-serif; margin: 2rem; }
+table { border-collapse: collapse; }
+td, th { border: 1px solid #bbb; padding: 0.2rem 0.6rem; text-align: left; }
+tr.alert { background: #fdd; }
+tr.gap { color: #666; }
+svg { max-width: 60rem; }
+"""
+
+
+def render_page(
+    rows: list[BurnRow],
+    samples: list[Sample],
+    objectives: Iterable[Objective],
+    now_ms: int,
+) -> str:
+    """Return the HTML page.
+
+    Args:
+        rows: Burn of all objectives.
+        samples: Samples for the plots.
+        objectives: Objectives by service.
+        now_ms: End of the windows, Unix milliseconds.
+    """
+    kept = list(objectives)
+    parts = [
+        '<!doctype html><html lang="en"><head><meta charset="utf-8">',
+        '<title>Service-level burn</title>',
+        f'<style>{_STYLE}</style></head><body>',
+        '<h1>Service-level burn</h1>',
+        '<p>A burn rate of 1 spends the error budget evenly. Grey rows have '
+        'gaps: for the part that is not covered nothing is known.</p>',
+        _burn_chart(rows, kept),
+        _failure_chart(samples, kept, now_ms),
+        _html_table(rows),
+        '</body></html>',
+    ]
+    return '\n'.join(parts)
+
+
+def _burn_chart(rows: list[BurnRow], objectives: list[Objective]) -> str:
+    chart = pygal.Bar(
+        title='Burn rate by window',
+        js=(),
+        disable_xml_declaration=True,
+        height=_CHART_HEIGHT,
+    )
+    chart.x_labels = [window.name for window in WINDOWS]
+    for objective in objectives:
+        for kind in ('availability', 'latency'):
+            rates = [
+                row.burn_rate
+                for row in rows
+                if (row.service, row.objective) == (objective.service, kind)
+            ]
+            chart.add(f'{objective.service} {kind}', rates)
+    return str(chart.render(is_unicode=True))
+
+
+def _failure_chart(
+    samples: list[Sample],
+    objectives: list[Objective],
+    now_ms: int,
+) -> str:
+    chart = pygal.XY(
+        title='Failed part of requests, percent, by minutes before the report',
+        js=(),
+        disable_xml_declaration=True,
+        height=_CHART_HEIGHT,
+    )
+    for objective in objectives:
+        steps = increases(samples, objective.service, objective.latency_ms)
+        points = [
+            (
+                (step.to_ms - now_ms) / _MINUTE_MS,
+                100 * step.bad / (step.bad + step.good),
+            )
+            for step in sorted(steps, key=lambda each: each.to_ms)
+            if step.bad + step.good
+        ]
+        chart.add(objective.service, points)
+    return str(chart.render(is_unicode=True))
+
+
+def _html_table(rows: list[BurnRow]) -> str:
+    lines = [_html_line(TITLES, 'th', '')]
+    for row in rows:
+        kind = 'gap' if row.covered < 1 else ''
+        lines.append(
+            _html_line(cells(row), 'td', 'alert' * row.is_alert or kind)
+        )
+    return f'<table>{"".join(lines)}</table>'
+
+
+def _html_line(texts: Iterable[str], tag: str, kind: str) -> str:
+    inner = ''.join(map(f'<{tag}>{{0}}</{tag}>'.format, _escaped(texts)))
+    return f'<tr class="{kind}">{inner}</tr>'
+
+
+def _escaped(texts: Iterable[str]) -> list[str]:
+    return [html.escape(text) for text in texts]
--- /dev/null
+++ b/src/catkindrift/report/_scrape.py
@@ -0,0 +1,103 @@
+"""Samples from the metrics of entry VMs."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+from prometheus_client.parser import text_string_to_metric_families
+
+from catkindrift.errors import InvalidInputError
+from catkindrift.report._sample import Sample, ServiceCount
+
+# Refusals that are the caller's doing and not the system's.
+_CALLER_REASONS = frozenset(
+    (
+        'unknown_service',
+        'idempotency_key_missing',
+        'idempotency_key_reused',
+        'request_in_progress',
+        'request_already_run',
+        'quarantined',
+        'body_too_large',
+    ),
+)
+_SERVER_ERRORS = '5'
+
+
+@attrs.define
+class _Tally:
+    answered: float = 0
+    failed: float = 0
+    reasons: dict[str, float] = attrs.field(factory=dict)
+    completed: float = 0
+    buckets: dict[str, float] = attrs.field(factory=dict)
+
+
+def parse_metrics(text: str, wall_ms: int) -> Sample:
+    """Return the sample in the text of a metrics endpoint.
+
+    Args:
+        text: Metrics in the text format of Prometheus.
+        wall_ms: Time of the sample, Unix milliseconds.
+
+    Raises:
+        InvalidInputError: The text is not from an entry VM.
+    """
+    tallies: dict[str, _Tally] = {}
+    identity: dict[str, str] = {}
+    drains: list[float] = []
+    for point in _points(text):
+        match point.name:
+            case 'catkindrift_info':
+                identity = point.labels
+            case 'catkindrift_longest_drain_seconds':
+                drains.append(point.value)
+            case _:
+                _count(tallies, point)
+    if not identity:
+        raise InvalidInputError(
+            'no catkindrift_info in the metrics; name the operator address '
+            'of an entry VM',
+        )
+    counts = {
+        service: ServiceCount(service, **attrs.asdict(tally))
+        for service, tally in tallies.items()
+    }
+    return Sample(
+        wall_ms,
+        identity['vm'],
+        identity['region'],
+        counts,
+        max(drains, default=None),
+    )
+
+
+def _points(text: str) -> Iterable[Any]:
+    for family in text_string_to_metric_families(text):
+        yield from family.samples
+
+
+def _count(tallies: dict[str, _Tally], point: Any) -> None:
+    service = point.labels.get('service', '')
+    if not service:
+        return
+    tally = tallies.setdefault(service, _Tally())
+    match point.name:
+        case 'catkindrift_answers_total':
+            if point.labels['status_class'] == _SERVER_ERRORS:
+                _add_failure(tally, 'server_error', point.value)
+            else:
+                tally.answered += point.value
+        case 'catkindrift_refusals_total':
+            if point.labels['reason'] not in _CALLER_REASONS:
+                _add_failure(tally, point.labels['reason'], point.value)
+        case 'catkindrift_request_seconds_count':
+            tally.completed += point.value
+        case 'catkindrift_request_seconds_bucket':
+            bound = point.labels['le']
+            tally.buckets[bound] = tally.buckets.get(bound, 0) + point.value
+
+
+def _add_failure(tally: _Tally, reason: str, count: float) -> None:
+    tally.failed += count
+    tally.reasons[reason] = tally.reasons.get(reason, 0) + count
--- a/src/catkindrift/server/_core_collector.py
+++ b/src/catkindrift/server/_core_collector.py
@@ -162,7 +162,15 @@
         if state.confirmed_ms is not None:
             age_ms = state.clock.now_ms() - state.confirmed_ms
             confirmed_age = age_ms / _MILLISECONDS_PER_SECOND
+        identity = state.identity
+        who = GaugeMetricFamily(
+            'catkindrift_info',
+            'Identity of the entry VM',
+            labels=('vm', 'zone', 'region'),
+        )
+        who.add_metric((identity.name, identity.zone, identity.region), 1)
         return [
+            who,
             _gauge(
                 'catkindrift_configuration_revision',
                 'Revision in force',
--- a/src/catkindrift/server/_forwarder.py
+++ b/src/catkindrift/server/_forwarder.py
@@ -19,7 +19,13 @@
     Request,
     RequestArrived,
 )
-from catkindrift.retries import AttemptResult, CallerGone, Outcome
+from catkindrift.retries import (
+    AttemptResult,
+    Broken,
+    BrokenReason,
+    CallerGone,
+    Outcome,
+)
 from catkindrift.server._bridge import Bridge
 from catkindrift.server._caller_request import (
     BadRequestError,
@@ -80,7 +86,7 @@
         effect = self._bridge.ask(request_id, arrival)
         while isinstance(effect, Dispatch):
             started = time.monotonic()
-            opened = self._client.open(effect, request)
+            opened = self._open(effect, request)
             if isinstance(opened, OpenAnswer):
                 relay = self._relay(opened, effect, service, started)
                 start_response(relay.status_line, relay.headers)
@@ -92,6 +98,22 @@
             effect = self._bridge.ask(request_id, ended)
         return self._answer(start_response, effect, request)
 
+    def _open(
+        self,
+        dispatch: Dispatch,
+        request: CallerRequest,
+    ) -> OpenAnswer | AttemptResult:
+        """Make an attempt, and report its end whatever happens.
+
+        An attempt whose end is not reported would hold its slot for ever.
+        """
+        try:
+            return self._client.open(dispatch, request)
+        except Exception:
+            broken = Broken(BrokenReason.INCOMPLETE, can_resend=False)
+            self._end(dispatch.request_id, broken)
+            raise
+
     def _describe(self, request_id: int, request: CallerRequest) -> Request:
         deadline_ms = 0
         if request.timeout_ms:
--- a/src/catkindrift/server/_http_server.py
+++ b/src/catkindrift/server/_http_server.py
@@ -8,6 +8,7 @@
 from cheroot import wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
+from catkindrift.server._relay import IncompleteAnswerError
 from catkindrift.settings import Endpoint, TlsSettings
 
 _IDLE_TIMEOUT_SECONDS = 30
@@ -111,4 +112,9 @@
     level: int = logging.INFO,
     traceback: bool = False,
 ) -> None:
-    logging.debug('http server: %s (level %s)', message, level)
+    """Log what the server library reports; broken answers are expected."""
+    is_expected = IncompleteAnswerError.__name__ in message
+    if is_expected or not traceback:
+        logging.debug('http server: %s (level %s)', message, level)
+    else:
+        logging.error('http server: %s', message, exc_info=True)
--- a/src/catkindrift/settings/_loader.py
+++ b/src/catkindrift/settings/_loader.py
@@ -13,10 +13,8 @@
 )
 
 from catkindrift.errors import SettingError, SettingsFileError
-from catkindrift.settings._deployment import Deployment
-from catkindrift.settings._entry import EntrySettings
 
-_Settings = TypeVar('_Settings', EntrySettings, Deployment)
+_Settings = TypeVar('_Settings')
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
@@ -24,13 +22,14 @@
 def _keep_type(found: Any, wanted: type) -> Any:
     # A truth value is an integer too, but never means one in a file.
     is_mistaken = isinstance(found, bool) and wanted is not bool
-    if is_mistaken or not isinstance(found, wanted):
+    is_whole = wanted is float and isinstance(found, int)
+    if is_mistaken or not (isinstance(found, wanted) or is_whole):
         raise TypeError(f'a value of type {wanted.__name__}')
     return found
 
 
 def _is_plain(wanted: Any) -> bool:
-    return wanted in {str, int, bool}
+    return wanted in {str, int, bool, float}
 
 
 _CONVERTER.register_structure_hook_func(_is_plain, _keep_type)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -158,6 +158,17 @@
         reasons = {fleet.answers[each].reason for each in ids[-2:]}
         assert reasons == {RefusalReason.DEADLINE}
 
+    def test_nothing_is_dispatched_after_its_deadline(self):
+        """A request that overslept in the queue is refused, not sent."""
+        fleet = Fleet()
+        ids = [fleet.arrive(NORTH, 'read') for _ in range(14)]
+        fleet.clock.advance(5000)
+        before = len(fleet.dispatches)
+        fleet.answer(fleet.attempts[0])
+        assert len(fleet.dispatches) == before
+        fleet.advance(100)
+        assert fleet.answers[ids[-1]].reason is RefusalReason.DEADLINE
+
     def test_no_upstream_left_is_said_at_once(self):
         """Nobody waits for a deadline when no upstream can take the work."""
         fleet = Fleet()
