--- a/src/catkindrift/core/_core.py
+++ b/src/catkindrift/core/_core.py
@@ -36,7 +36,7 @@
 from catkindrift.core._slots import Slots
 from catkindrift.core._state import CoreState
 from catkindrift.peers import PeerRecord
-from catkindrift.routing import LookupAnswer
+from catkindrift.routing import LookupAnswer, LookupTable
 
 
 @final
@@ -112,7 +112,16 @@
         Raises:
             ValueError: The text is no IPv4 address or block.
         """
-        return self._lookups.answer(block)
+        return self._lookups.table().answer(block)
+
+    def lookup_table(self) -> LookupTable:
+        """Return the present table for look-ups."""
+        return self._lookups.table()
+
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether requests wait for a slot."""
+        return any(self.state.queues.values())
 
     def own_record(self) -> PeerRecord:
         """Return this VM's record for the others."""
--- a/src/catkindrift/core/_lookups.py
+++ b/src/catkindrift/core/_lookups.py
@@ -6,52 +6,52 @@
 
 from catkindrift.core._state import CoreState
 from catkindrift.domain import Vm
-from catkindrift.routing import EntryDirectory, LookupAnswer
+from catkindrift.routing import EntryDirectory, LookupTable
 
-_DIRECTORY_LIFE_MS = 100
+_TABLE_LIFE_MS = 100
 
 
 @final
 @attrs.define(eq=False)
 class Lookups:
-    """Names the entry VMs that accept new callers.
+    """Publishes the table from which look-ups are answered.
 
     Args:
         state: State of the entry VM.
     """
 
     _state: CoreState
-    _directory: EntryDirectory | None = attrs.field(init=False, default=None)
+    _table: LookupTable | None = attrs.field(init=False, default=None)
     _made_ms: int = attrs.field(init=False, default=0)
     _basis: tuple[int, bool] = attrs.field(init=False, default=(0, False))
 
-    def answer(self, block: str) -> LookupAnswer:
-        """Return the entry VMs for a client address or block.
-
-        Raises:
-            ValueError: The text is no IPv4 address or block.
-        """
-        in_force = self._state.in_force
-        zone = in_force.blocks.zone_of(block)
-        near = zone or self._state.identity.zone
-        entries = self._current_directory().entries(near, block)
-        lifetime_ms = self._state.bounds.lookup_lifetime_ms
-        return LookupAnswer(zone, entries, lifetime_ms)
-
-    def _current_directory(self) -> EntryDirectory:
-        """Return the directory, made anew when it is old or this VM stops."""
+    def table(self) -> LookupTable:
+        """Return the table, made anew when it is old or this VM stops."""
         state = self._state
         now_ms = state.clock.now_ms()
         basis = (state.in_force.revision, state.is_stopping)
-        is_old = now_ms - self._made_ms >= _DIRECTORY_LIFE_MS
-        if self._directory is None or is_old or basis != self._basis:
-            self._directory = EntryDirectory.build(
-                self._accepting(),
-                state.in_force.configuration,
-            )
+        is_old = now_ms - self._made_ms >= _TABLE_LIFE_MS
+        if self._table is None or is_old or basis != self._basis:
+            self._table = self._make_table()
             self._made_ms = now_ms
             self._basis = basis
-        return self._directory
+        return self._table
+
+    def _make_table(self) -> LookupTable:
+        state = self._state
+        directory = EntryDirectory.build(
+            self._accepting(),
+            state.in_force.configuration,
+        )
+        known = self._table
+        if known is not None and known.directory == directory:
+            directory = known.directory
+        return LookupTable(
+            state.in_force.blocks,
+            directory,
+            state.identity.zone,
+            state.bounds.lookup_lifetime_ms,
+        )
 
     def _accepting(self) -> list[Vm]:
         """Return the entry VMs that new callers may use.
--- a/src/catkindrift/report/_page.py
+++ b/src/catkindrift/report/_page.py
@@ -13,6 +13,7 @@
 
 _MINUTE_MS = 60_000
 _CHART_HEIGHT = 360
+_LEGEND_LENGTH = 40
 _STYLE = """
 body { font-family: sans-serif; margin: 2rem; }
 table { border-collapse: collapse; }
@@ -57,6 +58,7 @@
     chart = pygal.Bar(
         title='Burn rate by window',
         js=(),
+        truncate_legend=_LEGEND_LENGTH,
         disable_xml_declaration=True,
         height=_CHART_HEIGHT,
     )
@@ -80,6 +82,7 @@
     chart = pygal.XY(
         title='Failed part of requests, percent, by minutes before the report',
         js=(),
+        truncate_legend=_LEGEND_LENGTH,
         disable_xml_declaration=True,
         height=_CHART_HEIGHT,
     )
@@ -108,7 +111,8 @@
 
 
 def _html_line(texts: Iterable[str], tag: str, kind: str) -> str:
-    inner = ''.join(map(f'<{tag}>{{0}}</{tag}>'.format, _escaped(texts)))
+    fields = [f'<{tag}>{text}</{tag}>' for text in _escaped(texts)]
+    inner = ''.join(fields)
     return f'<tr class="{kind}">{inner}</tr>'
 
 
--- a/src/catkindrift/report/_table.py
+++ b/src/catkindrift/report/_table.py
@@ -15,6 +15,8 @@
     'alert',
 )
 _UNKNOWN = '-'
+# With less of a window covered, nobody knows how much budget is left.
+_WHOLE = 0.99
 
 
 def cells(row: BurnRow) -> tuple[str, ...]:
@@ -24,7 +26,7 @@
         row.objective,
         row.window,
         _number(row.burn_rate),
-        _percent(row.budget_left),
+        'gap' if row.covered < _WHOLE else _percent(row.budget_left),
         f'{row.requests:.0f}',
         _percent(row.covered),
         row.region,
--- a/src/catkindrift/routing/__init__.py
+++ b/src/catkindrift/routing/__init__.py
@@ -4,7 +4,7 @@
 from catkindrift.routing._candidate import Candidate, Distance
 from catkindrift.routing._chooser import Chooser
 from catkindrift.routing._directory import EntryDirectory
-from catkindrift.routing._lookup import LookupAnswer
+from catkindrift.routing._lookup import LookupAnswer, LookupTable
 from catkindrift.routing._rendezvous import rendezvous_order
 from catkindrift.routing._upstream_state import UpstreamState
 from catkindrift.routing._upstream_table import UpstreamTable
@@ -16,6 +16,7 @@
     'Distance',
     'EntryDirectory',
     'LookupAnswer',
+    'LookupTable',
     'UpstreamState',
     'UpstreamTable',
     'rendezvous_order',
--- a/src/catkindrift/routing/_directory.py
+++ b/src/catkindrift/routing/_directory.py
@@ -32,10 +32,12 @@
     _answers: dict[tuple[str, int], tuple[Vm, ...]] = attrs.field(
         init=False,
         factory=dict,
+        eq=False,
     )
     _nearest: dict[str, tuple[str, ...]] = attrs.field(
         init=False,
         factory=dict,
+        eq=False,
     )
 
     @classmethod
--- a/src/catkindrift/routing/_lookup.py
+++ b/src/catkindrift/routing/_lookup.py
@@ -1,10 +1,12 @@
-"""Answers to callers that ask which entry VMs to use."""
+"""What a caller that looks up a block is told."""
 
 from typing import final
 
 import attrs
 
 from catkindrift.domain import Vm
+from catkindrift.routing._block_table import BlockTable
+from catkindrift.routing._directory import EntryDirectory
 
 
 @final
@@ -21,3 +23,33 @@
     zone: str
     entries: tuple[Vm, ...]
     lifetime_ms: int
+
+
+@final
+@attrs.frozen
+class LookupTable:
+    """All that look-ups need, published by the loop for server threads.
+
+    Nobody changes a table that is published; a newer one replaces it.
+
+    Args:
+        blocks: Availability zones by client block.
+        directory: Entry VMs by availability zone.
+        own_zone: Zone that stands in for blocks of no known zone.
+        lifetime_ms: How long callers may use an answer.
+    """
+
+    blocks: BlockTable
+    directory: EntryDirectory
+    own_zone: str
+    lifetime_ms: int
+
+    def answer(self, block: str) -> LookupAnswer:
+        """Return the entry VMs for a client address or block.
+
+        Raises:
+            ValueError: The text is no IPv4 address or block.
+        """
+        zone = self.blocks.zone_of(block)
+        entries = self.directory.entries(zone or self.own_zone, block)
+        return LookupAnswer(zone, entries, self.lifetime_ms)
--- a/src/catkindrift/server/_composition.py
+++ b/src/catkindrift/server/_composition.py
@@ -70,6 +70,7 @@
     operators: HttpServer = attrs.field(init=False)
     peer_server: PeerServer = attrs.field(init=False)
     news: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
+    _lookups: LookupApp = attrs.field(init=False)
     _gate: CallGate = attrs.field(init=False)
     _vm_list: VmListCache = attrs.field(init=False)
     _observer: Observer = attrs.field(init=False)
@@ -86,6 +87,7 @@
     def post(self, event: Event) -> None:
         """Let the core decide on an event and carry out what follows."""
         self.runner.run(self.core.handle(event))
+        self._lookups.table = self.core.lookup_table()
 
     def _make_core(self) -> None:
         settings = self.settings
@@ -211,10 +213,10 @@
             self._upstreams,
             metrics,
         )
-        lookups = LookupApp(self.core, self._bridge, scheme)
+        self._lookups = LookupApp(self.core.lookup_table(), scheme)
         return HttpServer(
             callers,
-            CallerApp(forwarder, lookups),
+            CallerApp(forwarder, self._lookups),
             settings.limits.caller_threads,
             settings.limits.max_header_bytes,
             settings.tls,
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -15,6 +15,7 @@
 from catkindrift.settings import EntrySettings
 
 _TICK_SECONDS = 0.02
+_IDLE_SECONDS = 0.1
 _CLAIM_RETRY_SECONDS = 1.0
 _IDLE_POLL_SECONDS = 0.05
 _MILLISECONDS_PER_SECOND = 1000
@@ -118,7 +119,8 @@
 
     async def _tick(self) -> None:
         while True:
-            await asyncio.sleep(_TICK_SECONDS)
+            is_busy = self.core.has_waiting
+            await asyncio.sleep(_TICK_SECONDS if is_busy else _IDLE_SECONDS)
             self._parts.post(Ticked())
 
     async def _exchange_rounds(self) -> None:
--- a/src/catkindrift/server/_lookup_app.py
+++ b/src/catkindrift/server/_lookup_app.py
@@ -8,9 +8,8 @@
 
 import attrs
 
-from catkindrift.core import EntryCore
-from catkindrift.routing import LookupAnswer
-from catkindrift.server._bridge import Bridge
+from catkindrift.domain import Vm
+from catkindrift.routing import LookupAnswer, LookupTable
 from catkindrift.server._forwarder import answer_problem
 from catkindrift.server._problem import Problem
 
@@ -23,22 +22,20 @@
 @final
 @attrs.define(eq=False)
 class LookupApp:
-    """Answers single and batched look-ups.
+    """Answers single and batched look-ups from the published table.
 
     Args:
-        core: The decision core.
-        bridge: Passage to the loop.
+        table: The newest table; the loop replaces it.
         scheme: URL scheme of callers' connections.
     """
 
-    _core: EntryCore
-    _bridge: Bridge
+    table: LookupTable
     _scheme: str
 
     def serve(self, environ: Any, start_response: Any) -> Iterable[bytes]:
         """Serve one look-up as a WSGI application does."""
         try:
-            answers = self._bridge.call(self._answer_all, _blocks(environ))
+            answers = self._answer_all(_blocks(environ))
         except _MALFORMED as malformed:
             return answer_problem(start_response, _malformed(malformed))
         documents = [self._document(answer) for answer in answers]
@@ -59,22 +56,23 @@
         return (content,)
 
     def _answer_all(self, blocks: list[str]) -> list[LookupAnswer]:
-        return [self._core.lookup(block) for block in blocks]
+        table = self.table
+        return [table.answer(block) for block in blocks]
 
     def _document(self, answer: LookupAnswer) -> dict[str, Any]:
         return {
             'zone': answer.zone,
-            'entries': [
-                {
-                    'vm': vm.name,
-                    'zone': vm.zone,
-                    'url': f'{self._scheme}://{vm.address}:{vm.port}',
-                }
-                for vm in answer.entries
-            ],
+            'entries': [self._entry(vm) for vm in answer.entries],
             'lifetime_ms': answer.lifetime_ms,
         }
 
+    def _entry(self, vm: Vm) -> dict[str, str]:
+        return {
+            'vm': vm.name,
+            'zone': vm.zone,
+            'url': f'{self._scheme}://{vm.address}:{vm.port}',
+        }
+
 
 def _blocks(environ: Any) -> list[str]:
     if environ['REQUEST_METHOD'] == 'GET':
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -68,3 +68,30 @@
         path = f'/v1/plans/{plan["name"]}'
         assert running.operate('POST', f'{path}/confirm')[0] == 200
         assert running.follow(plan['name'])['state'] == 'done'
+
+
+class TestOpenApi:
+    """The OpenAPI document describes what is served."""
+
+    def test_documented_reads_are_served(self, running):
+        """Every documented list answers."""
+        status, document = running.operate('GET', '/v1/openapi.json')
+        assert status == 200
+        lists = [
+            path
+            for path, methods in document['paths'].items()
+            if 'get' in methods and '{' not in path
+        ]
+        assert len(lists) == 5
+        for path in lists:
+            assert running.operate('GET', path)[0] == 200
+
+    def test_health_and_metrics(self, running):
+        """Health, readiness and metrics need no token."""
+        for path in ('healthz', 'readyz'):
+            url = f'{running.operators_url()}/{path}'
+            assert HTTP.request('GET', url).status == 200
+        url = f'{running.operators_url()}/metrics'
+        metrics = HTTP.request('GET', url).data.decode()
+        assert 'catkindrift_invariants_breached_total' in metrics
+        assert 'catkindrift_request_seconds_bucket' in metrics
