Send a record again only when it has changed or is 0.4 s old

Every question and answer made a new sequence number, so the same state was sent again as new.

Change: a record is kept for 0.4 s unless news change it (revision, stopping, leaving, crashes); its confirmed age is always that of the moment; two far peers a round in place of three.

Ruled out: keeping the confirmed age with the record; it would let others use a share of a cap up to 0.4 s too long (test_confirmed_age_is_never_too_young).

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,12 +1,15 @@
 """Slopes from which docs/CAPACITY.md works out the target size."""
 
+import asyncio
 import statistics
 import time
+from unittest import mock
 
 from benchmarks.flow import percentile
 from benchmarks.report import show
 from catkindrift.claims import ClaimState, ClaimStore
 from catkindrift.clock import ManualClock
+from catkindrift.demo import LocalDeployment
 from catkindrift.domain import (
     Configuration,
     Service,
@@ -18,6 +21,7 @@
 )
 from catkindrift.peers import (
     Members,
+    PeerClient,
     PeerRecord,
     ServiceRoom,
     UpstreamLoad,
@@ -26,9 +30,11 @@
 )
 from catkindrift.peers.protocol import peers_pb2
 from catkindrift.routing import BlockTable, EntryDirectory
+from catkindrift.settings import Deployment, DeploymentSettings
 from tests.fakes import FakePlatform, Fleet, run_now
 
 ROUNDS = 5
+COUNT_SECONDS = 4
 
 
 def main():
@@ -44,6 +50,7 @@
     slope('configuration_decode_ms', (20, 50, 100, 200), decode_ms)
     slope('directory_build_us', (120, 500, 1500, 3100), directory_us)
     slope('claim_platform_calls', (1, 10, 50, 100), claim_calls)
+    slope('exchange_bytes_a_second', (2, 4, 8, 12), exchange_bytes_a_second)
     slope('tick_us', (4, 10, 20, 40), tick_us)
 
 
@@ -220,5 +227,40 @@
     return timed(lambda: [core._tick() for _ in range(100)]) / 100 * 1e6
 
 
+def exchange_bytes_a_second(entry_vms):
+    """Return the bytes that one of some idle entry VMs sends and gets."""
+    return asyncio.run(_count_exchanges(entry_vms))
+
+
+async def _count_exchanges(entry_vms):
+    zones = tuple(
+        Zone(f'zone-{number}', f'region-{number // 2}')
+        for number in range(entry_vms // 2)
+    )
+    local = LocalDeployment(
+        Deployment(
+            DeploymentSettings('count', entry_vms_per_zone=2),
+            zones,
+            tuple(Service(f'service-{number}') for number in range(4)),
+            (),
+        ),
+    )
+    counted = []
+    real = PeerClient.exchange
+
+    async def counting(self, peer, request):
+        reply = await real(self, peer, request)
+        counted.append(request.ByteSize() + reply.ByteSize())
+        return reply
+
+    await local.start()
+    await asyncio.sleep(COUNT_SECONDS)
+    with mock.patch.object(PeerClient, 'exchange', counting):
+        await asyncio.sleep(COUNT_SECONDS)
+    await local.stop()
+    # Each VM sends what it asks and what it answers.
+    return 2 * sum(counted) / COUNT_SECONDS / entry_vms
+
+
 if __name__ == '__main__':
     main()
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import sys
 import threading
 import time
 
@@ -29,6 +30,8 @@
 
 def added_latency():
     """Time through an entry VM over a direct request to the same upstream."""
+    # Client and stand-ins share this process and must not delay each other.
+    sys.setswitchinterval(0.0005)
     timings = {'direct': [], 'through': []}
     with entry_process() as entry:
         http = urllib3.PoolManager()
--- a/src/catkindrift/cli/_processes.py
+++ b/src/catkindrift/cli/_processes.py
@@ -19,6 +19,8 @@
     read_document,
 )
 
+_SWITCH_SECONDS = 0.0005
+
 
 def run_entry(path: str) -> ExitCode:
     """Run one entry VM until it is told to stop."""
@@ -64,6 +66,8 @@
 
 
 async def _serve(settings: EntrySettings) -> None:
+    # Server threads hand over to the loop sooner than by default.
+    sys.setswitchinterval(_SWITCH_SECONDS)
     entry_vm = EntryVm(settings)
     stop = _stop_signal()
     await entry_vm.start()
--- a/src/catkindrift/core/_membership.py
+++ b/src/catkindrift/core/_membership.py
@@ -19,6 +19,19 @@
     UpstreamLoad,
 )
 
+_RECORD_LIFE_MS = 400
+
+
+@final
+@attrs.frozen
+class _News:
+    """What makes a new record at once when it changes."""
+
+    revision: int
+    is_stopping: bool
+    leaving: tuple[str, ...]
+    confirmed_crashes: int
+
 
 @final
 @attrs.define(eq=False)
@@ -33,6 +46,9 @@
     _state: CoreState
     _slots: Slots
     _sequence: int = attrs.field(init=False, default=0)
+    _record: PeerRecord | None = attrs.field(init=False, default=None)
+    _made_ms: int = attrs.field(init=False, default=0)
+    _published: _News | None = attrs.field(init=False, default=None)
 
     def see_configuration(self, seen: ConfigurationSeen) -> None:
         """Put a configuration in force if it is newer than all before."""
@@ -84,20 +100,34 @@
         self._slots.refresh()
 
     def own_record(self) -> PeerRecord:
-        """Return this VM's record for the others."""
+        """Return this VM's record for the others.
+
+        The record is kept for a while, so that the same state is not sent
+        again under a new sequence number; news make a new one at once.
+        """
+        now_ms = self._state.clock.now_ms()
+        is_old = now_ms - self._made_ms >= _RECORD_LIFE_MS
+        news = self._news()
+        if self._record is None or is_old or news != self._published:
+            self._record = self._make_record()
+            self._made_ms = now_ms
+            self._published = news
+        # Others may rely on this age, so it never is the age of the record.
+        return attrs.evolve(
+            self._record,
+            confirmed_age_ms=self._confirmed_age_ms(),
+        )
+
+    def _make_record(self) -> PeerRecord:
         self._sequence += 1
         state = self._state
         now_ms = state.clock.now_ms()
-        confirmed_age_ms = -1
-        if state.confirmed_ms is not None:
-            confirmed_age_ms = now_ms - state.confirmed_ms
         return PeerRecord(
             vm=state.identity.vm,
             region=state.identity.region,
             incarnation=state.identity.incarnation,
             sequence=self._sequence,
             revision=state.in_force.revision,
-            confirmed_age_ms=confirmed_age_ms,
             is_stopping=state.is_stopping,
             pending=len(state.pending),
             rooms=self._rooms(),
@@ -107,6 +137,27 @@
             cleared=state.suspects.cleared_fingerprints(),
         )
 
+    def _confirmed_age_ms(self) -> int:
+        confirmed_ms = self._state.confirmed_ms
+        if confirmed_ms is None:
+            return -1
+        return self._state.clock.now_ms() - confirmed_ms
+
+    def _news(self) -> _News:
+        """Return what others have to hear without delay."""
+        state = self._state
+        now_ms = state.clock.now_ms()
+        return _News(
+            state.in_force.revision,
+            state.is_stopping,
+            tuple(
+                upstream.vm.name
+                for upstream in state.upstreams
+                if upstream.is_leaving(now_ms)
+            ),
+            state.suspects.confirmed,
+        )
+
     def _confirm(self, confirmed_ms: int | None) -> None:
         if confirmed_ms is None:
             return
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -79,6 +79,7 @@
         factory=dict,
     )
     _cleared: dict[str, int] = attrs.field(init=False, factory=dict)
+    confirmed: int = attrs.field(init=False, default=0)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a crash is known for the fingerprint."""
@@ -121,6 +122,7 @@
         """Keep the blame: the upstream takes no connections any more."""
         for strike in self._strikes_at(fingerprints, upstream):
             strike.is_confirmed = True
+            self.confirmed += 1
 
     def dismiss(self, fingerprints: Iterable[str], upstream: str) -> None:
         """Drop the blame: only a connection broke, the upstream goes on."""
--- a/src/catkindrift/server/_peer_exchange.py
+++ b/src/catkindrift/server/_peer_exchange.py
@@ -25,7 +25,7 @@
 from catkindrift.server._effect_runner import PEER_FAILURES
 from catkindrift.server._vm_list_cache import VmListCache
 
-_FAR_PEERS = 3
+_FAR_PEERS = 2
 
 
 @final
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -411,6 +411,30 @@
         assert fleet.vms[NORTH].core.is_idle
 
 
+class TestRecord:
+    """Records tell others what they may rely on."""
+
+    def test_confirmed_age_is_never_too_young(self):
+        """A record that is shown again shows the age of that moment."""
+        fleet = Fleet()
+        core = fleet.vms[NORTH].core
+        first = core.own_record()
+        fleet.clock.advance(300)
+        again = core.own_record()
+        assert again.sequence == first.sequence
+        assert again.confirmed_age_ms == first.confirmed_age_ms + 300
+
+    def test_news_make_a_new_record(self):
+        """A stopping VM says so at once."""
+        fleet = Fleet()
+        core = fleet.vms[NORTH].core
+        first = core.own_record()
+        fleet.post(NORTH, StopRequested())
+        again = core.own_record()
+        assert again.is_stopping
+        assert again.sequence > first.sequence
+
+
 class TestShift:
     """A shift moves traffic within its cap."""
 
