Leave no server thread waiting when an entry VM ends at once

Stacks at 760 s: four server threads waited in Bridge.ask for decisions of VMs that had been closed; the server library joins its threads without a limit. A process that ends at its stop limit with requests in the queue would hang the same way.

Change: closing gives up all requests that no upstream runs, and later ones are refused at once: not run when they have just arrived, unknown otherwise.

Seen beside it and left: one "data_received() call failed" in the gRPC library when a stream was reset after a pause of 6 s; the connection was made again.

--- a/src/catkindrift/core/__init__.py
+++ b/src/catkindrift/core/__init__.py
@@ -19,6 +19,7 @@
 from catkindrift.core._events import (
     AttemptEnded,
     ClaimJudged,
+    Closed,
     ConfigurationSeen,
     Event,
     GrantAsked,
@@ -44,6 +45,7 @@
     'Bounds',
     'CallerEffect',
     'ClaimJudged',
+    'Closed',
     'ConfigurationSeen',
     'CoreState',
     'Dispatch',
--- a/src/catkindrift/core/_core.py
+++ b/src/catkindrift/core/_core.py
@@ -15,6 +15,7 @@
 from catkindrift.core._events import (
     AttemptEnded,
     ClaimJudged,
+    Closed,
     ConfigurationSeen,
     Event,
     GrantAsked,
@@ -167,6 +168,8 @@
                 )
             case StopRequested():
                 self._stop()
+            case Closed():
+                self._dispatcher.give_up_all()
 
     def _tick(self) -> None:
         self.slots.refresh()
--- a/src/catkindrift/core/_dispatcher.py
+++ b/src/catkindrift/core/_dispatcher.py
@@ -95,6 +95,13 @@
                     self._answers.end_refused(pending, reason)
         self._expire_unclaimed(now_ms)
 
+    def give_up_all(self) -> None:
+        """Refuse all requests that no upstream runs."""
+        for pending in list(self._state.pending.values()):
+            if not pending.is_running:
+                self.withdraw(pending)
+                self._answers.end_refused(pending, RefusalReason.NOT_READY)
+
     def withdraw(self, pending: Pending) -> None:
         """Remove a request from its queue."""
         queue = self._state.queues.get(pending.request.service)
--- a/src/catkindrift/core/_events.py
+++ b/src/catkindrift/core/_events.py
@@ -121,6 +121,12 @@
     """The process was told to stop."""
 
 
+@final
+@attrs.frozen
+class Closed:
+    """The process ends at once; nobody will decide any more."""
+
+
 @final
 @attrs.frozen
 class Ticked:
@@ -138,5 +144,6 @@
     | GrantAsked
     | GrantsAnswered
     | StopRequested
+    | Closed
     | Ticked
 )
--- a/src/catkindrift/server/_bridge.py
+++ b/src/catkindrift/server/_bridge.py
@@ -7,7 +7,16 @@
 
 import attrs
 
-from catkindrift.core import CallerEffect, Event
+from catkindrift.core import (
+    CallerEffect,
+    Closed,
+    Event,
+    Refusal,
+    RefusalReason,
+    Refuse,
+    RequestArrived,
+)
+from catkindrift.retries import Outcome
 
 _Answer = TypeVar('_Answer')
 
@@ -29,8 +38,13 @@
         factory=dict,
     )
 
+    _is_closed: bool = attrs.field(init=False, default=False)
+
     def ask(self, request_id: int, event: Event) -> CallerEffect:
-        """Report an event and wait for the decision about a request."""
+        """Report an event and wait for the decision about a request.
+
+        After `close` every request is refused at once.
+        """
         answer: Future[CallerEffect] = Future()
         self._loop.call_soon_threadsafe(
             self._post_asked,
@@ -61,12 +75,20 @@
         if answer is not None:
             answer.set_result(effect)
 
+    def close(self) -> None:
+        """Let no thread wait for a decision any more; loop side."""
+        self._post(Closed())
+        self._is_closed = True
+
     def _post_asked(
         self,
         request_id: int,
         answer: 'Future[CallerEffect]',
         event: Event,
     ) -> None:
+        if self._is_closed:
+            answer.set_result(_refuse_closed(request_id, event))
+            return
         self._waiting[request_id] = answer
         self._post(event)
 
@@ -82,3 +104,13 @@
         answer.set_exception(failure)
     else:
         answer.set_result(outcome)
+
+
+def _refuse_closed(request_id: int, event: Event) -> CallerEffect:
+    """Return the refusal of a request that came after the end.
+
+    One that has just arrived has not run; of others nobody knows.
+    """
+    is_new = isinstance(event, RequestArrived)
+    outcome = Outcome.NOT_RUN if is_new else Outcome.UNKNOWN
+    return Refuse(request_id, Refusal(RefusalReason.NOT_READY, outcome))
--- a/src/catkindrift/server/_composition.py
+++ b/src/catkindrift/server/_composition.py
@@ -74,7 +74,7 @@
     _gate: CallGate = attrs.field(init=False)
     _vm_list: VmListCache = attrs.field(init=False)
     _observer: Observer = attrs.field(init=False)
-    _bridge: Bridge = attrs.field(init=False)
+    bridge: Bridge = attrs.field(init=False)
     _upstreams: UpstreamClient = attrs.field(init=False, factory=UpstreamClient)
 
     def __attrs_post_init__(self) -> None:
@@ -131,13 +131,13 @@
         secret = _read_secret(settings.peers.secret_file)
         identity = self.core.state.identity
         self.peers = PeerClient(secret, peer_client_context(settings.tls))
-        self._bridge = Bridge(asyncio.get_running_loop(), self.post)
+        self.bridge = Bridge(asyncio.get_running_loop(), self.post)
         self._vm_list = VmListCache(self.clock, self.post)
         self.runner = EffectRunner(
             identity.vm,
             self.clock,
             self.core.state.members,
-            self._bridge,
+            self.bridge,
             self.claims,
             self.peers,
             self._upstreams,
@@ -191,7 +191,7 @@
                 self.core,
                 self.platform,
                 self._gate,
-                self._bridge.call,
+                self.bridge.call,
             ),
         )
         self.callers = self._caller_server(metrics)
@@ -208,7 +208,7 @@
         callers, _, _ = settings.listen.endpoints
         scheme = 'https' if settings.tls.enabled else 'http'
         forwarder = Forwarder(
-            self._bridge,
+            self.bridge,
             self.clock,
             self._upstreams,
             metrics,
@@ -229,7 +229,7 @@
     ) -> HttpServer:
         settings = self.settings
         _, operators, _ = settings.listen.endpoints
-        context = ApiContext(self._bridge, Operators(settings.operators))
+        context = ApiContext(self.bridge, Operators(settings.operators))
         application = operator_application(
             context,
             service,
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -95,10 +95,9 @@
 
     async def close(self) -> None:
         """End at once; requests in flight are cut off."""
+        await self._end_tasks()
         parts = self._parts
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        parts.bridge.close()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, parts.callers.stop)
         await loop.run_in_executor(None, parts.operators.stop)
@@ -107,6 +106,11 @@
         parts.peer_server.close()
         parts.http_platform.close()
 
+    async def _end_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     async def _listen(self) -> None:
         _, _, peers = self._settings.listen.endpoints
         await self._parts.peer_server.start(
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 """A planned stop cuts off nothing; a restart finds its way."""
 
+import contextlib
 import hashlib
 import json
 import threading
@@ -30,6 +31,12 @@
     answers.append(answer)
 
 
+def send_quietly(url):
+    """Send a request whose answer does not matter."""
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        HTTP.request('GET', url)
+
+
 def lookup_names(url):
     """Return the entry VMs that a look-up names."""
     answer = HTTP.request('GET', f'{url}/lookup?block=10.20.0.0/24')
@@ -71,6 +78,34 @@
         running.run(local.start_entry_vm(FIRST))
 
 
+class TestCrash:
+    """A VM that ends at once leaves no thread waiting."""
+
+    def test_waiting_requests_do_not_hold_the_end(self, running):
+        """Requests in the queue are refused when the VM ends."""
+        for upstream in running.local.upstreams.values():
+            upstream.work_ms = 2000
+        url = f'{running.callers_url(1)}/services/tariffs/x'
+        senders = [
+            threading.Thread(target=send_quietly, args=(url,))
+            for _ in range(12)
+        ]
+        for sender in senders:
+            sender.start()
+        core = running.local.entry_vms[SECOND].core
+        until = time.monotonic() + 5
+        while not core.has_waiting and time.monotonic() < until:
+            time.sleep(0.01)
+        assert core.has_waiting
+        running.run(running.local.stop_entry_vm(SECOND))
+        for sender in senders:
+            sender.join(10)
+            assert not sender.is_alive()
+        for upstream in running.local.upstreams.values():
+            upstream.work_ms = 5
+        running.run(running.local.start_entry_vm(SECOND))
+
+
 class TestRestart:
     """A VM that starts while the platform is down learns from others."""
 
