--- /dev/null
+++ b/src/catkindrift/cli/_local_parsers.py
@@ -0,0 +1,67 @@
+"""Arguments of commands that need no operator API."""
+
+import argparse
+from typing import Any
+
+_FILE = 'FILE'
+
+
+def add_process_commands(commands: Any) -> None:
+    """Add the commands that run processes or check their files."""
+    demo = commands.add_parser(
+        'demo',
+        help='run a whole deployment on loopback',
+    )
+    demo.add_argument(
+        '--deployment',
+        metavar=_FILE,
+        help='deployment file, as examples/agency.toml; default: a small one',
+    )
+    demo.add_argument(
+        '--seconds',
+        type=float,
+        default=0,
+        help='stop after this time; default: run until Ctrl-C',
+    )
+    entry = commands.add_parser('entry', help='run one entry VM')
+    entry.add_argument('--settings', metavar=_FILE, required=True)
+    check = commands.add_parser(
+        'check-settings',
+        help='report every mistake in a settings or deployment file',
+    )
+    check.add_argument('file', metavar=_FILE)
+
+
+def add_report(commands: Any) -> None:
+    """Add the report on objectives."""
+    parser = commands.add_parser(
+        'report',
+        help='collect samples and report on service-level burn',
+    )
+    parser.add_argument(
+        'action',
+        choices=('collect', 'burn'),
+        help='collect: only add to the samples; burn: report on them',
+    )
+    parser.add_argument(
+        '--metrics-url',
+        action='append',
+        default=[],
+        metavar='URL',
+        help='operator address of an entry VM; may be given again',
+    )
+    _add_report_files(parser)
+    parser.add_argument('--rounds', type=int, default=1, help='collections')
+    parser.add_argument('--interval', type=float, default=5, help='seconds')
+    parser.add_argument('--json', action='store_true', help='print JSON')
+    parser.add_argument('--ca-file', default='')
+
+
+def _add_report_files(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--samples', metavar=_FILE, help='samples to extend')
+    parser.add_argument(
+        '--objectives',
+        metavar=_FILE,
+        default='examples/objectives.toml',
+    )
+    parser.add_argument('--html', metavar=_FILE, help='page with plots')
--- a/src/catkindrift/cli/_parser.py
+++ b/src/catkindrift/cli/_parser.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from catkindrift import __version__
+from catkindrift.cli._local_parsers import add_process_commands, add_report
 from catkindrift.cli._operator_commands import (
     run_headroom,
     run_intent,
@@ -42,42 +43,17 @@
         required=True,
         metavar='COMMAND',
     )
-    _add_process_commands(commands)
+    add_process_commands(commands)
     common = _common_options()
     _add_service(commands, common)
     _add_place(commands, common)
     _add_intent(commands, common)
     _add_plan(commands, common)
     _add_views(commands, common)
-    _add_report(commands)
+    add_report(commands)
     return parser
 
 
-def _add_process_commands(commands: Any) -> None:
-    demo = commands.add_parser(
-        'demo',
-        help='run a whole deployment on loopback',
-    )
-    demo.add_argument(
-        '--deployment',
-        metavar='FILE',
-        help='deployment file, as examples/agency.toml; default: a small one',
-    )
-    demo.add_argument(
-        '--seconds',
-        type=float,
-        default=0,
-        help='stop after this time; default: run until Ctrl-C',
-    )
-    entry = commands.add_parser('entry', help='run one entry VM')
-    entry.add_argument('--settings', metavar='FILE', required=True)
-    check = commands.add_parser(
-        'check-settings',
-        help='report every mistake in a settings or deployment file',
-    )
-    check.add_argument('file', metavar='FILE')
-
-
 def _common_options() -> argparse.ArgumentParser:
     common = argparse.ArgumentParser(add_help=False)
     common.add_argument(
@@ -230,40 +206,6 @@
     follow.add_argument('--timeout', type=float, default=_FOLLOW_SECONDS)
 
 
-def _add_report(commands: Any) -> None:
-    parser = commands.add_parser(
-        'report',
-        help='collect samples and report on service-level burn',
-    )
-    parser.add_argument(
-        'action',
-        choices=('collect', 'burn'),
-        help='collect: only add to the samples; burn: report on them',
-    )
-    parser.add_argument(
-        '--metrics-url',
-        action='append',
-        default=[],
-        metavar='URL',
-        help='operator address of an entry VM; may be given again',
-    )
-    parser.add_argument('--samples', metavar='FILE', help='samples to extend')
-    parser.add_argument(
-        '--objectives',
-        metavar='FILE',
-        default='examples/objectives.toml',
-    )
-    parser.add_argument(
-        '--rounds', type=int, default=1, help='collect so often'
-    )
-    parser.add_argument('--interval', type=float, default=5, help='seconds')
-    parser.add_argument(
-        '--html', metavar='FILE', help='write a page with plots'
-    )
-    parser.add_argument('--json', action='store_true', help='print JSON')
-    parser.add_argument('--ca-file', default='')
-
-
 def _add_views(commands: Any, common: argparse.ArgumentParser) -> None:
     status = commands.add_parser(
         'status',
--- a/src/catkindrift/plans/_executor.py
+++ b/src/catkindrift/plans/_executor.py
@@ -7,7 +7,6 @@
 from catkindrift.clock import Clock
 from catkindrift.core import share_release_wait_ms
 from catkindrift.domain import (
-    BringBackIntent,
     Configuration,
     Plan,
     PlanState,
@@ -17,12 +16,14 @@
 )
 from catkindrift.plans._changes import changed, changed_basis
 from catkindrift.plans._fleet_view import FleetView
-from catkindrift.plans._lifecycle import replace_plan, shift_intent
-from catkindrift.plans._planner import drain_of
-from catkindrift.plans._shares import (
-    divide_cap,
-    release_retired,
-    retire_gone,
+from catkindrift.plans._lifecycle import replace_plan
+from catkindrift.plans._shares import release_retired, retire_gone
+from catkindrift.plans._steps import (
+    await_empty,
+    bring_back,
+    holders,
+    start_drain,
+    start_shift,
 )
 from catkindrift.routing import rendezvous_order
 
@@ -83,7 +84,7 @@
             return True
         return any(
             share.retiring
-            or share.vm not in _holders(shift, configuration, view)
+            or share.vm not in holders(shift, configuration, view)
             for shift in configuration.shifts
             for share in shift.shares
         )
@@ -134,15 +135,15 @@
     ) -> Configuration | None:
         match step.kind:
             case StepKind.START_SHIFT:
-                return _start_shift(configuration, plan, view)
+                return start_shift(configuration, plan, view)
             case StepKind.SET_PERCENT:
                 return self._set_percent(configuration, plan, step)
             case StepKind.START_DRAIN:
-                return _start_drain(configuration, plan)
+                return start_drain(configuration, plan)
             case StepKind.AWAIT_EMPTY:
-                return _await_empty(configuration, plan, view)
+                return await_empty(configuration, plan, view)
             case StepKind.BRING_BACK:
-                return _bring_back(configuration, plan)
+                return bring_back(configuration, plan)
 
     def _set_percent(
         self,
@@ -168,7 +169,7 @@
         view: FleetView,
     ) -> Configuration | None:
         shifts = tuple(
-            self._advance_shift(shift, _holders(shift, configuration, view))
+            self._advance_shift(shift, holders(shift, configuration, view))
             for shift in configuration.shifts
         )
         if shifts == configuration.shifts:
@@ -201,79 +202,3 @@
             if now_ms - since_ms > share_release_wait_ms():
                 released.add(vm)
         return frozenset(released)
-
-
-def _holders(
-    shift: Shift,
-    configuration: Configuration,
-    view: FleetView,
-) -> frozenset[str]:
-    return frozenset(
-        vm.name
-        for vm in view.entry_vms
-        if configuration.region_of(vm.zone) == shift.source_region
-    )
-
-
-def _start_shift(
-    configuration: Configuration,
-    plan: Plan,
-    view: FleetView,
-) -> Configuration:
-    if any(shift.name == plan.name for shift in configuration.shifts):
-        return configuration
-    intent = shift_intent(plan)
-    shift = Shift(
-        plan.name,
-        intent.service,
-        intent.source_region,
-        intent.target_region,
-        0,
-        intent.cap_per_second,
-    )
-    holders = _holders(shift, configuration, view)
-    shares = divide_cap(shift.name, shift.cap_per_second, holders)
-    shift = attrs.evolve(shift, shares=shares)
-    return attrs.evolve(configuration, shifts=(*configuration.shifts, shift))
-
-
-def _start_drain(configuration: Configuration, plan: Plan) -> Configuration:
-    drain = drain_of(plan)
-    if drain is None or drain in configuration.drains:
-        return configuration
-    return attrs.evolve(configuration, drains=(*configuration.drains, drain))
-
-
-def _await_empty(
-    configuration: Configuration,
-    plan: Plan,
-    view: FleetView,
-) -> Configuration | None:
-    """Return the same configuration when the drained VMs are empty."""
-    drain = drain_of(plan)
-    if drain is None:
-        return configuration
-    if view.lagging(plan.stepped_revision):
-        return None
-    if any(view.in_flight(vm) for vm in view.targets(drain)):
-        return None
-    return configuration
-
-
-def _bring_back(configuration: Configuration, plan: Plan) -> Configuration:
-    intent = plan.intent
-    if not isinstance(intent, BringBackIntent):
-        return configuration
-    return attrs.evolve(
-        configuration,
-        shifts=tuple(
-            shift
-            for shift in configuration.shifts
-            if shift.name != intent.target
-        ),
-        drains=tuple(
-            drain
-            for drain in configuration.drains
-            if drain.target != intent.target
-        ),
-    )
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,6 +8,7 @@
     StopRequested,
 )
 from catkindrift.domain import (
+    BringBackIntent,
     Drain,
     DrainIntent,
     DrainScope,
@@ -398,6 +399,58 @@
         later = {each.name for _, _, each in fleet.dispatches[before:]}
         assert not later & drained
 
+    def test_zone_drain_moves_callers_and_work(self):
+        """A drained zone is named by no look-up and empty when done."""
+        fleet = Fleet()
+        fleet.arrive(SOUTH, 'load', method='POST')
+        drain = Drain(DrainScope.ZONE, 'south-1')
+        name = state_intent(fleet, NORTH, DrainIntent(drain))
+        fleet.advance(3000)
+        entries = fleet.vms[NORTH].core.lookup('10.2.0.0/24').entries
+        assert {entry.zone for entry in entries} == {'north-1'}
+        assert fleet.configuration.plan(name).next_step is not None
+        request_id = fleet.arrive(SOUTH, 'read')
+        fleet.advance(1000)
+        places = {
+            each.upstream
+            for each in fleet.attempts
+            if each.request.request_id == request_id
+        }
+        assert places <= {'read-north-1-0', 'read-north-1-1'}
+        assert places
+        for attempt in list(fleet.attempts):
+            fleet.answer(attempt)
+        fleet.advance(3000)
+        assert fleet.configuration.plan(name).next_step is None
+
+    def test_bring_back_ends_a_drain(self):
+        """A VM that is brought back gets work again."""
+        fleet = Fleet()
+        target = 'read-north-1-0'
+        drain = Drain(DrainScope.VM, target)
+        state_intent(fleet, NORTH, DrainIntent(drain))
+        fleet.advance(3000)
+        state_intent(fleet, NORTH, BringBackIntent(target))
+        fleet.advance(3000)
+        assert not fleet.configuration.drains
+        for _ in range(4):
+            fleet.arrive(NORTH, 'read')
+        assert target in {each.upstream for each in fleet.attempts}
+
+    def test_drain_is_not_done_while_a_vm_is_silent(self):
+        """A VM that is cut off may still send work to the drained one."""
+        fleet = Fleet()
+        others = ('north-1-b', 'south-1-a', 'south-1-b', 'platform')
+        fleet.cuts = {frozenset((NORTH, each)) for each in others}
+        fleet.advance(4000)
+        drain = Drain(DrainScope.VM, 'read-north-1-0')
+        name = state_intent(fleet, SOUTH, DrainIntent(drain))
+        fleet.advance(5000)
+        assert fleet.configuration.plan(name).next_step is not None
+        fleet.cuts = set()
+        fleet.advance(3000)
+        assert fleet.configuration.plan(name).next_step is None
+
     def test_stopping_vm_leaves_lookups_at_once(self):
         """Look-ups at all VMs stop naming a VM that stops."""
         fleet = Fleet()
