Look only at upstreams of the own zone, and at those with grants

Change: upstreams by service and zone; far ones only when slots are borrowed; nothing lent is answered at once.

--- a/src/catkindrift/cli/_local_parsers.py
+++ b/src/catkindrift/cli/_local_parsers.py
@@ -3,7 +3,7 @@
 import argparse
 from typing import Any
 
-_FILE = 'FILE'
+_PATH_NAME = 'FILE'
 
 
 def add_process_commands(commands: Any) -> None:
@@ -14,7 +14,7 @@
     )
     demo.add_argument(
         '--deployment',
-        metavar=_FILE,
+        metavar=_PATH_NAME,
         help='deployment file, as examples/agency.toml; default: a small one',
     )
     demo.add_argument(
@@ -24,12 +24,12 @@
         help='stop after this time; default: run until Ctrl-C',
     )
     entry = commands.add_parser('entry', help='run one entry VM')
-    entry.add_argument('--settings', metavar=_FILE, required=True)
+    entry.add_argument('--settings', metavar=_PATH_NAME, required=True)
     check = commands.add_parser(
         'check-settings',
         help='report every mistake in a settings or deployment file',
     )
-    check.add_argument('file', metavar=_FILE)
+    check.add_argument('file', metavar=_PATH_NAME)
 
 
 def add_report(commands: Any) -> None:
@@ -58,10 +58,12 @@
 
 
 def _add_report_files(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument('--samples', metavar=_FILE, help='samples to extend')
+    parser.add_argument(
+        '--samples', metavar=_PATH_NAME, help='samples to extend'
+    )
     parser.add_argument(
         '--objectives',
-        metavar=_FILE,
+        metavar=_PATH_NAME,
         default='examples/objectives.toml',
     )
-    parser.add_argument('--html', metavar=_FILE, help='page with plots')
+    parser.add_argument('--html', metavar=_PATH_NAME, help='page with plots')
--- a/src/catkindrift/core/_slots.py
+++ b/src/catkindrift/core/_slots.py
@@ -108,7 +108,7 @@
     def candidates(self, service: str) -> Iterator[Candidate]:
         """Yield the upstreams of a service where this VM has slots."""
         in_force = self._state.in_force
-        for upstream in self._state.upstreams.of_service(service):
+        for upstream in self._within_use(service):
             slots = self.usable(upstream)
             beyond = self._beyond_share(upstream, slots)
             if slots + beyond > 0 and self.accepts_work(upstream):
@@ -136,7 +136,8 @@
         now_ms = self._state.clock.now_ms()
         slots = 0
         taken = 0
-        for upstream in self._state.upstreams.of_service(service):
+        zone = self._state.identity.zone
+        for upstream in self._state.upstreams.in_zone(service, zone):
             own = self.owned(upstream)
             if own < 1 or not self.accepts_work(upstream):
                 continue
@@ -148,6 +149,18 @@
             taken += min(usable, upstream.in_flight + lent)
         return slots, taken
 
+    def _within_use(self, service: str) -> list[UpstreamState]:
+        """Return the upstreams of the own zone, and those with grants."""
+        upstreams = self._state.upstreams
+        zone = self._state.identity.zone
+        granted = filter(None, map(upstreams.get, self._state.book.upstreams()))
+        far = [
+            upstream
+            for upstream in granted
+            if upstream.vm.service == service and upstream.vm.zone != zone
+        ]
+        return [*upstreams.in_zone(service, zone), *far]
+
     def _beyond_share(self, upstream: UpstreamState, slots: int) -> int:
         """Return the slots of other VMs of the zone that seem unused."""
         vm = upstream.vm
--- a/src/catkindrift/limits/_grant_ledger.py
+++ b/src/catkindrift/limits/_grant_ledger.py
@@ -102,6 +102,8 @@
 
     def lent_far(self, upstream: str) -> int:
         """Return the slots of `upstream` that are lent to other zones."""
+        if not self._loans:
+            return 0
         return sum(
             loan.grant.slots
             for loan in self._loans
--- a/src/catkindrift/routing/_upstream_table.py
+++ b/src/catkindrift/routing/_upstream_table.py
@@ -22,6 +22,11 @@
         factory=dict,
     )
 
+    _by_place: dict[tuple[str, str], list[UpstreamState]] = attrs.field(
+        init=False,
+        factory=dict,
+    )
+
     def __iter__(self) -> Iterator[UpstreamState]:
         """Iterate over all upstreams."""
         return iter(self._states.values())
@@ -34,6 +39,10 @@
         """Return the upstreams of a service in all zones."""
         return self._by_service.get(service, [])
 
+    def in_zone(self, service: str, zone: str) -> list[UpstreamState]:
+        """Return the upstreams of a service in one availability zone."""
+        return self._by_place.get((service, zone), [])
+
     def replace(self, vms: Iterable[Vm]) -> None:
         """Take over a VM list; observations of known upstreams stay.
 
@@ -45,19 +54,19 @@
                 listed[vm.name] = self._merged(vm)
         self._states = listed
         self._by_service = {}
+        self._by_place = {}
         for state in listed.values():
-            self._by_service.setdefault(state.vm.service, []).append(state)
+            service = state.vm.service
+            place = (service, state.vm.zone)
+            self._by_service.setdefault(service, []).append(state)
+            self._by_place.setdefault(place, []).append(state)
 
     def may_eject(self, candidate: UpstreamState, now_ms: int) -> bool:
         """Return whether ejecting keeps enough of the service in its zone.
 
         A wrong signal must never take out most of a service.
         """
-        siblings = [
-            state
-            for state in self.of_service(candidate.vm.service)
-            if state.vm.zone == candidate.vm.zone
-        ]
+        siblings = self.in_zone(candidate.vm.service, candidate.vm.zone)
         ejected = sum(state.is_ejected(now_ms) for state in siblings)
         return ejected + 1 <= len(siblings) * _MAX_EJECTED_SHARE
 
