Print the commands of the demonstration as they were invoked

Cause: in a fresh clone the third printed command named a program that is not on the path. Change: it names the program as it was started.

--- a/src/catkindrift/cli/_processes.py
+++ b/src/catkindrift/cli/_processes.py
@@ -97,7 +97,9 @@
             f'  {name}  http://{listen.callers}  http://{listen.operators}'
         )
     first = next(iter(local.settings.values())).listen
-    program = Path(sys.argv[0]).name
+    program = sys.argv[0]
+    if program.endswith('__main__.py'):
+        program = 'python -m catkindrift'
     options = f'--url http://{first.operators} --token {DEMO_TOKEN}'
     write_line('Try:')
     write_line(f"  curl 'http://{first.callers}/lookup?block=10.21.0.0/24'")
