Report periodic work that ends; make one breakage fail by its check

Cause: a deliberate breakage ended with an error of its own instead of a failed check, because it wrote claims that could not be read; the error also showed that periodic work could end without a word.

Change: an error in periodic work is logged with the remedy; the breakage writes readable claims; a benchmark of memory during a 1 GB upload.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -26,6 +26,7 @@
 IDLE_SECONDS = 5
 BATCH = 1000
 CHANGES = 40
+UPLOAD_BYTES = 1_000_000_000
 
 
 def added_latency():
@@ -129,6 +130,46 @@
     return sum(counts) / LOOKUP_SECONDS, sum(counts) / used
 
 
+def upload_memory():
+    """Growth of an entry VM while a large upload passes through it."""
+    piece = bytes(range(250)) * 400
+    pieces = UPLOAD_BYTES // len(piece)
+    highest = []
+    with entry_process() as entry:
+        http = urllib3.PoolManager()
+        url = f'{entry.callers}/services/surveys/big'
+        http.request('POST', url, body=piece)
+        before = resident_bytes(entry.pid)
+
+        def body():
+            for number in range(pieces):
+                if not number % 100:
+                    highest.append(resident_bytes(entry.pid))
+                yield piece
+
+        started = time.monotonic()
+        answer = http.request(
+            'POST',
+            url,
+            body=body(),
+            headers={'Content-Length': str(UPLOAD_BYTES)},
+            timeout=120,
+        )
+        took = time.monotonic() - started
+        assert json.loads(answer.data)['bytes'] == UPLOAD_BYTES
+    show(
+        'upload_memory',
+        [
+            {
+                'upload MB': UPLOAD_BYTES / 1e6,
+                'growth MB': (max(highest) - before) / 1e6,
+                'target MB': 16,
+                'MB a second': UPLOAD_BYTES / took / 1e6,
+            },
+        ],
+    )
+
+
 def agency():
     """Return the agency's places with few upstreams."""
     regions = ('asturias', 'cantabria', 'euskadi')
@@ -200,6 +241,7 @@
     added_latency()
     lookups()
     idle_cost()
+    upload_memory()
     asyncio.run(_configuration_lag())
 
 
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -75,7 +75,9 @@
             self._publish_news(),
             self._retry_claims(),
         ):
-            self._tasks.append(asyncio.create_task(job))
+            task = asyncio.create_task(job)
+            task.add_done_callback(_report_end)
+            self._tasks.append(task)
         logging.info('%s: serving callers', self.name)
 
     async def stop(self) -> None:
@@ -145,3 +147,13 @@
         while True:
             await asyncio.sleep(jittered(self._rng, _CLAIM_RETRY_SECONDS))
             await self._parts.claims.retry_pending()
+
+
+def _report_end(task: 'asyncio.Task[Any]') -> None:
+    """Log why periodic work ended, which it never should by itself."""
+    if task.cancelled():
+        return
+    logging.error(
+        'periodic work ended, restart this VM: %s',
+        task.exception(),
+    )
--- a/tests/breakage.py
+++ b/tests/breakage.py
@@ -13,6 +13,7 @@
 
 from catkindrift.claims import ClaimStore, Granted, HeldClaim
 from catkindrift.core import _membership, _pending, _slots
+from catkindrift.domain import encode_json
 from catkindrift.limits import GrantLedger, SlidingWindow
 from catkindrift.plans import _executor
 from catkindrift.retries import RetryBudget, Suspects
@@ -155,7 +156,8 @@
 async def _take_always(self, name, claim):
     stored = self._platform.objects.get(('claim', name))
     if stored is None:
-        stored = await self._platform.create('claim', name, '{}')
+        text = encode_json(claim)
+        stored = await self._platform.create('claim', name, text)
     return Granted(HeldClaim(stored, claim))
 
 
