Refuse a suspect at once where no upstream may run it

Cause: reading the selector: a request seen at one crash may run only at upstreams where its VM is the one that runs suspects; a VM that is so for none left it in the queue until its deadline. The load that upstreams report was kept and unused.

Change: such a request is refused as not run at once; reported load decides between equals only.

--- a/src/catkindrift/core/_selector.py
+++ b/src/catkindrift/core/_selector.py
@@ -45,16 +45,18 @@
         """Return whether any upstream may still take a request.
 
         Upstreams of other zones count while an entry VM of their zone, which
-        could lend their slots, is alive.
+        could lend their slots, is alive. A suspect may only run where this VM
+        is the one that runs suspects.
         """
+        request = pending.request
+        is_suspect = self._state.suspects.is_suspect(request.fingerprint)
         now_ms = self._state.clock.now_ms()
         return any(
             self._slots.is_within_reach(upstream)
             and not upstream.is_ejected(now_ms)
             and upstream.vm.name not in pending.tried
-            for upstream in self._state.upstreams.of_service(
-                pending.request.service,
-            )
+            and (not is_suspect or self._slots.is_primary(upstream))
+            for upstream in self._state.upstreams.of_service(request.service)
         )
 
     def cannot_finish(self, pending: Pending, waiting: int) -> bool:
--- a/src/catkindrift/routing/_chooser.py
+++ b/src/catkindrift/routing/_chooser.py
@@ -19,7 +19,8 @@
     Among upstreams of one distance, a service that weighs latency takes the
     one with the lowest expected answer time. A service that weighs drain time
     avoids upstreams that a proposed plan would drain and spreads its long
-    requests, so that each VM has little to finish when it must leave.
+    requests, so that each VM has little to finish when it must leave. The
+    load that an upstream reports only decides between equals.
 
     Args:
         measure: What the service weighs most.
@@ -64,11 +65,17 @@
             expected_ms += _CONNECTION_COST_MS
         match self.measure:
             case Measure.LATENCY:
-                return (candidate.distance, expected_ms, load)
+                return (
+                    candidate.distance,
+                    expected_ms,
+                    load,
+                    upstream.reported_busy,
+                )
             case Measure.DRAIN_TIME:
                 return (
                     candidate.expects_drain,
                     candidate.distance,
                     load,
                     expected_ms,
+                    upstream.reported_busy,
                 )
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -266,6 +266,19 @@
         assert suspects.is_quarantined('poison')
         assert not suspects.is_quarantined('innocent')
 
+    def test_suspect_without_a_place_is_refused_at_once(self):
+        """A suspect does not wait where no upstream may run it."""
+        fleet = Fleet()
+        for vm in (NORTH, NORTH_B):
+            core = fleet.vms[vm].core
+            core.state.suspects.crashed({'odd'}, 'read-north-1-9')
+            upstreams = core.state.upstreams.of_service('read')
+            places = [each for each in upstreams if core.slots.is_primary(each)]
+            for upstream in places:
+                fleet.down_upstreams.add(upstream.vm.name)
+        request_id = fleet.arrive(NORTH, 'read', fingerprint='odd')
+        assert fleet.answers[request_id].outcome is Outcome.NOT_RUN
+
     def test_broken_connection_alone_is_no_crash(self):
         """An upstream that goes on taking connections has not crashed."""
         fleet = Fleet()
