--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -268,15 +268,17 @@
 
     def test_suspect_without_a_place_is_refused_at_once(self):
         """A suspect does not wait where no upstream may run it."""
-        fleet = Fleet()
-        for vm in (NORTH, NORTH_B):
-            core = fleet.vms[vm].core
-            core.state.suspects.crashed({'odd'}, 'read-north-1-9')
-            upstreams = core.state.upstreams.of_service('read')
-            places = [each for each in upstreams if core.slots.is_primary(each)]
-            for upstream in places:
-                fleet.down_upstreams.add(upstream.vm.name)
-        request_id = fleet.arrive(NORTH, 'read', fingerprint='odd')
+        fleet = Fleet(upstreams_per_zone=1)
+        upstream = 'read-north-1-0'
+        other = next(
+            vm
+            for vm in (NORTH, NORTH_B)
+            if not fleet.vms[vm].core.slots.is_primary(
+                fleet.vms[vm].core.state.upstreams.get(upstream),
+            )
+        )
+        fleet.vms[other].core.state.suspects.crashed({'odd'}, upstream)
+        request_id = fleet.arrive(other, 'read', fingerprint='odd')
         assert fleet.answers[request_id].outcome is Outcome.NOT_RUN
 
     def test_broken_connection_alone_is_no_crash(self):
