--- a/src/catkindrift/claims/_claim.py
+++ b/src/catkindrift/claims/_claim.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from catkindrift.platform import StoredObject
 from catkindrift.retries import RecordedAnswer
+from catkindrift.store import StoredObject
 
 RETENTION_MS = 86_400_000
 
--- a/src/catkindrift/claims/_store.py
+++ b/src/catkindrift/claims/_store.py
@@ -26,8 +26,8 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
-from catkindrift.platform import Platform, StoredObject
 from catkindrift.retries import RecordedAnswer
+from catkindrift.store import Platform, StoredObject
 
 _KIND = 'claim'
 _DOWN = (PlatformUnavailableError, PlatformAmbiguousError)
--- a/src/catkindrift/demo/_deployment.py
+++ b/src/catkindrift/demo/_deployment.py
@@ -19,14 +19,6 @@
 )
 from catkindrift.limits import Breaker, TokenBucket
 from catkindrift.plans import ConfigurationStore, put_service, put_zone
-from catkindrift.platform import (
-    CallGate,
-    GuardedPlatform,
-    HttpPlatform,
-    StandinApp,
-    StandinFaults,
-    StandinStore,
-)
 from catkindrift.server import EntryVm, HttpServer
 from catkindrift.settings import (
     Deployment,
@@ -41,6 +33,14 @@
     TlsSettings,
     VmSettings,
 )
+from catkindrift.store import (
+    CallGate,
+    GuardedPlatform,
+    HttpPlatform,
+    StandinApp,
+    StandinFaults,
+    StandinStore,
+)
 
 DEMO_TOKEN = 'demo-operator'
 _PORTS_PER_ENTRY_VM = 3
--- a/src/catkindrift/errors.py
+++ b/src/catkindrift/errors.py
@@ -4,9 +4,11 @@
 
 __all__ = [
     'AuthenticationError',
+    'BrokenAnswerError',
     'CatkindriftError',
     'ConflictError',
     'ForbiddenError',
+    'HistoryGoneError',
     'InvalidInputError',
     'NotFoundError',
     'PlatformAmbiguousError',
@@ -74,3 +76,11 @@
 
 class PlatformConflictError(CatkindriftError):
     """A conditional write found another version than the expected one."""
+
+
+class HistoryGoneError(CatkindriftError):
+    """The store no longer knows what changed; list the objects again."""
+
+
+class BrokenAnswerError(CatkindriftError):
+    """The rest of an answer will not come; end the caller's connection."""
--- /dev/null
+++ b/src/catkindrift/gateway/_attempt_outcome.py
@@ -0,0 +1,48 @@
+"""What becomes of one attempt at one upstream."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.http1 import Answer, ResponseFailure
+
+
+@final
+@attrs.frozen
+class Answered:
+    """The upstream answered; the answer can be passed on.
+
+    Args:
+        answer: The answer.
+        is_failure: Whether it is a server error that another may not have.
+    """
+
+    answer: Answer
+    is_failure: bool
+
+
+@final
+@attrs.frozen
+class NotRun:
+    """Surely no upstream started the request.
+
+    Args:
+        has_arrived: Whether an upstream got it, and refused.
+    """
+
+    has_arrived: bool
+
+
+@final
+@attrs.frozen
+class Unknown:
+    """Nobody knows whether the request ran.
+
+    Args:
+        failure: What is wrong with the response.
+    """
+
+    failure: ResponseFailure
+
+
+AttemptOutcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -0,0 +1,189 @@
+"""Answers callers' requests through upstreams."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.gateway._attempt import AttemptSender
+from catkindrift.gateway._attempt_outcome import (
+    Answered,
+    AttemptOutcome,
+    NotRun,
+    Unknown,
+)
+from catkindrift.gateway._facts import Facts
+from catkindrift.gateway._metrics import GatewayMetrics
+from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.http1 import Answer, CallerRequest
+from catkindrift.limits import jittered
+from catkindrift.platform import (
+    object_key,
+    remaining_ms,
+    request_id,
+    retry_after,
+)
+from catkindrift.steering import (
+    ColdPace,
+    DemandMeter,
+    NotPlaced,
+    Placed,
+    Placement,
+    SharedRetryBudget,
+)
+
+_MILLISECONDS_PER_SECOND = 1000
+# Requests that name no object are spread as if there were this many.
+_KEYLESS_SPREAD = 64
+# A process that knows nothing yet usually does within a second.
+_UNREADY_RETRY_MS = 400.0
+# Advice after a refusal by upstreams: about one service time.
+_REFUSED_RETRY_MS = 150.0
+# Connects that fail before a request is given up; they cost upstreams
+# nothing, but each takes time.
+_MOST_CONNECT_FAILURES = 4
+
+
+@final
+@attrs.define(eq=False)
+class Forwarder:
+    """Finds an upstream for each request, and another where that is safe.
+
+    Args:
+        clock: Source of time.
+        facts: What is known.
+        placement: Chooses upstreams.
+        sender: Makes attempts.
+        budget: Extra attempts.
+        pace: Cold upstreams.
+        demand: Counts arrivals.
+        metrics: Counts outcomes.
+    """
+
+    _clock: Clock
+    _facts: Facts
+    _placement: Placement
+    _sender: AttemptSender
+    _budget: SharedRetryBudget
+    _pace: ColdPace
+    _demand: DemandMeter
+    _metrics: GatewayMetrics
+    _rng: random.Random = attrs.field(init=False, factory=random.Random)
+    _keyless: Iterator[int] = attrs.field(
+        init=False,
+        factory=itertools.count,
+    )
+
+    async def __call__(self, request: CallerRequest) -> Answer:
+        """Return the answer to one request."""
+        answer = await self._answer(request)
+        self._metrics.answers.labels(str(answer.status)).inc()
+        took_ms = self._clock.now_ms() - request.arrived_ms
+        self._metrics.answer_seconds.observe(took_ms / _MILLISECONDS_PER_SECOND)
+        return answer
+
+    async def _answer(self, request: CallerRequest) -> Answer:
+        configuration = self._facts.configuration
+        if configuration is None or not self._facts.is_complete:
+            return self._refusal('not_ready', _UNREADY_RETRY_MS)
+        host = request.header(b'host').decode('latin-1')
+        route = configuration.find_route(host, request.path)
+        if route is None:
+            return Answer(HTTPStatus.NOT_FOUND)
+        waits_ms = remaining_ms(request.headers)
+        limit_ms = route.timeout_ms
+        if waits_ms is not None:
+            limit_ms = min(limit_ms, waits_ms)
+        service = self._facts.rotation(route).next_service()
+        pending = PendingRequest(
+            request=request,
+            route=route,
+            service=service,
+            attempt=request_id(request.headers),
+            key=object_key(request.headers) or self._spread_key(),
+            deadline_ms=request.arrived_ms + limit_ms,
+            is_urgent=configuration.is_most_urgent(route, service),
+        )
+        self._budget.count_request(service)
+        self._demand.count(service)
+        return await self._serve_in_time(pending)
+
+    async def _serve_in_time(self, pending: PendingRequest) -> Answer:
+        left_ms = pending.deadline_ms - self._clock.now_ms()
+        try:
+            async with asyncio.timeout(left_ms / _MILLISECONDS_PER_SECOND):
+                return await self._serve(pending)
+        except TimeoutError:
+            if pending.may_have_run:
+                return Answer(HTTPStatus.GATEWAY_TIMEOUT)
+            return self._refusal('too_late', _REFUSED_RETRY_MS)
+
+    async def _serve(self, pending: PendingRequest) -> Answer:
+        connect_failures = 0
+        fallback: Answer | None = None
+        while True:
+            choice = self._placement.choose(
+                pending.placement(self._clock.now_ms()),
+            )
+            if isinstance(choice, NotPlaced):
+                return fallback or self._no_room(choice)
+            if pending.arrivals and not self._may_try_again(pending):
+                return fallback or self._refusal('budget', _REFUSED_RETRY_MS)
+            outcome = await self._attempt(pending, choice)
+            match outcome:
+                case Answered(answer, is_failure):
+                    fallback = answer
+                    if not (is_failure and pending.may_repeat):
+                        return answer
+                case Unknown():
+                    fallback = Answer(HTTPStatus.BAD_GATEWAY)
+                    if not pending.may_repeat:
+                        return fallback
+                case NotRun(has_arrived):
+                    connect_failures += not has_arrived
+            if connect_failures > _MOST_CONNECT_FAILURES:
+                return fallback or self._refusal('connect', _REFUSED_RETRY_MS)
+
+    async def _attempt(
+        self,
+        pending: PendingRequest,
+        choice: Placed,
+    ) -> AttemptOutcome:
+        upstream = choice.state.upstream
+        pending.excluded.add(upstream.id)
+        self._metrics.choices.labels(choice.reason.value).inc()
+        if choice.state.is_cold(self._clock.now_ms()):
+            self._pace.count(upstream.id)
+        may_have_run = pending.may_have_run
+        outcome = await self._sender.send(pending, choice.state)
+        if isinstance(outcome, NotRun):
+            pending.may_have_run = may_have_run
+        if outcome != NotRun(has_arrived=False):
+            pending.arrivals += 1
+        return outcome
+
+    def _may_try_again(self, pending: PendingRequest) -> bool:
+        is_allowed = (
+            pending.arrivals < pending.route.max_attempts
+            and pending.can_send_again
+            and self._budget.try_spend(pending.service)
+        )
+        self._metrics.extra_attempts.labels(str(is_allowed)).inc()
+        return is_allowed
+
+    def _no_room(self, refused: NotPlaced) -> Answer:
+        return self._refusal(refused.reason.value, refused.retry_after_ms)
+
+    def _refusal(self, reason: str, wait_ms: float) -> Answer:
+        """Return the promise that the request has not run and never will."""
+        self._metrics.refusals.labels(reason).inc()
+        advice = retry_after(jittered(self._rng, wait_ms))
+        return Answer(HTTPStatus.SERVICE_UNAVAILABLE, [advice])
+
+    def _spread_key(self) -> str:
+        return f'keyless-{next(self._keyless) % _KEYLESS_SPREAD}'
--- /dev/null
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -0,0 +1,144 @@
+"""Heartbeats between entry VMs, over UDP."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import final
+
+import attrs
+import msgspec
+from absl import logging
+
+from catkindrift.clock import Clock
+from catkindrift.settings import Endpoint
+from catkindrift.steering import Heartbeat, MemberFacts, Members
+
+# A VM counts as silent after several of these.
+_INTERVAL_SECONDS = 0.5
+# VMs of other regions are told every second time: those bytes are paid for.
+_FAR_EVERY = 2
+# Receivers of one heartbeat; the rest hears of the sender from these.
+_MOST_RECEIVERS = 16
+# Other VMs that a heartbeat tells of.
+_MOST_HEARD = 2
+
+
+@final
+@attrs.define(eq=False)
+class Heartbeats(asyncio.DatagramProtocol):
+    """Tells other entry VMs of this one and learns from theirs.
+
+    Datagrams may be lost or doubled; each is newer or older by its count.
+
+    Args:
+        clock: Source of time.
+        members: Entry VMs.
+        own: Facts about this VM; the count is set here.
+        demand: Returns this VM's demand.
+        revisions: Returns the store revisions that this VM knows.
+        on_heartbeat: Takes what another VM sent.
+    """
+
+    _clock: Clock
+    _members: Members
+    _own: MemberFacts
+    _demand: Callable[[], dict[str, float]]
+    _revisions: Callable[[], dict[str, int]]
+    _on_heartbeat: Callable[[Heartbeat], None]
+    _introductions: set[str] = attrs.field(init=False, factory=set)
+    _transport: asyncio.DatagramTransport | None = attrs.field(
+        init=False,
+        default=None,
+    )
+    _encoder: msgspec.msgpack.Encoder = attrs.field(
+        init=False,
+        factory=msgspec.msgpack.Encoder,
+    )
+    _decoder: msgspec.msgpack.Decoder[Heartbeat] = attrs.field(init=False)
+    _rng: random.Random = attrs.field(init=False, factory=random.Random)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the decoder."""
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+
+    @property
+    def own(self) -> MemberFacts:
+        """Return the newest facts about this VM."""
+        return self._own
+
+    def introduce(self, address: str) -> None:
+        """Tell a VM that may not know this one, until it is heard."""
+        if address and address != self._own.peers:
+            self._introductions.add(address)
+
+    def set_ready(self, *, is_ready: bool) -> None:
+        """Tell all others at once when readiness changes."""
+        if self._own.is_ready != is_ready:
+            self._own = attrs.evolve(self._own, is_ready=is_ready)
+            self.beat(is_for_all=True)
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        for number in range(1 << 62):
+            self.beat(is_for_all=number % _FAR_EVERY == 0)
+            await asyncio.sleep(_INTERVAL_SECONDS)
+
+    def beat(self, *, is_for_all: bool) -> None:
+        """Send one heartbeat, to VMs of other regions only if it is for all."""
+        self._own = attrs.evolve(self._own, count=self._own.count + 1)
+        datagram = self._encoder.encode(self._heartbeat())
+        for address in self._receivers(is_for_all=is_for_all):
+            self._send(datagram, address)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(
+        self,
+        data: bytes,
+        addr: tuple[str, int],
+    ) -> None:
+        """Learn from a heartbeat; what cannot be read is passed over."""
+        try:
+            heartbeat = self._decoder.decode(data)
+        except msgspec.DecodeError as malformed:
+            logging.log_every_n(
+                logging.WARNING,
+                'heartbeat from %s: %s',
+                100,
+                addr,
+                malformed,
+            )
+            return
+        self._members.heard(heartbeat)
+        self._introductions.discard(heartbeat.sender.peers)
+        self._on_heartbeat(heartbeat)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over refused datagrams; silence is noticed anyway."""
+
+    def _heartbeat(self) -> Heartbeat:
+        alive = self._members.alive()
+        heard = self._rng.sample(alive, min(len(alive), _MOST_HEARD))
+        demand = {
+            service: round(slots, 2)
+            for service, slots in self._demand().items()
+        }
+        return Heartbeat(self._own, tuple(heard), demand, self._revisions())
+
+    def _receivers(self, *, is_for_all: bool) -> set[str]:
+        known = self._members.facts
+        near = [each for each in known if each.region == self._own.region]
+        chosen = list(known) if is_for_all else near
+        if len(chosen) > _MOST_RECEIVERS:
+            chosen = self._rng.sample(chosen, _MOST_RECEIVERS)
+        receivers = {each.peers for each in chosen}
+        receivers.update(self._introductions)
+        return receivers
+
+    def _send(self, datagram: bytes, address: str) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        endpoint = Endpoint.parse(address)
+        self._transport.sendto(datagram, (endpoint.host, endpoint.port))
--- /dev/null
+++ b/src/catkindrift/gateway/_metrics.py
@@ -0,0 +1,51 @@
+"""Counters of one entry VM."""
+
+from typing import final
+
+import attrs
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+
+@final
+@attrs.define(eq=False)
+class GatewayMetrics:
+    """Counters and histograms; labels come from small fixed sets."""
+
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    answers: Counter = attrs.field(init=False)
+    refusals: Counter = attrs.field(init=False)
+    choices: Counter = attrs.field(init=False)
+    failures: Counter = attrs.field(init=False)
+    extra_attempts: Counter = attrs.field(init=False)
+    connections_opened: Counter = attrs.field(init=False)
+    answer_seconds: Histogram = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register them."""
+        self.answers = self._counter('answers', 'Answers', 'status')
+        self.refusals = self._counter('refusals', 'Refusals', 'reason')
+        self.choices = self._counter('choices', 'Upstreams chosen', 'reason')
+        self.failures = self._counter('failures', 'Failed attempts', 'kind')
+        self.extra_attempts = self._counter(
+            'extra_attempts',
+            'Attempts beyond the first of a request',
+            'granted',
+        )
+        self.connections_opened = self._counter(
+            'upstream_connections_opened',
+            'Connections to upstreams',
+            'outcome',
+        )
+        self.answer_seconds = Histogram(
+            'catkindrift_answer_seconds',
+            'Time from the request head to the answer',
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, text: str, label: str) -> Counter:
+        return Counter(
+            f'catkindrift_{name}',
+            text,
+            [label],
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -0,0 +1,83 @@
+"""A caller's request until it is answered."""
+
+from http import HTTPStatus
+from typing import final
+
+import attrs
+
+from catkindrift.http1 import CallerRequest, ResponseHead
+from catkindrift.platform import answers_request, is_signed
+from catkindrift.steering import PlacementRequest, Route
+
+_FIRST_REDIRECT = 300
+# Statuses that promise "not run", which only an upstream that says so can.
+_PROMISES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
+@final
+@attrs.define(eq=False)
+class PendingRequest:
+    """What is known of a request while it is being served.
+
+    Args:
+        request: Head and body.
+        route: Its route.
+        service: Service that runs it.
+        attempt: Id that the caller gave it.
+        key: The object that it is about.
+        deadline_ms: When its final answer is due.
+        is_urgent: Whether no other route to the service is more urgent.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    attempt: str
+    key: str
+    deadline_ms: int
+    is_urgent: bool
+    may_have_run: bool = False
+    arrivals: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether another attempt is allowed after an unknown one."""
+        return self.route.kind.is_repeatable
+
+    @property
+    def can_send_again(self) -> bool:
+        """Return whether the request is still there to be sent."""
+        return self.request.body.can_replay
+
+    def is_answer(self, head: ResponseHead) -> bool:
+        """Return whether a response belongs to this request."""
+        return answers_request(head, self.attempt)
+
+    def may_pass_on(self, head: ResponseHead) -> bool:
+        """Return whether a response may be shown to the caller.
+
+        A success must bear the upstream's signature; a promise that the
+        request did not run must be the upstream's own statement.
+        """
+        if head.status < _FIRST_REDIRECT:
+            return is_signed(head, self.attempt)
+        return self.may_repeat or head.status not in _PROMISES
+
+    def placement(self, now_ms: int) -> PlacementRequest:
+        """Return what placement has to know."""
+        return PlacementRequest(
+            self.route,
+            self.service,
+            self.key,
+            self.deadline_ms - now_ms,
+            self.is_urgent,
+            frozenset(self.excluded),
+        )
--- /dev/null
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -0,0 +1,164 @@
+"""Follows one kind of objects in the platform's store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import final
+
+import attrs
+from absl import logging
+
+from catkindrift.clock import Clock
+from catkindrift.errors import HistoryGoneError, PlatformUnavailableError
+from catkindrift.limits import jittered
+from catkindrift.platform import StoreClient, StoreObject, StorePage
+from catkindrift.settings import GatewayPlatformSettings
+
+_MILLISECONDS_PER_SECOND = 1000
+# Pauses between calls that fail; doubled with each failure in a row.
+_FIRST_PAUSE_S = 0.15
+_LONGEST_PAUSE_S = 1.2
+# A pause after news, so that changes in quick succession share a call.
+_NEWS_PAUSE_S = 0.12
+# Calls fail for this long before the store counts as having been away.
+_AWAY_MS = 1200
+# Peers are ahead for this long before a waiting watch counts as silent.
+_BEHIND_MS = 250
+
+
+@final
+@attrs.define(eq=False)
+class StoreWatch:
+    """Lists objects once, then waits for changes; lists again when needed.
+
+    Args:
+        clock: Source of time.
+        client: The store.
+        kind: Kind of the objects.
+        settings: Waits and time limits.
+        on_list: Takes the whole list.
+        on_change: Takes one change.
+        on_return: Called when the store answers after having been away.
+    """
+
+    _clock: Clock
+    _client: StoreClient
+    kind: str
+    _settings: GatewayPlatformSettings
+    _on_list: Callable[[tuple[StoreObject, ...]], None]
+    _on_change: Callable[[StoreObject], None]
+    _on_return: Callable[[], None]
+    is_sentinel: bool = attrs.field(init=False, default=False)
+    newest: int = attrs.field(init=False, default=0)
+    answered_ms: int = attrs.field(init=False)
+    _revision: int = attrs.field(init=False, default=0)
+    _failures: int = attrs.field(init=False, default=0)
+    _behind_since_ms: int | None = attrs.field(init=False, default=None)
+    _waiting: asyncio.Task[StorePage] | None = attrs.field(
+        init=False, default=None
+    )
+    _rng: random.Random = attrs.field(init=False, factory=random.Random)
+
+    def __attrs_post_init__(self) -> None:
+        """Count the store as present until calls have failed."""
+        self.answered_ms = self._clock.now_ms()
+
+    async def run(self) -> None:
+        """Follow the kind until cancelled."""
+        is_listed = False
+        while True:
+            try:
+                is_listed = await self._step(is_listed=is_listed)
+            except HistoryGoneError:
+                is_listed = False
+                await asyncio.sleep(jittered(self._rng, _NEWS_PAUSE_S))
+            except PlatformUnavailableError as unavailable:
+                await self._pause_after(unavailable)
+
+    def peer_is_at(self, revision: int) -> None:
+        """Cut a waiting watch short if it has missed what a peer knows."""
+        now_ms = self._clock.now_ms()
+        if revision <= self._revision:
+            self._behind_since_ms = None
+            return
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        elif now_ms - self._behind_since_ms > _BEHIND_MS and self._waiting:
+            self._behind_since_ms = None
+            logging.info('watch of %s was silent; asking anew', self.kind)
+            self._waiting.cancel()
+
+    async def _step(self, *, is_listed: bool) -> bool:
+        if not is_listed:
+            await self._list()
+            return True
+        page = await self._wait()
+        if page is None:
+            return True
+        self._answered()
+        self._revision = max(self._revision, page.revision)
+        for each in page.objects:
+            self._on_change(each)
+        if page.objects:
+            self._note_newest(page)
+            await asyncio.sleep(jittered(self._rng, _NEWS_PAUSE_S))
+        return True
+
+    async def _list(self) -> None:
+        timeout_s = self._seconds(self._settings.call_timeout_ms)
+        page = await self._client.list_page(self.kind, '', timeout_s)
+        found = list(page.objects)
+        # Changes made while further pages are read are watched from here.
+        revision = page.revision
+        while page.has_more and page.objects:
+            after = page.objects[-1].name
+            page = await self._client.list_page(self.kind, after, timeout_s)
+            found.extend(page.objects)
+        self._answered()
+        self._revision = max(self._revision, revision)
+        self._on_list(tuple(found))
+
+    async def _wait(self) -> StorePage | None:
+        """Return changes, or nothing if the wait was cut short."""
+        settings = self._settings
+        wait_ms = settings.watch_wait_ms
+        if self.is_sentinel:
+            wait_ms = settings.sentinel_wait_ms
+        limit_ms = wait_ms + settings.call_timeout_ms
+        loop = asyncio.get_running_loop()
+        self._waiting = loop.create_task(
+            self._client.watch(
+                self.kind, self._revision, wait_ms, self._seconds(limit_ms)
+            ),
+        )
+        await asyncio.wait({self._waiting})
+        if self._waiting.cancelled():
+            return None
+        return self._waiting.result()
+
+    async def _pause_after(self, unavailable: Exception) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            logging.warning('store, %s: %s', self.kind, unavailable)
+        doubled = _FIRST_PAUSE_S * 2 ** min(self._failures - 1, 5)
+        pause = min(doubled, _LONGEST_PAUSE_S)
+        await asyncio.sleep(jittered(self._rng, pause))
+
+    def _answered(self) -> None:
+        now_ms = self._clock.now_ms()
+        if self._failures:
+            logging.info('store, %s: answers again', self.kind)
+            if now_ms - self.answered_ms > _AWAY_MS:
+                self._on_return()
+        self._failures = 0
+        self.answered_ms = now_ms
+
+    def _note_newest(self, page: StorePage) -> None:
+        changed = max(
+            page.revision if each.is_deleted else each.revision
+            for each in page.objects
+        )
+        self.newest = max(self.newest, changed)
+
+    def _seconds(self, milliseconds: int) -> float:
+        return milliseconds / _MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/src/catkindrift/gateway/_store_watches.py
@@ -0,0 +1,95 @@
+"""The kinds of objects that this entry VM follows."""
+
+from collections.abc import Coroutine
+from typing import Any, final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.gateway._facts import Facts
+from catkindrift.gateway._store_watch import StoreWatch
+from catkindrift.platform import (
+    CONFIGURATION_KIND,
+    EVACUATION_KIND,
+    UPSTREAM_KIND,
+    StoreClient,
+    StoreObject,
+)
+from catkindrift.routing import rendezvous_order
+from catkindrift.settings import GatewaySettings
+from catkindrift.steering import Heartbeat, Members
+
+# Entry VMs that ask at short intervals for each kind. They notice when
+# watches have gone silent, and tell the others by their revisions.
+_SENTINELS = 2
+
+
+@final
+@attrs.define(eq=False)
+class StoreWatches:
+    """Follows configuration, upstreams and evacuations.
+
+    Args:
+        clock: Source of time.
+        client: The store.
+        settings: Waits and time limits, name of this VM.
+        facts: Takes the news.
+        members: Entry VMs, which share the duty of sentinels.
+    """
+
+    _clock: Clock
+    _client: StoreClient
+    _settings: GatewaySettings
+    _facts: Facts
+    _members: Members
+    _watches: tuple[StoreWatch, ...] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the watches."""
+        facts = self._facts
+        kinds = (
+            (
+                CONFIGURATION_KIND,
+                self._take_configurations,
+                facts.take_configuration,
+            ),
+            (UPSTREAM_KIND, facts.take_upstreams, facts.take_upstream),
+            (EVACUATION_KIND, facts.take_evacuations, facts.take_evacuation),
+        )
+        self._watches = tuple(
+            StoreWatch(
+                self._clock,
+                self._client,
+                kind,
+                self._settings.platform,
+                on_list,
+                on_change,
+                facts.store_returned,
+            )
+            for kind, on_list, on_change in kinds
+        )
+
+    def jobs(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what has to run."""
+        return [watch.run() for watch in self._watches]
+
+    def revisions(self) -> dict[str, int]:
+        """Return the newest revision known of each kind."""
+        return {watch.kind: watch.newest for watch in self._watches}
+
+    def heard(self, heartbeat: Heartbeat) -> None:
+        """Compare what is known with what another VM knows."""
+        for watch in self._watches:
+            watch.peer_is_at(heartbeat.revisions.get(watch.kind, 0))
+
+    def choose_sentinels(self) -> None:
+        """Take the duty of a sentinel, or lay it down."""
+        own = self._settings.vm.name
+        alive = [own, *(each.name for each in self._members.alive())]
+        for watch in self._watches:
+            chosen = rendezvous_order(watch.kind, alive)[:_SENTINELS]
+            watch.is_sentinel = own in chosen
+
+    def _take_configurations(self, found: tuple[StoreObject, ...]) -> None:
+        for each in found:
+            self._facts.take_configuration(each)
--- /dev/null
+++ b/src/catkindrift/http1/__init__.py
@@ -0,0 +1,33 @@
+"""HTTP/1.1 on the loop: a server for callers, and client connections."""
+
+from catkindrift.http1._answer import Answer
+from catkindrift.http1._client_connection import ClientConnection
+from catkindrift.http1._failure import ResponseFailure
+from catkindrift.http1._headers import (
+    Headers,
+    encode_head,
+    end_to_end,
+    find_header,
+)
+from catkindrift.http1._receiver import ResponseReceiver
+from catkindrift.http1._request import CallerRequest
+from catkindrift.http1._request_body import RequestBody
+from catkindrift.http1._response_head import ResponseHead
+from catkindrift.http1._server import HttpServer
+from catkindrift.http1._server_connection import Handler
+
+__all__ = [
+    'Answer',
+    'CallerRequest',
+    'ClientConnection',
+    'Handler',
+    'Headers',
+    'HttpServer',
+    'RequestBody',
+    'ResponseFailure',
+    'ResponseHead',
+    'ResponseReceiver',
+    'encode_head',
+    'end_to_end',
+    'find_header',
+]
--- /dev/null
+++ b/src/catkindrift/http1/_head_collector.py
@@ -0,0 +1,103 @@
+"""Collects the head of a caller's request."""
+
+from http import HTTPStatus
+from typing import final
+
+import attrs
+import httptools
+
+from catkindrift.clock import Clock
+from catkindrift.http1._headers import Headers, find_header
+from catkindrift.http1._request import CallerRequest
+from catkindrift.http1._request_body import PausableReader, RequestBody
+from catkindrift.steering import CallerLimits
+
+# Bytes around a header's name and value.
+_HEADER_EXTRA_BYTES = 4
+
+
+@final
+@attrs.define(eq=False)
+class HeadCollector:
+    """Target and headers of the request that is arriving.
+
+    Args:
+        clock: Source of time.
+        source: The caller's connection.
+    """
+
+    _clock: Clock
+    _source: PausableReader
+    has_begun: bool = attrs.field(init=False, default=False)
+    raw_bytes: int = attrs.field(init=False, default=0)
+    _target: bytes = attrs.field(init=False, default=b'')
+    _headers: Headers = attrs.field(init=False, factory=list)
+    _size: int = attrs.field(init=False, default=0)
+    _begun_ms: int = attrs.field(init=False, default=0)
+
+    @property
+    def age_ms(self) -> int:
+        """Return how long the head has been arriving."""
+        return self._clock.now_ms() - self._begun_ms
+
+    def feeding(self, size: int) -> None:
+        """Count bytes that arrive before the head is complete."""
+        if self.has_begun:
+            self.raw_bytes += size
+
+    def begin(self) -> None:
+        """Start a new head."""
+        self.has_begun = True
+        self.raw_bytes = 0
+        self._target = b''
+        self._headers = []
+        self._size = 0
+        self._begun_ms = self._clock.now_ms()
+
+    def add_target(self, part: bytes) -> None:
+        """Add a part of the request target."""
+        self._target += part
+        self._size += len(part)
+
+    def add_header(self, name: bytes, found: bytes) -> None:
+        """Add a header."""
+        self._headers.append((name, found))
+        self._size += len(name) + len(found) + _HEADER_EXTRA_BYTES
+
+    def check(self, limits: CallerLimits) -> HTTPStatus | None:
+        """Return the status that refuses the head, or nothing."""
+        if self._size > limits.header_bytes:
+            return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        coding = find_header(self._headers, b'transfer-encoding')
+        length = find_header(self._headers, b'content-length')
+        if coding and (length or coding.strip().lower() != b'chunked'):
+            return HTTPStatus.BAD_REQUEST
+        if length and not length.strip().isdigit():
+            return HTTPStatus.BAD_REQUEST
+        if length and int(length) > limits.body_bytes:
+            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        return self._check_target()
+
+    def finish(self, method: bytes) -> CallerRequest:
+        """Return the request, whose body is still to come."""
+        self.has_begun = False
+        self.raw_bytes = 0
+        parsed = httptools.parse_url(self._target)
+        length = find_header(self._headers, b'content-length')
+        coding = find_header(self._headers, b'transfer-encoding')
+        return CallerRequest(
+            method=method,
+            target=self._target,
+            path=parsed.path.decode('latin-1'),
+            query=parsed.query or b'',
+            headers=self._headers,
+            body=RequestBody(self._source, bool(coding), int(length or 0)),
+            arrived_ms=self._clock.now_ms(),
+        )
+
+    def _check_target(self) -> HTTPStatus | None:
+        try:
+            parsed = httptools.parse_url(self._target)
+        except httptools.HttpParserInvalidURLError:
+            return HTTPStatus.BAD_REQUEST
+        return None if parsed.path else HTTPStatus.BAD_REQUEST
--- /dev/null
+++ b/src/catkindrift/http1/_headers.py
@@ -0,0 +1,48 @@
+"""Header lists and the headers that concern one connection only."""
+
+from collections.abc import Iterable
+
+Headers = list[tuple[bytes, bytes]]
+
+# RFC 9110, section 7.6.1, with the older names that senders still use.
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
+    """Return the first value of a header, or nothing.
+
+    Args:
+        headers: Names and values as they came.
+        name: Name in lower case.
+    """
+    for key, found in headers:
+        if key.lower() == name:
+            return found
+    return b''
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that go beyond the connection they came on."""
+    named = find_header(headers, b'connection').lower().split(b',')
+    dropped = _HOP_BY_HOP.union(name.strip() for name in named)
+    return [each for each in headers if each[0].lower() not in dropped]
+
+
+def encode_head(first_line: bytes, headers: Headers) -> bytes:
+    """Return the head of a message, its empty line included."""
+    lines = [first_line]
+    lines.extend(b'%b: %b' % header for header in headers)
+    lines.append(b'\r\n')
+    return b'\r\n'.join(lines)
--- /dev/null
+++ b/src/catkindrift/http1/_request_body.py
@@ -0,0 +1,101 @@
+"""The body of a caller's request, as it arrives."""
+
+import asyncio
+from typing import Protocol, final
+
+import attrs
+
+# Bytes kept so that a request which did not run can be sent elsewhere.
+_REPLAY_BYTES = 1_048_576
+# Bytes that may wait for a slow upstream before the caller is slowed.
+_AHEAD_BYTES = 262_144
+
+
+class PausableReader(Protocol):
+    """Where the body comes from."""
+
+    def pause_body(self) -> None:
+        """Stop reading for a while."""
+
+    def resume_body(self) -> None:
+        """Read on."""
+
+
+@final
+@attrs.define(eq=False)
+class RequestBody:
+    """Parts of a body, kept for replay up to a limit.
+
+    Args:
+        source: The caller's connection.
+        is_chunked: Whether the length is not known from the head.
+        length: Length that the head states.
+    """
+
+    _source: PausableReader
+    is_chunked: bool
+    length: int
+    is_complete: bool = attrs.field(init=False, default=False)
+    can_replay: bool = attrs.field(init=False, default=True)
+    received: int = attrs.field(init=False, default=0)
+    _parts: list[bytes] = attrs.field(init=False, factory=list)
+    _first_part: int = attrs.field(init=False, default=0)
+    _kept: int = attrs.field(init=False, default=0)
+    _unread: int = attrs.field(init=False, default=0)
+    _changed: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the request has no body."""
+        return not self.is_chunked and self.length == 0
+
+    @property
+    def wholly_kept(self) -> bytes | None:
+        """Return the whole body if it has come and was kept."""
+        if self.is_complete and self.can_replay:
+            return b''.join(self._parts)
+        return None
+
+    def add(self, chunk: bytes) -> None:
+        """Keep a part that has arrived."""
+        self.received += len(chunk)
+        self._parts.append(chunk)
+        self._kept += len(chunk)
+        self._unread += len(chunk)
+        if self._kept > _REPLAY_BYTES:
+            self.can_replay = False
+        if self._unread > _AHEAD_BYTES:
+            self._source.pause_body()
+        self._changed.set()
+
+    def finish(self) -> None:
+        """Note that the whole body has arrived."""
+        self.is_complete = True
+        self._changed.set()
+
+    def discard(self) -> None:
+        """Drop what came and let the rest come; nobody reads it."""
+        self.can_replay = False
+        self._parts.clear()
+        self._unread = 0
+        self._source.resume_body()
+
+    async def next_part(self, index: int) -> bytes | None:
+        """Return the part at `index`, or nothing after the last one."""
+        while index - self._first_part >= len(self._parts):
+            if self.is_complete:
+                return None
+            self._changed.clear()
+            await self._changed.wait()
+        part = self._parts[index - self._first_part]
+        self._taken(index, len(part))
+        return part
+
+    def _taken(self, index: int, size: int) -> None:
+        self._unread = max(0, self._unread - size)
+        if self._unread < _AHEAD_BYTES:
+            self._source.resume_body()
+        if not self.can_replay:
+            gone = index + 1 - self._first_part
+            self._parts = self._parts[gone:]
+            self._first_part = index + 1
--- /dev/null
+++ b/src/catkindrift/http1/_server.py
@@ -0,0 +1,86 @@
+"""Listens for callers."""
+
+import asyncio
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.http1._server_connection import Handler, ServerConnection
+from catkindrift.steering import CallerLimits
+
+_BACKLOG = 1024
+# Limits on silence are kept to this precision.
+_SWEEP_SECONDS = 0.25
+
+
+@final
+@attrs.define(eq=False)
+class HttpServer:
+    """Serves one address.
+
+    Args:
+        clock: Source of time.
+        handler: Answers requests.
+    """
+
+    _clock: Clock
+    _handler: Handler
+    limits: CallerLimits = attrs.field(init=False, factory=CallerLimits)
+    _is_draining: bool = attrs.field(init=False, default=False)
+    _server: asyncio.Server | None = attrs.field(init=False, default=None)
+    _sweeper: asyncio.TimerHandle | None = attrs.field(init=False, default=None)
+    _connections: set[ServerConnection] = attrs.field(init=False, factory=set)
+
+    @property
+    def busy_count(self) -> int:
+        """Return the connections with requests that are not answered."""
+        return sum(each.is_busy for each in self._connections)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._connect,
+            host,
+            port,
+            backlog=_BACKLOG,
+        )
+        self._sweep()
+
+    def drain(self) -> None:
+        """End each connection after its next answer; still take new ones."""
+        self._is_draining = True
+        for connection in self._connections:
+            connection.is_draining = True
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._sweeper:
+            self._sweeper.cancel()
+        if self._server:
+            self._server.close()
+        for connection in tuple(self._connections):
+            connection.close()
+
+    def _connect(self) -> ServerConnection:
+        return ServerConnection(
+            self._clock,
+            self._handler,
+            self._limits_now,
+            self._connections,
+            self._is_draining,
+        )
+
+    def _limits_now(self) -> CallerLimits:
+        return self.limits
+
+    def _sweep(self) -> None:
+        for connection in tuple(self._connections):
+            connection.sweep()
+        loop = asyncio.get_running_loop()
+        self._sweeper = loop.call_later(_SWEEP_SECONDS, self._sweep)
--- a/src/catkindrift/plans/_store.py
+++ b/src/catkindrift/plans/_store.py
@@ -9,7 +9,7 @@
 from catkindrift.clock import Clock
 from catkindrift.domain import Configuration, decode_json, encode_json
 from catkindrift.errors import ConflictError, PlatformConflictError
-from catkindrift.platform import Platform, StoredObject
+from catkindrift.store import Platform, StoredObject
 
 KIND = 'configuration'
 _NAME = 'current'
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -1,21 +1,68 @@
-"""The platform's object API: interface, adapter and stand-in."""
+"""The platform's manner of speaking: names, formats and calls.
 
-from catkindrift.platform._call_gate import CallGate
-from catkindrift.platform._guarded import GuardedPlatform
-from catkindrift.platform._http import HttpPlatform
-from catkindrift.platform._interface import Platform
-from catkindrift.platform._object import StoredObject
-from catkindrift.platform._standin import StandinStore
-from catkindrift.platform._standin_app import StandinApp
-from catkindrift.platform._standin_faults import StandinFaults
+Nothing in this package decides. Nothing outside it knows a platform name.
+"""
+
+from catkindrift.platform._entries import (
+    decode_configuration,
+    decode_entry_vm,
+    decode_upstream,
+    encode_entry_vm,
+)
+from catkindrift.platform._kinds import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    ENTRY_VM_KIND,
+    EVACUATION_KIND,
+    READINESS_PATH,
+    RESOLVE_PATH,
+    UPSTREAM_KIND,
+)
+from catkindrift.platform._messages import (
+    answers_request,
+    caller_place,
+    cold_left_ms,
+    directory_body,
+    forwarded_headers,
+    is_misdirected,
+    is_signed,
+    load_report,
+    object_key,
+    remaining_ms,
+    request_id,
+    retry_after,
+    says_not_run,
+)
+from catkindrift.platform._store_client import StoreClient
+from catkindrift.platform._store_object import StoreObject
+from catkindrift.platform._store_page import StorePage
 
 __all__ = [
-    'CallGate',
-    'GuardedPlatform',
-    'HttpPlatform',
-    'Platform',
-    'StandinApp',
-    'StandinFaults',
-    'StandinStore',
-    'StoredObject',
+    'CONFIGURATION_KIND',
+    'CONFIGURATION_NAME',
+    'ENTRY_VM_KIND',
+    'EVACUATION_KIND',
+    'READINESS_PATH',
+    'RESOLVE_PATH',
+    'UPSTREAM_KIND',
+    'StoreClient',
+    'StoreObject',
+    'StorePage',
+    'answers_request',
+    'caller_place',
+    'cold_left_ms',
+    'decode_configuration',
+    'decode_entry_vm',
+    'decode_upstream',
+    'directory_body',
+    'encode_entry_vm',
+    'forwarded_headers',
+    'is_misdirected',
+    'is_signed',
+    'load_report',
+    'object_key',
+    'remaining_ms',
+    'request_id',
+    'retry_after',
+    'says_not_run',
 ]
--- /dev/null
+++ b/src/catkindrift/platform/_store_client.py
@@ -0,0 +1,238 @@
+"""Client of the platform's store."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Any, final
+from urllib.parse import quote
+
+import attrs
+import msgspec
+
+from catkindrift.errors import (
+    HistoryGoneError,
+    PlatformAmbiguousError,
+    PlatformUnavailableError,
+)
+from catkindrift.http1 import (
+    ClientConnection,
+    ResponseReceiver,
+    encode_head,
+)
+from catkindrift.platform._store_object import StoreObject
+from catkindrift.platform._store_page import StorePage
+
+_READ = 'GET'
+_REMEDY = 'check platform.url and the state of the platform'
+# Answers are whole pages of a megabyte at most, plus their frame.
+_MOST_ANSWER_BYTES = 2_097_152
+
+
+@final
+@attrs.define(eq=False)
+class StoreClient:
+    """Calls the store; one connection serves one call at a time.
+
+    A connection that failed in any way is not used again.
+
+    Args:
+        host: IP number of the store.
+        port: Its TCP port.
+        calls_made: Calls so far by their kind.
+    """
+
+    _host: str
+    _port: int
+    calls_made: dict[str, int] = attrs.field(init=False, factory=dict)
+    _idle: list[ClientConnection] = attrs.field(init=False, factory=list)
+
+    async def list_page(
+        self,
+        kind: str,
+        after: str,
+        timeout_s: float,
+    ) -> StorePage:
+        """Return a page of the objects of a kind.
+
+        Args:
+            kind: Kind of the objects.
+            after: Name of the last object of the page before, or nothing.
+            timeout_s: Time limit of the call.
+
+        Raises:
+            PlatformUnavailableError: There was no usable answer.
+        """
+        query = f'?after={quote(after)}' if after else ''
+        _, answer = await self._call(
+            _READ, f'/objects/{kind}{query}', None, timeout_s
+        )
+        found = [StoreObject.from_document(each) for each in _items(answer)]
+        return StorePage(
+            tuple(each for each in found if each),
+            _revision(answer),
+            bool(answer.get('has_more')),
+        )
+
+    async def watch(
+        self,
+        kind: str,
+        revision: int,
+        wait_ms: int,
+        timeout_s: float,
+    ) -> StorePage:
+        """Return changes after `revision`, waiting up to `wait_ms` for one.
+
+        Raises:
+            HistoryGoneError: The store has dropped that history.
+            PlatformUnavailableError: There was no usable answer.
+        """
+        path = f'/objects/{kind}?watch={revision}&wait_ms={wait_ms}'
+        status, answer = await self._call(_READ, path, None, timeout_s)
+        if status == HTTPStatus.GONE:
+            raise HistoryGoneError(f'history of {kind} is gone; list it again')
+        changes = [_change(each) for each in answer.get('events', ())]
+        return StorePage(
+            tuple(each for each in changes if each),
+            _revision(answer),
+        )
+
+    async def put(
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        timeout_s: float,
+    ) -> None:
+        """Create an object, or replace it whatever it holds.
+
+        Raises:
+            PlatformAmbiguousError: The write may have taken effect.
+            PlatformUnavailableError: Nothing was written.
+        """
+        document = {'metadata': {'name': name}, 'spec': spec}
+        path = f'/objects/{kind}'
+        status, _ = await self._call('POST', path, document, timeout_s)
+        if status == HTTPStatus.CONFLICT:
+            await self._call(
+                'PUT', f'{path}/{quote(name)}', document, timeout_s
+            )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        document: Any,
+        timeout_s: float,
+    ) -> tuple[int, dict[str, Any]]:
+        self.calls_made[method] = self.calls_made.get(method, 0) + 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                status, content = await self._exchange(method, path, document)
+        except OSError as broken:
+            raise _lost(method) from broken
+        except TimeoutError as late:
+            raise _lost(method) from late
+        return _checked(method, status, content)
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        document: Any,
+    ) -> tuple[int, bytes]:
+        body = b'' if document is None else msgspec.json.encode(document)
+        head = encode_head(
+            f'{method} {path} HTTP/1.1'.encode(),
+            [
+                (b'Host', f'{self._host}:{self._port}'.encode()),
+                (b'Content-Type', b'application/json'),
+                (b'Content-Length', b'%d' % len(body)),
+            ],
+        )
+        async with self._connection() as connection:
+            receiver = ResponseReceiver(_is_own, connection.resume_reading)
+            connection.start(receiver)
+            connection.write(head + body)
+            await receiver.wait_for(_MOST_ANSWER_BYTES)
+        if receiver.head is None or not receiver.is_complete:
+            raise ConnectionResetError('the store broke off')
+        return receiver.head.status, receiver.take()
+
+    @contextlib.asynccontextmanager
+    async def _connection(self) -> AsyncIterator[ClientConnection]:
+        connection = self._take_idle() or await self._connect()
+        try:
+            yield connection
+        finally:
+            if connection.is_reusable:
+                self._idle.append(connection)
+            else:
+                connection.abort()
+
+    def _take_idle(self) -> ClientConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                return connection
+        return None
+
+    async def _connect(self) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            ClientConnection,
+            self._host,
+            self._port,
+        )
+        return connection
+
+
+def _is_own(_head: object) -> bool:
+    return True
+
+
+def _lost(method: str) -> Exception:
+    if method == _READ:
+        return PlatformUnavailableError(f'no answer to a read; {_REMEDY}')
+    return PlatformAmbiguousError(
+        'no answer to a write; write the same once more',
+    )
+
+
+def _checked(
+    method: str,
+    status: int,
+    content: bytes,
+) -> tuple[int, dict[str, Any]]:
+    if status in {HTTPStatus.GONE, HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND}:
+        return status, {}
+    if status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
+        raise PlatformUnavailableError(f'the store said {status}; {_REMEDY}')
+    try:
+        answer = msgspec.json.decode(content)
+    except msgspec.DecodeError as malformed:
+        raise _lost(method) from malformed
+    return status, answer if isinstance(answer, dict) else {}
+
+
+def _items(answer: dict[str, Any]) -> list[Any]:
+    found = answer.get('items')
+    return found if isinstance(found, list) else []
+
+
+def _revision(answer: dict[str, Any]) -> int:
+    found = answer.get('current_rev')
+    if not isinstance(found, int):
+        raise PlatformUnavailableError(
+            f'the store named no revision; {_REMEDY}',
+        )
+    return found
+
+
+def _change(event: Any) -> StoreObject | None:
+    if not isinstance(event, dict):
+        return None
+    return StoreObject.from_document(
+        event.get('object'),
+        is_deleted=bool(event.get('deleted')),
+    )
--- /dev/null
+++ b/src/catkindrift/platform/_store_object.py
@@ -0,0 +1,40 @@
+"""An object of the platform's store."""
+
+from typing import Any, final
+
+import attrs
+
+
+@final
+@attrs.frozen
+class StoreObject:
+    """One object as the store shows it.
+
+    Args:
+        name: Unique among its kind.
+        revision: Store revision of its last change.
+        spec: What its writer put there, not checked yet.
+        is_deleted: Whether this is the news of its removal.
+    """
+
+    name: str
+    revision: int
+    spec: Any
+    is_deleted: bool = False
+
+    @classmethod
+    def from_document(
+        cls,
+        document: Any,
+        *,
+        is_deleted: bool = False,
+    ) -> 'StoreObject | None':
+        """Return an object from the store's JSON, or nothing if malformed."""
+        metadata = document.get('metadata') if isinstance(document, dict) else 0
+        if not isinstance(metadata, dict):
+            return None
+        name = metadata.get('name')
+        revision = metadata.get('revision')
+        if not isinstance(name, str) or not isinstance(revision, int):
+            return None
+        return cls(name, revision, document.get('spec'), is_deleted)
--- /dev/null
+++ b/src/catkindrift/platform/_wire_resources.py
@@ -0,0 +1,118 @@
+"""Resources of the operators' configuration."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.steering import (
+    CallerLimits,
+    RequestKind,
+    Route,
+    ServiceRules,
+    WeightedService,
+)
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * _MILLISECONDS_PER_SECOND)
+
+
+@final
+@attrs.frozen
+class WireSplit:
+    """One service of a split."""
+
+    service: str
+    weight: float
+
+
+@final
+@attrs.frozen
+class WireRoute:
+    """A route; it has either `service` or `split`."""
+
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_s: float
+    max_attempts: int = 1
+    slo_latency_s: float = 0
+    priority: int = 0
+    service: str = ''
+    split: list[WireSplit] = attrs.field(factory=list)
+    home_regions: list[str] = attrs.field(factory=list)
+
+    def decoded(self, name: str) -> Route:
+        """Return the route.
+
+        Raises:
+            ValueError: A value makes no sense.
+        """
+        targets = [
+            WeightedService(each.service, each.weight) for each in self.split
+        ]
+        if self.service:
+            targets = [WeightedService(self.service, 1)]
+        return Route(
+            name=name,
+            host=self.host,
+            path_prefix=self.path_prefix,
+            kind=_kind(self.kind),
+            timeout_ms=_milliseconds(self.timeout_s),
+            objective_ms=_milliseconds(self.slo_latency_s),
+            priority=self.priority,
+            max_attempts=self.max_attempts,
+            home_regions=frozenset(self.home_regions),
+            targets=tuple(targets),
+        )
+
+
+@final
+@attrs.frozen
+class WireService:
+    """A service."""
+
+    health_path: str = '/health'
+    max_conns: int = 1
+    cold_start_s: float = 0
+    cold_per_s: float = 1
+
+    def decoded(self, name: str) -> ServiceRules:
+        """Return the rules of the service."""
+        return ServiceRules(
+            name,
+            self.health_path,
+            self.max_conns,
+            _milliseconds(self.cold_start_s),
+            self.cold_per_s,
+        )
+
+
+@final
+@attrs.frozen
+class WireLimits:
+    """Limits on callers."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+    def decoded(self) -> CallerLimits:
+        """Return the limits."""
+        return CallerLimits(
+            self.max_header_bytes,
+            self.max_body_bytes,
+            _milliseconds(self.header_timeout_s),
+            _milliseconds(self.idle_timeout_s),
+        )
+
+
+def _kind(found: str) -> RequestKind:
+    """Return the kind; one that is not known must not be repeated."""
+    try:
+        return RequestKind(found)
+    except ValueError:
+        return RequestKind.UNSAFE
--- a/src/catkindrift/server/_composition.py
+++ b/src/catkindrift/server/_composition.py
@@ -15,7 +15,6 @@
 from catkindrift.limits import Breaker, Grant, TokenBucket
 from catkindrift.peers import PeerAddress, PeerClient, PeersService
 from catkindrift.plans import ConfigurationStore, PlanExecutor
-from catkindrift.platform import CallGate, GuardedPlatform, HttpPlatform
 from catkindrift.server._bridge import Bridge
 from catkindrift.server._caller_app import CallerApp
 from catkindrift.server._core_collector import CoreCollector
@@ -37,6 +36,7 @@
 from catkindrift.server._upstream_client import UpstreamClient
 from catkindrift.server._vm_list_cache import VmListCache
 from catkindrift.settings import Endpoint, EntrySettings
+from catkindrift.store import CallGate, GuardedPlatform, HttpPlatform
 
 _OPERATOR_THREADS = 8
 
--- a/src/catkindrift/server/_core_collector.py
+++ b/src/catkindrift/server/_core_collector.py
@@ -13,7 +13,7 @@
 
 from catkindrift.core import EntryCore, Invariant
 from catkindrift.domain import DrainIntent
-from catkindrift.platform import CallGate, GuardedPlatform
+from catkindrift.store import CallGate, GuardedPlatform
 
 _MILLISECONDS_PER_SECOND = 1000
 _SERVICE = 'service'
--- a/src/catkindrift/server/_observer.py
+++ b/src/catkindrift/server/_observer.py
@@ -8,8 +8,8 @@
 from catkindrift.domain import Configuration, PlanState, Zone
 from catkindrift.peers import PeerRecord
 from catkindrift.plans import FleetView
-from catkindrift.platform import GuardedPlatform
 from catkindrift.server._status import DeploymentStatus, Headroom, ZoneStatus
+from catkindrift.store import GuardedPlatform
 
 _OPEN = frozenset((PlanState.PROPOSED, PlanState.RUNNING, PlanState.PAUSED))
 
--- a/src/catkindrift/server/_platform_watcher.py
+++ b/src/catkindrift/server/_platform_watcher.py
@@ -18,8 +18,8 @@
 )
 from catkindrift.limits import jittered
 from catkindrift.plans import ConfigurationStore, SeenConfiguration
-from catkindrift.platform import Platform
 from catkindrift.routing import rendezvous_order
+from catkindrift.store import Platform
 
 PLATFORM_FAILURES = (
     PlatformUnavailableError,
--- a/src/catkindrift/settings/__init__.py
+++ b/src/catkindrift/settings/__init__.py
@@ -7,6 +7,12 @@
 )
 from catkindrift.settings._endpoint import Endpoint
 from catkindrift.settings._entry import EntrySettings
+from catkindrift.settings._gateway import (
+    GatewayBoundSettings,
+    GatewayListenSettings,
+    GatewayPlatformSettings,
+    GatewaySettings,
+)
 from catkindrift.settings._limits import LimitSettings
 from catkindrift.settings._loader import load_settings, read_document
 from catkindrift.settings._operator import OperatorRole, OperatorSettings
@@ -20,6 +26,10 @@
     'DeploymentSettings',
     'Endpoint',
     'EntrySettings',
+    'GatewayBoundSettings',
+    'GatewayListenSettings',
+    'GatewayPlatformSettings',
+    'GatewaySettings',
     'LimitSettings',
     'ListenSettings',
     'OperatorRole',
--- /dev/null
+++ b/src/catkindrift/steering/__init__.py
@@ -0,0 +1,73 @@
+"""Decisions about requests of the platform's callers; no input or output."""
+
+from catkindrift.steering._bounds import SteeringBounds
+from catkindrift.steering._caller_limits import CallerLimits
+from catkindrift.steering._candidate_order import CandidateOrder
+from catkindrift.steering._cold_pace import ColdPace
+from catkindrift.steering._configuration import RoutingConfiguration
+from catkindrift.steering._cost import CostModel
+from catkindrift.steering._demand_meter import DemandMeter
+from catkindrift.steering._directory_list import addresses_for
+from catkindrift.steering._distances import ZoneDistances
+from catkindrift.steering._heartbeat import Heartbeat, MemberFacts
+from catkindrift.steering._load_report import LoadReport
+from catkindrift.steering._members import Members
+from catkindrift.steering._placement import Placement
+from catkindrift.steering._placement_request import PlacementRequest
+from catkindrift.steering._placement_result import (
+    ChoiceReason,
+    NoRoomReason,
+    NotPlaced,
+    Placed,
+)
+from catkindrift.steering._region_plan import RegionPlan
+from catkindrift.steering._region_split import (
+    RegionLoad,
+    split_of,
+    step_towards,
+)
+from catkindrift.steering._request_kind import RequestKind
+from catkindrift.steering._rotation import WeightedRotation
+from catkindrift.steering._route import Route, WeightedService
+from catkindrift.steering._service_rules import ServiceRules
+from catkindrift.steering._service_speed import ServiceSpeed
+from catkindrift.steering._shared_retry_budget import SharedRetryBudget
+from catkindrift.steering._upstream import Upstream
+from catkindrift.steering._upstream_registry import UpstreamRegistry
+from catkindrift.steering._upstream_state import UpstreamState
+
+__all__ = [
+    'CallerLimits',
+    'CandidateOrder',
+    'ChoiceReason',
+    'ColdPace',
+    'CostModel',
+    'DemandMeter',
+    'Heartbeat',
+    'LoadReport',
+    'MemberFacts',
+    'Members',
+    'NoRoomReason',
+    'NotPlaced',
+    'Placed',
+    'Placement',
+    'PlacementRequest',
+    'RegionLoad',
+    'RegionPlan',
+    'RequestKind',
+    'Route',
+    'RoutingConfiguration',
+    'ServiceRules',
+    'ServiceSpeed',
+    'SharedRetryBudget',
+    'SteeringBounds',
+    'Upstream',
+    'UpstreamRegistry',
+    'UpstreamState',
+    'WeightedRotation',
+    'WeightedService',
+    'ZoneDistances',
+    'addresses_for',
+    'split_of',
+    'step_towards',
+]
--- /dev/null
+++ b/src/catkindrift/steering/_candidate_order.py
@@ -0,0 +1,49 @@
+"""Fixed order of upstreams for each object."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.routing import rendezvous_order
+from catkindrift.steering._upstream_registry import UpstreamRegistry
+from catkindrift.steering._upstream_state import UpstreamState
+
+# Orders kept; a service has some dozens of objects that are asked for often.
+_MOST_ORDERS = 4096
+
+
+@final
+@attrs.define(eq=False)
+class CandidateOrder:
+    """Orders upstreams by rendezvous hashing, the same on all entry VMs.
+
+    Args:
+        registry: All upstreams.
+    """
+
+    _registry: UpstreamRegistry
+    _epoch: int = attrs.field(init=False, default=-1)
+    _orders: dict[tuple[str, str], list[UpstreamState]] = attrs.field(
+        init=False,
+        factory=dict,
+    )
+
+    def of_key(self, service: str, key: str) -> list[UpstreamState]:
+        """Return the open upstreams of a service, best for `key` first."""
+        if self._epoch != self._registry.epoch:
+            self._orders.clear()
+            self._epoch = self._registry.epoch
+        order = self._orders.get((service, key))
+        if order is None:
+            order = self._compute(service, key)
+            if len(self._orders) < _MOST_ORDERS:
+                self._orders[service, key] = order
+        return order
+
+    def _compute(self, service: str, key: str) -> list[UpstreamState]:
+        by_id = {
+            state.upstream.id: state
+            for state in self._registry.of_service(service)
+            if self._registry.is_open(state)
+        }
+        return [by_id[each] for each in rendezvous_order(key, by_id)]
--- /dev/null
+++ b/src/catkindrift/steering/_configuration.py
@@ -0,0 +1,79 @@
+"""One version of what operators have configured."""
+
+from collections.abc import Mapping
+from typing import final
+
+import attrs
+
+from catkindrift.steering._caller_limits import CallerLimits
+from catkindrift.steering._route import Route
+from catkindrift.steering._service_rules import ServiceRules
+
+
+def _by_host(routes: tuple[Route, ...]) -> dict[str, list[Route]]:
+    by_host: dict[str, list[Route]] = {}
+    for route in sorted(routes, key=_prefix_length, reverse=True):
+        by_host.setdefault(route.host.lower(), []).append(route)
+    return by_host
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.path_prefix)
+
+
+@final
+@attrs.frozen
+class RoutingConfiguration:
+    """Routes, services and limits of one version.
+
+    Args:
+        version: Rises with each change.
+        routes: All routes.
+        services: Rules of each service by its name.
+        limits: Limits on callers.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, ServiceRules]
+    limits: CallerLimits
+    _routes_by_host: Mapping[str, list[Route]] = attrs.field(
+        init=False,
+        repr=False,
+        eq=False,
+    )
+    _top_priority: Mapping[str, int] = attrs.field(
+        init=False,
+        repr=False,
+        eq=False,
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Index the routes."""
+        object.__setattr__(self, '_routes_by_host', _by_host(self.routes))
+        object.__setattr__(self, '_top_priority', self._most_urgent_ranks())
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins `path`.
+
+        Args:
+            host: Host that the caller named, with or without a port.
+            path: Path without its query.
+        """
+        name = host.partition(':')[0].lower()
+        for route in self._routes_by_host.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def is_most_urgent(self, route: Route, service: str) -> bool:
+        """Return whether no other route to `service` is more urgent."""
+        return route.priority <= self._top_priority.get(service, 0)
+
+    def _most_urgent_ranks(self) -> dict[str, int]:
+        ranks: dict[str, int] = {}
+        for route in self.routes:
+            for target in route.targets:
+                known = ranks.get(target.service, route.priority)
+                ranks[target.service] = min(known, route.priority)
+        return ranks
--- /dev/null
+++ b/src/catkindrift/steering/_distances.py
@@ -0,0 +1,53 @@
+"""Times to other availability zones."""
+
+from collections.abc import Mapping
+from typing import final
+
+import attrs
+
+# Guesses in use until connections have been timed.
+_SAME_ZONE_MS = 0.3
+_SAME_REGION_MS = 2.0
+_OTHER_REGION_MS = 40.0
+_NEWEST = 0.2
+
+
+@final
+@attrs.define(eq=False)
+class ZoneDistances:
+    """Round-trip times to availability zones, learnt from connects.
+
+    Args:
+        own_zone: Zone of this entry VM.
+        regions: Region of each zone.
+    """
+
+    _own_zone: str
+    _regions: Mapping[str, str]
+    _measured_ms: dict[str, float] = attrs.field(init=False, factory=dict)
+
+    def round_trip_ms(self, zone: str) -> float:
+        """Return the expected round-trip time to a zone."""
+        return self._measured_ms.get(zone, self._guess_ms(zone))
+
+    def is_own_zone(self, zone: str) -> bool:
+        """Return whether a zone is this entry VM's."""
+        return zone == self._own_zone
+
+    def is_own_region(self, zone: str) -> bool:
+        """Return whether a zone lies in this entry VM's region."""
+        return self._regions.get(zone) == self._regions.get(self._own_zone)
+
+    def learn(self, zone: str, connect_ms: float) -> None:
+        """Add the time of one connect."""
+        before_ms = self.round_trip_ms(zone)
+        bounded_ms = min(connect_ms, 3 * before_ms + 1)
+        change_ms = _NEWEST * (bounded_ms - before_ms)
+        self._measured_ms[zone] = before_ms + change_ms
+
+    def _guess_ms(self, zone: str) -> float:
+        if self.is_own_zone(zone):
+            return _SAME_ZONE_MS
+        if self.is_own_region(zone):
+            return _SAME_REGION_MS
+        return _OTHER_REGION_MS
--- /dev/null
+++ b/src/catkindrift/steering/_members.py
@@ -0,0 +1,103 @@
+"""Which entry VMs exist, and which of them are alive."""
+
+from collections.abc import Iterable
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.steering._heartbeat import Heartbeat, MemberFacts
+
+# A VM is alive while its count rises; six heartbeats may be lost in a row.
+_SILENCE_MS = 2500
+# Silent VMs keep their shares of common bounds for this time: they may be
+# cut off and serve on.
+_FORGET_MS = 120_000
+# Demand older than this says nothing about now.
+_DEMAND_LIFE_MS = 3000
+
+
+@final
+@attrs.define(eq=False)
+class _Member:
+    facts: MemberFacts
+    risen_ms: int
+    demand: dict[str, float] = attrs.field(factory=dict)
+    demand_ms: int = 0
+
+
+@final
+@attrs.define(eq=False)
+class Members:
+    """Entry VMs as heard from heartbeats and from the platform's store.
+
+    Args:
+        clock: Source of time.
+        own_name: Name of this entry VM.
+    """
+
+    _clock: Clock
+    _own_name: str
+    _members: dict[str, _Member] = attrs.field(init=False, factory=dict)
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return all known entry VMs, this one too, alive or not."""
+        return tuple(sorted({self._own_name, *self._members}))
+
+    @property
+    def facts(self) -> tuple[MemberFacts, ...]:
+        """Return the facts about all other known entry VMs."""
+        return tuple(each.facts for each in self._members.values())
+
+    def alive(self) -> tuple[MemberFacts, ...]:
+        """Return the other entry VMs that were heard lately."""
+        oldest_ms = self._clock.now_ms() - _SILENCE_MS
+        return tuple(
+            each.facts
+            for each in self._members.values()
+            if each.risen_ms > oldest_ms
+        )
+
+    def demand(self) -> dict[str, dict[str, float]]:
+        """Return the others' demand by region and service, in slots."""
+        oldest_ms = self._clock.now_ms() - _DEMAND_LIFE_MS
+        total: dict[str, dict[str, float]] = {}
+        for member in self._members.values():
+            if member.demand_ms > oldest_ms:
+                region = total.setdefault(member.facts.region, {})
+                for service, slots in member.demand.items():
+                    region[service] = region.get(service, 0) + slots
+        return total
+
+    def heard(self, heartbeat: Heartbeat) -> None:
+        """Learn from a heartbeat."""
+        self.learn((heartbeat.sender, *heartbeat.heard))
+        member = self._members.get(heartbeat.sender.name)
+        if member:
+            member.demand = heartbeat.demand
+            member.demand_ms = self._clock.now_ms()
+
+    def learn(self, facts: Iterable[MemberFacts]) -> None:
+        """Learn newer facts; a VM lives while its facts get newer."""
+        now_ms = self._clock.now_ms()
+        for each in facts:
+            known = self._members.get(each.name)
+            if each.name == self._own_name:
+                continue
+            if known is None:
+                self._members[each.name] = _Member(each, now_ms)
+            elif each.age_order > known.facts.age_order:
+                known.facts = each
+                known.risen_ms = now_ms
+
+    def forget_silent(self) -> None:
+        """Forget VMs that have been silent for long."""
+        oldest_ms = self._clock.now_ms() - _FORGET_MS
+        silent = [
+            name
+            for name, each in self._members.items()
+            if each.risen_ms < oldest_ms
+        ]
+        for name in silent:
+            self._members.pop(name)
--- /dev/null
+++ b/src/catkindrift/steering/_placement_request.py
@@ -0,0 +1,29 @@
+"""What placement has to know about a request."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.steering._route import Route
+
+
+@final
+@attrs.frozen
+class PlacementRequest:
+    """A request that needs an upstream.
+
+    Args:
+        route: Route of the request.
+        service: Service that the route's rotation gave.
+        key: The object that it is about; empty if none is named.
+        remaining_ms: Time that is left for the answer.
+        is_urgent: Whether no other route to the service is more urgent.
+        excluded: Ids of upstreams that were tried already.
+    """
+
+    route: Route
+    service: str
+    key: str
+    remaining_ms: float
+    is_urgent: bool
+    excluded: frozenset[str] = frozenset()
--- /dev/null
+++ b/src/catkindrift/steering/_rotation.py
@@ -0,0 +1,34 @@
+"""Weighted rotation over the services of a route."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.steering._route import WeightedService
+
+
+@final
+@attrs.define(eq=False)
+class WeightedRotation:
+    """Gives each service its part with the least possible error.
+
+    Args:
+        targets: Services with their weights.
+    """
+
+    targets: tuple[WeightedService, ...]
+    _credit: list[float] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start without credit."""
+        self._credit = [0.0 for _ in self.targets]
+
+    def next_service(self) -> str:
+        """Return the service of the next request."""
+        total = 0.0
+        for index, target in enumerate(self.targets):
+            self._credit[index] += target.weight
+            total += target.weight
+        richest = max(range(len(self.targets)), key=self._credit.__getitem__)
+        self._credit[richest] -= total
+        return self.targets[richest].service
--- /dev/null
+++ b/src/catkindrift/steering/_shared_retry_budget.py
@@ -0,0 +1,65 @@
+"""Budget of extra attempts, shared by all entry VMs."""
+
+from collections import deque
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.steering._bounds import SteeringBounds
+
+# Parts of the bounds that are used: windows of different entry VMs do not
+# begin at the same time, and some of their clocks run faster.
+_RATIO_USED = 0.7
+_SLACK_USED = 0.7
+
+
+@final
+@attrs.define(eq=False)
+class SharedRetryBudget:
+    """Limits the extra attempts at each service in each window.
+
+    The part that grows with requests follows this entry VM's own requests;
+    the fixed part is shared out by the number of entry VMs. So the sum over
+    all entry VMs keeps the bound without a call.
+
+    Args:
+        clock: Source of time.
+        bounds: The shared bound.
+    """
+
+    _clock: Clock
+    _bounds: SteeringBounds
+    _members: int = attrs.field(init=False, default=1)
+    _requests_ms: dict[str, deque[int]] = attrs.field(init=False, factory=dict)
+    _extras_ms: dict[str, deque[int]] = attrs.field(init=False, factory=dict)
+
+    def set_members(self, count: int) -> None:
+        """Set the number of entry VMs that share the fixed part."""
+        self._members = max(1, count)
+
+    def count_request(self, service: str) -> None:
+        """Count a request of a caller."""
+        self._recent(self._requests_ms, service).append(self._clock.now_ms())
+
+    def try_spend(self, service: str) -> bool:
+        """Spend one extra attempt and return whether there was one left."""
+        extras = self._recent(self._extras_ms, service)
+        requests = self._recent(self._requests_ms, service)
+        earned = self._bounds.retry_ratio * _RATIO_USED * len(requests)
+        given = self._bounds.retry_slack * _SLACK_USED / self._members
+        if len(extras) + 1 > earned + given:
+            return False
+        extras.append(self._clock.now_ms())
+        return True
+
+    def _recent(
+        self,
+        counted: dict[str, deque[int]],
+        service: str,
+    ) -> deque[int]:
+        recent = counted.setdefault(service, deque())
+        oldest_ms = self._clock.now_ms() - self._bounds.retry_window_ms
+        while recent and recent[0] <= oldest_ms:
+            recent.popleft()
+        return recent
--- a/src/catkindrift/platform/_guarded.py
+++ b/src/catkindrift/store/_guarded.py
@@ -14,9 +14,9 @@
     PlatformAmbiguousError,
     PlatformConflictError,
 )
-from catkindrift.platform._call_gate import UNANSWERED, CallGate
-from catkindrift.platform._interface import Platform
-from catkindrift.platform._object import StoredObject
+from catkindrift.store._call_gate import UNANSWERED, CallGate
+from catkindrift.store._interface import Platform
+from catkindrift.store._object import StoredObject
 
 _RESOLVE_ATTEMPTS = 4
 _RESOLVE_PAUSE_SECONDS = 0.1
--- a/src/catkindrift/platform/_http.py
+++ b/src/catkindrift/store/_http.py
@@ -17,7 +17,7 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
-from catkindrift.platform._object import StoredObject
+from catkindrift.store._object import StoredObject
 
 _MILLISECONDS_PER_SECOND = 1000
 _READ = 'GET'
--- a/src/catkindrift/platform/_interface.py
+++ b/src/catkindrift/store/_interface.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from catkindrift.domain import Vm
-from catkindrift.platform._object import StoredObject
+from catkindrift.store._object import StoredObject
 
 
 class Platform(Protocol):
--- a/src/catkindrift/platform/_standin.py
+++ b/src/catkindrift/store/_standin.py
@@ -7,7 +7,7 @@
 
 from catkindrift.domain import Vm
 from catkindrift.errors import NotFoundError, PlatformConflictError
-from catkindrift.platform._object import StoredObject
+from catkindrift.store._object import StoredObject
 
 _MILLISECONDS_PER_SECOND = 1000
 
--- a/src/catkindrift/platform/_standin_app.py
+++ b/src/catkindrift/store/_standin_app.py
@@ -10,9 +10,9 @@
 
 from catkindrift.domain import plain_form
 from catkindrift.errors import NotFoundError, PlatformConflictError
-from catkindrift.platform._object import StoredObject
-from catkindrift.platform._standin import StandinStore
-from catkindrift.platform._standin_faults import StandinFaults
+from catkindrift.store._object import StoredObject
+from catkindrift.store._standin import StandinStore
+from catkindrift.store._standin_faults import StandinFaults
 
 _MILLISECONDS_PER_SECOND = 1000
 _ANY = '*'
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -46,7 +46,6 @@
     PlatformUnavailableError,
 )
 from catkindrift.plans import FleetView, PlanExecutor, put_service, put_zone
-from catkindrift.platform import StoredObject
 from catkindrift.retries import (
     Answered,
     Broken,
@@ -55,6 +54,7 @@
     NotStartedReason,
     Outcome,
 )
+from catkindrift.store import StoredObject
 
 STEP_MS = 100
 EXCHANGE_MS = 500
