--- a/src/catkindrift/gateway/_facts.py
+++ b/src/catkindrift/gateway/_facts.py
@@ -105,7 +105,7 @@
         """Learn the whole list of upstreams."""
         for each in found:
             self.take_upstream(each)
-        listed = {each.name for each in found}
+        listed = {entry.name for entry in found}
         for gone in self.registry.ids - listed:
             self._miss(gone)
         self.registry.primed()
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -125,29 +125,39 @@
 
     async def _serve(self, pending: PendingRequest) -> Answer:
         connect_failures = 0
-        fallback: Answer | None = None
-        while True:
-            choice = self._placement.choose(
-                pending.placement(self._clock.now_ms()),
-            )
-            if isinstance(choice, NotPlaced):
-                return fallback or self._no_room(choice)
-            if pending.arrivals and not self._may_try_again(pending):
-                return fallback or self._refusal('budget', _REFUSED_RETRY_MS)
+        final: Answer | None = None
+        while final is None and connect_failures <= _MOST_CONNECT_FAILURES:
+            choice = self._choose(pending)
+            if isinstance(choice, Answer):
+                return choice
             outcome = await self._attempt(pending, choice)
-            match outcome:
-                case Answered(answer, is_failure):
-                    fallback = answer
-                    if not (is_failure and pending.may_repeat):
-                        return answer
-                case Unknown():
-                    fallback = Answer(HTTPStatus.BAD_GATEWAY)
-                    if not pending.may_repeat:
-                        return fallback
-                case NotRun(has_arrived):
-                    connect_failures += not has_arrived
-            if connect_failures > _MOST_CONNECT_FAILURES:
-                return fallback or self._refusal('connect', _REFUSED_RETRY_MS)
+            connect_failures += outcome == NotRun(has_arrived=False)
+            final = _final_answer(pending, outcome)
+        return final or self._without_upstream(pending, 'connect')
+
+    def _choose(self, pending: PendingRequest) -> Placed | Answer:
+        """Return the next upstream, or the answer if there is none."""
+        now_ms = self._clock.now_ms()
+        choice = self._placement.choose(pending.placement(now_ms))
+        if isinstance(choice, NotPlaced):
+            reason = choice.reason.value
+            return self._without_upstream(
+                pending,
+                reason,
+                choice.retry_after_ms,
+            )
+        if pending.arrivals and not self._may_try_again(pending):
+            return self._without_upstream(pending, 'budget')
+        return choice
+
+    def _without_upstream(
+        self,
+        pending: PendingRequest,
+        reason: str,
+        wait_ms: float = _REFUSED_RETRY_MS,
+    ) -> Answer:
+        """Return what is known of earlier attempts, else a refusal."""
+        return pending.fallback or self._refusal(reason, wait_ms)
 
     async def _attempt(
         self,
@@ -176,9 +186,6 @@
         self._metrics.extra_attempts.labels(str(is_allowed)).inc()
         return is_allowed
 
-    def _no_room(self, refused: NotPlaced) -> Answer:
-        return self._refusal(refused.reason.value, refused.retry_after_ms)
-
     def _refusal(self, reason: str, wait_ms: float) -> Answer:
         """Return the promise that the request has not run and never will."""
         self._metrics.refusals.labels(reason).inc()
@@ -187,3 +194,20 @@
 
     def _spread_key(self) -> str:
         return f'keyless-{next(self._keyless) % _KEYLESS_SPREAD}'
+
+
+def _final_answer(
+    pending: PendingRequest,
+    outcome: AttemptOutcome,
+) -> Answer | None:
+    """Return the answer if no other attempt may follow."""
+    match outcome:
+        case Answered(answer, is_failure):
+            pending.fallback = answer
+            may_follow = is_failure and pending.may_repeat
+            return None if may_follow else answer
+        case Unknown():
+            pending.fallback = Answer(HTTPStatus.BAD_GATEWAY)
+            return None if pending.may_repeat else pending.fallback
+        case NotRun():
+            return None
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -199,7 +199,7 @@
     async def _wait_until_empty(self) -> None:
         began_ms = self._clock.now_ms()
         grace_s = self._settings.bounds.grace_s - _CLOSING_SECONDS
-        elapsed_s = 0.0
+        elapsed_s = float(0)
         while elapsed_s < grace_s:
             is_named = elapsed_s < min(_STILL_NAMED_SECONDS, grace_s)
             if not is_named and not self._callers.busy_count:
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -1,6 +1,7 @@
 """Heartbeats between entry VMs, over UDP."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 from typing import final
@@ -79,7 +80,7 @@
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
-        for number in range(1 << 62):
+        for number in itertools.count():
             self.beat(is_for_all=number % _FAR_EVERY == 0)
             await asyncio.sleep(_INTERVAL_SECONDS)
 
--- a/src/catkindrift/gateway/_pending_request.py
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from catkindrift.http1 import CallerRequest, ResponseHead
+from catkindrift.http1 import Answer, CallerRequest, ResponseHead
 from catkindrift.platform import answers_request, is_signed
 from catkindrift.steering import PlacementRequest, Route
 
@@ -34,6 +34,10 @@
         key: The object that it is about.
         deadline_ms: When its final answer is due.
         is_urgent: Whether no other route to the service is more urgent.
+        may_have_run: Whether some upstream may have started it.
+        arrivals: Upstreams that it has reached.
+        fallback: Answer if no further attempt is made.
+        excluded: Ids of upstreams that were tried.
     """
 
     request: CallerRequest
@@ -45,6 +49,7 @@
     is_urgent: bool
     may_have_run: bool = False
     arrivals: int = 0
+    fallback: Answer | None = None
     excluded: set[str] = attrs.field(factory=set)
 
     @property
--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -46,9 +46,9 @@
         self._facts.drop_missing()
         self._members.forget_silent()
         names = self._members.names
-        self._pace.set_members(names)
+        self._pace.share_among(names)
         self._pace.keep_only(self._facts.registry.ids)
-        self._budget.set_members(len(names))
+        self._budget.share_among(len(names))
         rules = self._facts.rules
         self._placement.rules = rules
         usual_ms = {
--- a/src/catkindrift/platform/_store_client.py
+++ b/src/catkindrift/platform/_store_client.py
@@ -67,7 +67,7 @@
         _, answer = await self._call(
             _READ, f'/objects/{kind}{query}', None, timeout_s
         )
-        found = [StoreObject.from_document(each) for each in _items(answer)]
+        found = [StoreObject.from_document(each) for each in _listed(answer)]
         return StorePage(
             tuple(each for each in found if each),
             _revision(answer),
@@ -215,7 +215,7 @@
     return status, answer if isinstance(answer, dict) else {}
 
 
-def _items(answer: dict[str, Any]) -> list[Any]:
+def _listed(answer: dict[str, Any]) -> list[Any]:
     found = answer.get('items')
     return found if isinstance(found, list) else []
 
--- a/src/catkindrift/steering/_cold_pace.py
+++ b/src/catkindrift/steering/_cold_pace.py
@@ -40,7 +40,7 @@
     _members: tuple[str, ...] = attrs.field(init=False, default=())
     _sent_ms: dict[str, deque[int]] = attrs.field(init=False, factory=dict)
 
-    def set_members(self, members: tuple[str, ...]) -> None:
+    def share_among(self, members: tuple[str, ...]) -> None:
         """Set all entry VMs that may send, alive or not."""
         self._members = members
 
--- a/src/catkindrift/steering/_cost.py
+++ b/src/catkindrift/steering/_cost.py
@@ -69,7 +69,7 @@
             return _UPLOAD_OTHER_REGION_MS if is_upload else _OTHER_REGION_MS
         if is_upload and not self._distances.is_own_zone(zone):
             return _UPLOAD_OTHER_ZONE_MS
-        return 0.0
+        return 0
 
     def object_ms(self, rank: int, usual_ms: float, *, is_warm: bool) -> float:
         """Return the charge for an upstream that may not know the object."""
@@ -80,4 +80,4 @@
 
     def plan_ms(self, state: UpstreamState, region: str) -> float:
         """Return the charge for a region other than the planned one."""
-        return 0.0 if state.upstream.region == region else _OFF_PLAN_MS
+        return 0 if state.upstream.region == region else _OFF_PLAN_MS
--- a/src/catkindrift/steering/_rotation.py
+++ b/src/catkindrift/steering/_rotation.py
@@ -21,11 +21,11 @@
 
     def __attrs_post_init__(self) -> None:
         """Start without credit."""
-        self._credit = [0.0 for _ in self.targets]
+        self._credit = [float(0) for _ in self.targets]
 
     def next_service(self) -> str:
         """Return the service of the next request."""
-        total = 0.0
+        total = float(0)
         for index, target in enumerate(self.targets):
             self._credit[index] += target.weight
             total += target.weight
--- a/src/catkindrift/steering/_shared_retry_budget.py
+++ b/src/catkindrift/steering/_shared_retry_budget.py
@@ -34,7 +34,7 @@
     _requests_ms: dict[str, deque[int]] = attrs.field(init=False, factory=dict)
     _extras_ms: dict[str, deque[int]] = attrs.field(init=False, factory=dict)
 
-    def set_members(self, count: int) -> None:
+    def share_among(self, count: int) -> None:
         """Set the number of entry VMs that share the fixed part."""
         self._members = max(1, count)
 
