Place each object on two upstreams, the same from all regions

Spilling to upstreams that do not know the object takes 480 ms of a slot instead of 144, so overload feeds itself. Change: two choices in rendezvous order over all regions, a queue of about one service time, usual time learnt only from requests that found a free slot. The region split, its demand records and their bytes are removed.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -77,7 +77,9 @@
         When cancelled, closes the connection, so that the upstream stops.
         """
         token = next(self._tokens)
-        state.sent(token, pending.key, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        pending.had_to_wait = state.load(now_ms) >= state.upstream.slots
+        state.sent(token, pending.key, now_ms)
         try:
             return await self._send_counted(pending, state)
         finally:
@@ -139,7 +141,7 @@
         if is_failure:
             state.refused()
         else:
-            self._learn_speed(state, now_ms, now_ms - began_ms)
+            self._learn_speed(exchange, now_ms, now_ms - began_ms)
         return Answered(self._answer(exchange, head), is_failure)
 
     def _answer(self, exchange: '_Exchange', head: ResponseHead) -> Answer:
@@ -216,13 +218,15 @@
 
     def _learn_speed(
         self,
-        state: UpstreamState,
+        exchange: '_Exchange',
         now_ms: int,
         took_ms: int,
     ) -> None:
+        state = exchange.state
         speed = self._placement.speed(state.upstream.service)
         state.answered(now_ms, took_ms, speed.usual_ms)
-        speed.learn(took_ms)
+        if not exchange.pending.had_to_wait:
+            speed.learn(took_ms)
 
 
 @final
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -30,7 +30,6 @@
 )
 from catkindrift.steering import (
     ColdPace,
-    DemandMeter,
     NotPlaced,
     Placed,
     Placement,
@@ -61,7 +60,6 @@
         sender: Makes attempts.
         budget: Extra attempts.
         pace: Cold upstreams.
-        demand: Counts arrivals.
         metrics: Counts outcomes.
     """
 
@@ -71,7 +69,6 @@
     _sender: AttemptSender
     _budget: SharedRetryBudget
     _pace: ColdPace
-    _demand: DemandMeter
     _metrics: GatewayMetrics
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
     _keyless: Iterator[int] = attrs.field(
@@ -110,7 +107,6 @@
             is_urgent=configuration.is_most_urgent(route, service),
         )
         self._budget.count_request(service)
-        self._demand.count(service)
         return await self._serve_in_time(pending)
 
     async def _serve_in_time(self, pending: PendingRequest) -> Answer:
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -25,11 +25,9 @@
     CandidateOrder,
     ColdPace,
     CostModel,
-    DemandMeter,
     MemberFacts,
     Members,
     Placement,
-    RegionPlan,
     SharedRetryBudget,
     SteeringBounds,
     UpstreamRegistry,
@@ -37,7 +35,7 @@
 )
 
 _MILLISECONDS_PER_SECOND = 1000
-# Plans, pace and budgets follow facts at this interval.
+# Pace and budgets follow facts at this interval.
 _TICK_SECONDS = 1.0
 # Readiness and limits follow facts at this interval.
 _SHORT_TICK_SECONDS = 0.1
@@ -62,7 +60,6 @@
     _clock: Clock = attrs.field(factory=SystemClock)
     _facts: Facts = attrs.field(init=False)
     _members: Members = attrs.field(init=False)
-    _demand: DemandMeter = attrs.field(init=False)
     _heartbeats: Heartbeats = attrs.field(init=False)
     _watches: StoreWatches = attrs.field(init=False)
     _registration: Registration = attrs.field(init=False)
@@ -125,7 +122,6 @@
         client = StoreClient(store.host, store.port)
         self._members = Members(clock, settings.vm.name)
         self._facts = Facts(clock, UpstreamRegistry(clock), settings.zones)
-        self._demand = DemandMeter(clock)
         self._watches = StoreWatches(
             clock, client, settings, self._facts, self._members
         )
@@ -133,7 +129,6 @@
             clock,
             self._members,
             _own_facts(settings, clock),
-            self._own_demand,
             self._watches.revisions,
             self._watches.heard,
         )
@@ -148,19 +143,15 @@
         distances = ZoneDistances(vm.zone, settings.zones)
         budget = SharedRetryBudget(clock, bounds)
         pace = ColdPace(clock, bounds, vm.name)
-        plan = RegionPlan(vm.region, bounds.shift_share)
         order = CandidateOrder(self._facts.registry)
-        placement = Placement(clock, order, plan, CostModel(distances), pace)
+        placement = Placement(clock, order, CostModel(distances), pace)
         self._pool = UpstreamPool(clock, distances, metrics)
         self._tick = SteeringTick(
             self._facts,
             self._members,
             placement,
-            plan,
             pace,
             budget,
-            self._demand,
-            vm.region,
         )
         forwarder = Forwarder(
             clock,
@@ -169,7 +160,6 @@
             AttemptSender(clock, self._pool, placement, metrics),
             budget,
             pace,
-            self._demand,
             metrics,
         )
         self._listen(forwarder, metrics)
@@ -226,9 +216,6 @@
     def _heartbeat_protocol(self) -> Heartbeats:
         return self._heartbeats
 
-    def _own_demand(self) -> dict[str, float]:
-        return self._demand.slots
-
     def _ready_now(self) -> bool:
         return self.is_ready
 
@@ -253,7 +240,6 @@
         settings.retry_slack,
         settings.cold_overshoot,
         settings.cold_slack,
-        settings.shift_share,
     )
 
 
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -35,7 +35,6 @@
         clock: Source of time.
         members: Entry VMs.
         own: Facts about this VM; the count is set here.
-        demand: Returns this VM's demand.
         revisions: Returns the store revisions that this VM knows.
         on_heartbeat: Takes what another VM sent.
     """
@@ -43,7 +42,6 @@
     _clock: Clock
     _members: Members
     _own: MemberFacts
-    _demand: Callable[[], dict[str, float]]
     _revisions: Callable[[], dict[str, int]]
     _on_heartbeat: Callable[[Heartbeat], None]
     _introductions: set[str] = attrs.field(init=False, factory=set)
@@ -122,11 +120,7 @@
     def _heartbeat(self) -> Heartbeat:
         alive = self._members.alive()
         heard = self._rng.sample(alive, min(len(alive), _MOST_HEARD))
-        demand = {
-            service: round(slots, 2)
-            for service, slots in self._demand().items()
-        }
-        return Heartbeat(self._own, tuple(heard), demand, self._revisions())
+        return Heartbeat(self._own, tuple(heard), self._revisions())
 
     def _receivers(self, *, is_for_all: bool) -> set[str]:
         known = self._members.facts
--- a/src/catkindrift/gateway/_pending_request.py
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -35,6 +35,7 @@
         deadline_ms: When its final answer is due.
         is_urgent: Whether no other route to the service is more urgent.
         may_have_run: Whether some upstream may have started it.
+        had_to_wait: Whether all slots seemed taken when it was sent last.
         arrivals: Upstreams that it has reached.
         fallback: Answer if no further attempt is made.
         excluded: Ids of upstreams that were tried.
@@ -48,6 +49,7 @@
     deadline_ms: int
     is_urgent: bool
     may_have_run: bool = False
+    had_to_wait: bool = False
     arrivals: int = 0
     fallback: Answer | None = None
     excluded: set[str] = attrs.field(factory=set)
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -72,8 +72,6 @@
         retry_slack: Extra attempts allowed besides in each window.
         cold_overshoot: Factor on the pace of cold upstreams.
         cold_slack: Requests besides that pace in one second.
-        shift_share: Most of a region's requests that may change the region
-            in which they run within two seconds.
         grace_s: Time in seconds from the signal to stop to the kill.
         directory_lifetime_s: Longest lifetime in seconds of an answer that
             tells callers where to connect.
@@ -84,7 +82,6 @@
     retry_slack: float = 10
     cold_overshoot: float = 1
     cold_slack: float = 0
-    shift_share: float = 0.15
     grace_s: float = 6
     directory_lifetime_s: float = 5
 
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -6,7 +6,6 @@
 from catkindrift.steering._cold_pace import ColdPace
 from catkindrift.steering._configuration import RoutingConfiguration
 from catkindrift.steering._cost import CostModel
-from catkindrift.steering._demand_meter import DemandMeter
 from catkindrift.steering._directory_list import addresses_for
 from catkindrift.steering._distances import ZoneDistances
 from catkindrift.steering._heartbeat import Heartbeat, MemberFacts
@@ -20,12 +19,6 @@
     NotPlaced,
     Placed,
 )
-from catkindrift.steering._region_plan import RegionPlan
-from catkindrift.steering._region_split import (
-    RegionLoad,
-    split_of,
-    step_towards,
-)
 from catkindrift.steering._request_kind import RequestKind
 from catkindrift.steering._rotation import WeightedRotation
 from catkindrift.steering._route import Route, WeightedService
@@ -42,7 +35,6 @@
     'ChoiceReason',
     'ColdPace',
     'CostModel',
-    'DemandMeter',
     'Heartbeat',
     'LoadReport',
     'MemberFacts',
@@ -52,8 +44,6 @@
     'Placed',
     'Placement',
     'PlacementRequest',
-    'RegionLoad',
-    'RegionPlan',
     'RequestKind',
     'Route',
     'RoutingConfiguration',
@@ -68,6 +58,4 @@
     'WeightedService',
     'ZoneDistances',
     'addresses_for',
-    'split_of',
-    'step_towards',
 ]
--- a/src/catkindrift/steering/_bounds.py
+++ b/src/catkindrift/steering/_bounds.py
@@ -16,8 +16,6 @@
         retry_slack: Extra attempts allowed besides, in each window.
         cold_overshoot: Factor on the pace of a cold upstream.
         cold_slack: Requests allowed besides that pace in one second.
-        shift_share: Most of a region's requests that may move to other
-            regions from one window of two seconds to the next.
     """
 
     retry_ratio: float
@@ -25,4 +23,3 @@
     retry_slack: float
     cold_overshoot: float
     cold_slack: float
-    shift_share: float
--- a/src/catkindrift/steering/_cost.py
+++ b/src/catkindrift/steering/_cost.py
@@ -19,8 +19,6 @@
 _UPLOAD_OTHER_ZONE_MS = 12.0
 _UPLOAD_OTHER_REGION_MS = 90.0
 _OTHER_REGION_MS = 15.0
-# Keeps work in the region that the plan gave it, unless waiting is longer.
-_OFF_PLAN_MS = 90.0
 
 
 @final
@@ -77,7 +75,3 @@
             return float(rank)
         part = _SECOND_CHOICE_PART if rank == 1 else _FURTHER_CHOICE_PART
         return usual_ms * part
-
-    def plan_ms(self, state: UpstreamState, region: str) -> float:
-        """Return the charge for a region other than the planned one."""
-        return 0 if state.upstream.region == region else _OFF_PLAN_MS
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -44,12 +44,9 @@
     Args:
         sender: Facts about the sender.
         heard: Facts about others that the sender heard of lately.
-        demand: Slots that requests arriving at the sender would fill, by
-            service.
         revisions: Newest store revision known to the sender, by kind.
     """
 
     sender: MemberFacts
     heard: tuple[MemberFacts, ...]
-    demand: dict[str, float]
     revisions: dict[str, int]
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -13,8 +13,6 @@
 # Silent VMs keep their shares of common bounds for this time: they may be
 # cut off and serve on.
 _FORGET_MS = 120_000
-# Demand older than this says nothing about now.
-_DEMAND_LIFE_MS = 3000
 
 
 @final
@@ -22,8 +20,6 @@
 class _Member:
     facts: MemberFacts
     risen_ms: int
-    demand: dict[str, float] = attrs.field(factory=dict)
-    demand_ms: int = 0
 
 
 @final
@@ -59,24 +55,9 @@
             if each.risen_ms > oldest_ms
         )
 
-    def demand(self) -> dict[str, dict[str, float]]:
-        """Return the others' demand by region and service, in slots."""
-        oldest_ms = self._clock.now_ms() - _DEMAND_LIFE_MS
-        total: dict[str, dict[str, float]] = {}
-        for member in self._members.values():
-            if member.demand_ms > oldest_ms:
-                region = total.setdefault(member.facts.region, {})
-                for service, slots in member.demand.items():
-                    region[service] = region.get(service, 0) + slots
-        return total
-
     def heard(self, heartbeat: Heartbeat) -> None:
         """Learn from a heartbeat."""
         self.learn((heartbeat.sender, *heartbeat.heard))
-        member = self._members.get(heartbeat.sender.name)
-        if member:
-            member.demand = heartbeat.demand
-            member.demand_ms = self._clock.now_ms()
 
     def learn(self, facts: Iterable[MemberFacts]) -> None:
         """Learn newer facts; a VM lives while its facts get newer."""
--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -1,6 +1,6 @@
 """Choice of the upstream for a request."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import final
 
 import attrs
@@ -16,17 +16,17 @@
     NotPlaced,
     Placed,
 )
-from catkindrift.steering._region_plan import RegionPlan
 from catkindrift.steering._service_rules import ServiceRules
 from catkindrift.steering._service_speed import ServiceSpeed
 from catkindrift.steering._upstream_state import UpstreamState
 
-# Candidates of the planned region that are weighed first. More would spread
-# an object over more upstreams than it is warm on.
-_NEAR_CANDIDATES = 4
-# Requests at an upstream, relative to its slots, up to which more are sent.
-_URGENT_FILL = 3.0
-_OTHER_FILL = 2.25
+# Upstreams that one object is placed on. A further one would not know the
+# object, and its answer would come later than after a short wait.
+_CHOICES = 2
+# Requests at an upstream, relative to its slots, up to which more are sent:
+# the wait behind them stays near one service time.
+_URGENT_FILL = 2.25
+_OTHER_FILL = 1.75
 # Shortest and longest advice to a caller that finds no room.
 _SHORTEST_RETRY_MS = 100.0
 _LONGEST_RETRY_MS = 1000.0
@@ -42,14 +42,12 @@
     Args:
         clock: Source of time.
         order: Fixed order of upstreams for an object.
-        plan: Regions that serve a service.
         cost: Expected delays.
         pace: Shared pace of cold upstreams.
     """
 
     _clock: Clock
     _order: CandidateOrder
-    _plan: RegionPlan
     _cost: CostModel
     _pace: ColdPace
     rules: Mapping[str, ServiceRules] = attrs.field(init=False, factory=dict)
@@ -62,21 +60,15 @@
     def choose(self, request: PlacementRequest) -> Placed | NotPlaced:
         """Return the best upstream, or why there is none."""
         now_ms = self._clock.now_ms()
-        region = self._plan.region_for(request.service, request.key)
         allowed = self._allowed(request, now_ms)
         if not allowed:
             return NotPlaced(NoRoomReason.NO_UPSTREAM, _NO_UPSTREAM_RETRY_MS)
         sound = [each for each in allowed if each.ejected_until_ms <= now_ms]
         if not sound:
             return self._last_resort(request, allowed, now_ms)
-        near = [each for each in sound if each.upstream.region == region]
-        far = [each for each in sound if each.upstream.region != region]
-        best = self._best(request, near[:_NEAR_CANDIDATES], region, now_ms)
-        if best is None or best.cost_ms > self._plan_limit_ms(request):
-            rest = [*near[_NEAR_CANDIDATES:], *far]
-            other = self._best(request, rest, region, now_ms)
-            best = _cheaper(best, other)
-        return self._in_time(request, best, sound, now_ms)
+        choices = sound[:_CHOICES]
+        best = self._best(request, choices, now_ms)
+        return self._in_time(request, best, choices, now_ms)
 
     def _allowed(
         self,
@@ -98,21 +90,16 @@
         rules = self.rules.get(state.upstream.service)
         return rules is not None and self._pace.allows(state, rules)
 
-    def _plan_limit_ms(self, request: PlacementRequest) -> float:
-        """Return the cost above which other regions are worth a look."""
-        return max(request.route.objective_ms / 2, 1)
-
     def _best(
         self,
         request: PlacementRequest,
-        candidates: Iterable[UpstreamState],
-        region: str,
+        choices: list[UpstreamState],
         now_ms: int,
     ) -> Placed | None:
         usual_ms = self.speed(request.service).usual_ms
         fill = _URGENT_FILL if request.is_urgent else _OTHER_FILL
         best: Placed | None = None
-        for rank, state in enumerate(candidates):
+        for rank, state in enumerate(choices):
             if state.load(now_ms) >= state.upstream.slots * fill:
                 continue
             is_warm = state.is_warm(request.key, now_ms)
@@ -120,23 +107,22 @@
                 self._cost.total_ms(state, now_ms, usual_ms)
                 + self._cost.way_ms(state, request.route)
                 + self._cost.object_ms(rank, usual_ms, is_warm=is_warm)
-                + self._cost.plan_ms(state, region)
             )
             if best is None or cost_ms < best.cost_ms:
-                best = Placed(state, _reason(rank, state, region), cost_ms)
+                best = Placed(state, _reason(rank), cost_ms)
         return best
 
     def _in_time(
         self,
         request: PlacementRequest,
         best: Placed | None,
-        sound: list[UpstreamState],
+        choices: list[UpstreamState],
         now_ms: int,
     ) -> Placed | NotPlaced:
         usual_ms = self.speed(request.service).usual_ms
         if best is None:
             shortest_ms = min(
-                self._cost.wait_ms(state, now_ms, usual_ms) for state in sound
+                self._cost.wait_ms(state, now_ms, usual_ms) for state in choices
             )
             return NotPlaced(NoRoomReason.ALL_FULL, _bounded(shortest_ms / 2))
         wait_ms = self._cost.wait_ms(best.state, now_ms, usual_ms)
@@ -164,17 +150,9 @@
     return state.ejected_until_ms
 
 
-def _reason(rank: int, state: UpstreamState, region: str) -> ChoiceReason:
-    if state.upstream.region != region:
-        return ChoiceReason.OTHER_REGION
+def _reason(rank: int) -> ChoiceReason:
     return ChoiceReason.SECOND if rank else ChoiceReason.FIRST
 
 
-def _cheaper(one: Placed | None, other: Placed | None) -> Placed | None:
-    if one is None or other is None:
-        return one or other
-    return one if one.cost_ms <= other.cost_ms else other
-
-
 def _bounded(wait_ms: float) -> float:
     return min(max(wait_ms, _SHORTEST_RETRY_MS), _LONGEST_RETRY_MS)
--- a/src/catkindrift/steering/_placement_result.py
+++ b/src/catkindrift/steering/_placement_result.py
@@ -14,7 +14,6 @@
 
     FIRST = 'first'
     SECOND = 'second'
-    OTHER_REGION = 'other_region'
     LAST_RESORT = 'last_resort'
 
 
