--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -16,6 +16,7 @@
     NotPlaced,
     Placed,
 )
+from catkindrift.steering._request_kind import RequestKind
 from catkindrift.steering._service_rules import ServiceRules
 from catkindrift.steering._service_speed import ServiceSpeed
 from catkindrift.steering._upstream_state import UpstreamState
@@ -66,6 +67,8 @@
         sound = [each for each in allowed if each.ejected_until_ms <= now_ms]
         if not sound:
             return self._last_resort(request, allowed, now_ms)
+        if request.route.kind is RequestKind.UPLOAD:
+            sound.sort(key=self._cost.is_far)
         choices = sound[:_CHOICES]
         best = self._best(request, choices, now_ms)
         return self._in_time(request, best, choices, now_ms)
