Test the data path on loopback; split connections into parser and queue

Found by the tests: limits on callers came into force up to 0.1 s late, since the server copied them; it now asks the facts (red before: an oversized head got 200 instead of 431). Change: stand-ins for store and upstreams in the platform's form, 25 tests; the connection classes are split so that each keeps to the style guide.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -80,10 +80,9 @@
         now_ms = self._clock.now_ms()
         pending.had_to_wait = state.load(now_ms) >= state.upstream.slots
         state.sent(token, pending.key, now_ms)
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(state.ended, token)
             return await self._send_counted(pending, state)
-        finally:
-            state.ended(token)
 
     async def _send_counted(
         self,
@@ -261,14 +260,16 @@
         not used again: other bytes would take the place of the rest.
         """
         sender = asyncio.get_running_loop().create_task(self._send_body())
-        try:
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._stop_sending, sender)
             await self.receiver.wait_for(most_bytes)
-        finally:
-            if not sender.done():
-                self.connection.spend()
-            sender.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await sender
+
+    async def _stop_sending(self, sender: asyncio.Task[None]) -> None:
+        if not sender.done():
+            self.connection.spend()
+        sender.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await sender
 
     async def _send_body(self) -> None:
         body = self.pending.request.body
--- a/src/catkindrift/gateway/_facts.py
+++ b/src/catkindrift/gateway/_facts.py
@@ -13,6 +13,7 @@
     decode_upstream,
 )
 from catkindrift.steering import (
+    CallerLimits,
     Route,
     RoutingConfiguration,
     ServiceRules,
@@ -62,6 +63,13 @@
         """Return the rules of each service."""
         return self.configuration.services if self.configuration else {}
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits on callers."""
+        if self.configuration is None:
+            return CallerLimits()
+        return self.configuration.limits
+
     def rotation(self, route: Route) -> WeightedRotation:
         """Return the rotation over the services of a route."""
         known = self._rotations.get(route.name)
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -22,6 +22,7 @@
 from catkindrift.platform import StoreClient
 from catkindrift.settings import Endpoint, GatewayBoundSettings, GatewaySettings
 from catkindrift.steering import (
+    CallerLimits,
     CandidateOrder,
     ColdPace,
     CostModel,
@@ -37,7 +38,7 @@
 _MILLISECONDS_PER_SECOND = 1000
 # Pace and budgets follow facts at this interval.
 _TICK_SECONDS = 1.0
-# Readiness and limits follow facts at this interval.
+# Readiness follows facts at this interval.
 _SHORT_TICK_SECONDS = 0.1
 # Callers that were sent here before the stop still come for this time: the
 # lifetime of directory answers, which some callers use three times over.
@@ -135,16 +136,19 @@
         self._registration = Registration(client, settings, self._heartbeats)
 
     def _wire_data_path(self) -> None:
-        settings = self._settings
         clock = self._clock
-        vm = settings.vm
-        bounds = _shared_bounds(settings.bounds)
+        vm = self._settings.vm
+        bounds = _shared_bounds(self._settings.bounds)
         metrics = GatewayMetrics()
-        distances = ZoneDistances(vm.zone, settings.zones)
+        distances = ZoneDistances(vm.zone, self._settings.zones)
         budget = SharedRetryBudget(clock, bounds)
         pace = ColdPace(clock, bounds, vm.name)
-        order = CandidateOrder(self._facts.registry)
-        placement = Placement(clock, order, CostModel(distances), pace)
+        placement = Placement(
+            clock,
+            CandidateOrder(self._facts.registry),
+            CostModel(distances),
+            pace,
+        )
         self._pool = UpstreamPool(clock, distances, metrics)
         self._tick = SteeringTick(
             self._facts,
@@ -169,7 +173,7 @@
         listen = self._settings.listen
         directory = Directory(self._members, self._heartbeats)
         readiness = Readiness(self._ready_now)
-        self._callers = HttpServer(clock, forwarder)
+        self._callers = HttpServer(clock, forwarder, self._caller_limits)
         self._servers = [
             (self._callers, listen.callers),
             (HttpServer(clock, directory), listen.directory),
@@ -208,14 +212,14 @@
         while True:
             self._heartbeats.set_ready(is_ready=self.is_ready)
             self._watches.choose_sentinels()
-            configuration = self._facts.configuration
-            if configuration:
-                self._callers.limits = configuration.limits
             await asyncio.sleep(_SHORT_TICK_SECONDS)
 
     def _heartbeat_protocol(self) -> Heartbeats:
         return self._heartbeats
 
+    def _caller_limits(self) -> CallerLimits:
+        return self._facts.limits
+
     def _ready_now(self) -> bool:
         return self.is_ready
 
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -93,14 +93,10 @@
         """Keep the transport."""
         self._transport = transport  # type: ignore[assignment]
 
-    def datagram_received(
-        self,
-        data: bytes,
-        addr: tuple[str, int],
-    ) -> None:
+    def datagram_received(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Learn from a heartbeat; what cannot be read is passed over."""
         try:
-            heartbeat = self._decoder.decode(data)
+            heartbeat = self._decoder.decode(datagram)
         except msgspec.DecodeError as malformed:
             logging.log_every_n(
                 logging.WARNING,
--- a/src/catkindrift/http1/__init__.py
+++ b/src/catkindrift/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on the loop: a server for callers, and client connections."""
 
 from catkindrift.http1._answer import Answer
+from catkindrift.http1._answer_queue import Handler
 from catkindrift.http1._client_connection import ClientConnection
 from catkindrift.http1._failure import ResponseFailure
 from catkindrift.http1._headers import (
@@ -14,7 +15,6 @@
 from catkindrift.http1._request_body import RequestBody
 from catkindrift.http1._response_head import ResponseHead
 from catkindrift.http1._server import HttpServer
-from catkindrift.http1._server_connection import Handler
 
 __all__ = [
     'Answer',
--- a/src/catkindrift/http1/_request_body.py
+++ b/src/catkindrift/http1/_request_body.py
@@ -9,16 +9,14 @@
 _REPLAY_BYTES = 1_048_576
 # Bytes that may wait for a slow upstream before the caller is slowed.
 _AHEAD_BYTES = 262_144
+_PAUSE_REASON = 'body'
 
 
 class PausableReader(Protocol):
     """Where the body comes from."""
 
-    def pause_body(self) -> None:
-        """Stop reading for a while."""
-
-    def resume_body(self) -> None:
-        """Read on."""
+    def set_paused(self, reason: str, *, is_paused: bool) -> None:
+        """Read only while there is no reason to pause."""
 
 
 @final
@@ -65,7 +63,7 @@
         if self._kept > _REPLAY_BYTES:
             self.can_replay = False
         if self._unread > _AHEAD_BYTES:
-            self._source.pause_body()
+            self._source.set_paused(_PAUSE_REASON, is_paused=True)
         self._changed.set()
 
     def finish(self) -> None:
@@ -78,7 +76,7 @@
         self.can_replay = False
         self._parts.clear()
         self._unread = 0
-        self._source.resume_body()
+        self._source.set_paused(_PAUSE_REASON, is_paused=False)
 
     async def next_part(self, index: int) -> bytes | None:
         """Return the part at `index`, or nothing after the last one."""
@@ -94,7 +92,7 @@
     def _taken(self, index: int, size: int) -> None:
         self._unread = max(0, self._unread - size)
         if self._unread < _AHEAD_BYTES:
-            self._source.resume_body()
+            self._source.set_paused(_PAUSE_REASON, is_paused=False)
         if not self.can_replay:
             gone = index + 1 - self._first_part
             self._parts = self._parts[gone:]
--- /dev/null
+++ b/src/catkindrift/http1/_response_parser.py
@@ -0,0 +1,119 @@
+"""Parses responses from the bytes of an upstream."""
+
+from typing import final
+
+import attrs
+import httptools
+
+from catkindrift.http1._failure import ResponseFailure
+from catkindrift.http1._headers import Headers, find_header
+from catkindrift.http1._receiver import ResponseReceiver
+from catkindrift.http1._response_head import ResponseHead
+
+_FIRST_FINAL_STATUS = 200
+# Responses that never have a body (RFC 9110, section 6.4.1).
+_BODILESS = frozenset((204, 304))
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@final
+@attrs.define(eq=False)
+class ResponseParser:
+    """Hands the response of one request to its receiver.
+
+    Responses of other requests are passed over; their connection is not to
+    be used again.
+
+    Args:
+        receiver: Takes the response.
+        is_head_request: Whether the response has no body.
+    """
+
+    _receiver: ResponseReceiver
+    _is_head_request: bool
+    is_last_use: bool = attrs.field(init=False, default=False)
+    keep_alive_ms: int | None = attrs.field(init=False, default=None)
+    _parser: httptools.HttpResponseParser = attrs.field(init=False)
+    _headers: Headers = attrs.field(init=False, factory=list)
+    _is_ours: bool = attrs.field(init=False, default=False)
+    _ends_with_close: bool = attrs.field(init=False, default=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start with the first response."""
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, chunk: bytes) -> None:
+        """Parse bytes."""
+        try:
+            self._parser.feed_data(chunk)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self.is_last_use = True
+            self._receiver.fail(ResponseFailure.MALFORMED)
+
+    def end_of_input(self) -> None:
+        """End a response whose end is the end of its connection."""
+        if self._is_ours and self._ends_with_close:
+            self._receiver.complete()
+
+    def cut(self) -> None:
+        """Fail a response that is not whole."""
+        self._receiver.fail(
+            ResponseFailure.TRUNCATED
+            if self._is_ours
+            else ResponseFailure.CLOSED,
+        )
+
+    def on_message_begin(self) -> None:
+        """Start the next response."""
+        self._headers = []
+        self._is_ours = False
+        self.is_last_use = self.is_last_use or self._receiver.has_ended
+
+    def on_header(self, name: bytes, found: bytes) -> None:
+        """Keep a header."""
+        self._headers.append((name, found))
+
+    def on_headers_complete(self) -> None:
+        """Decide whose response this is, and where it ends."""
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS or self._receiver.has_ended:
+            return
+        self._is_ours = self._receiver.accepts(
+            ResponseHead(status, self._headers),
+        )
+        self._note_connection_headers()
+        if not self._is_ours:
+            self.is_last_use = True
+        elif self._is_head_request:
+            self.is_last_use = True
+            self._receiver.complete()
+        self._ends_with_close = not (
+            status in _BODILESS
+            or find_header(self._headers, b'content-length')
+            or find_header(self._headers, b'transfer-encoding')
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Hand on a part of the body."""
+        if self._is_ours and not self._receiver.has_ended:
+            self._receiver.add(body)
+
+    def on_message_complete(self) -> None:
+        """End the response."""
+        if self._is_ours and not self._receiver.has_ended:
+            self._receiver.complete()
+
+    def _note_connection_headers(self) -> None:
+        options = find_header(self._headers, b'connection').lower()
+        if b'close' in options:
+            self.is_last_use = True
+        stated = find_header(self._headers, b'keep-alive')
+        self.keep_alive_ms = _keep_alive_ms(stated)
+
+
+def _keep_alive_ms(found: bytes) -> int | None:
+    for option in found.split(b','):
+        name, _, number = option.strip().partition(b'=')
+        if name == b'timeout' and number.isdigit():
+            return int(number) * _MILLISECONDS_PER_SECOND
+    return None
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -1,12 +1,14 @@
 """Listens for callers."""
 
 import asyncio
+from collections.abc import Callable
 from typing import final
 
 import attrs
 
 from catkindrift.clock import Clock
-from catkindrift.http1._server_connection import Handler, ServerConnection
+from catkindrift.http1._answer_queue import Handler
+from catkindrift.http1._server_connection import ServerConnection
 from catkindrift.steering import CallerLimits
 
 _BACKLOG = 1024
@@ -22,11 +24,12 @@
     Args:
         clock: Source of time.
         handler: Answers requests.
+        limits: Returns the limits in force.
     """
 
     _clock: Clock
     _handler: Handler
-    limits: CallerLimits = attrs.field(init=False, factory=CallerLimits)
+    _limits: Callable[[], CallerLimits] = CallerLimits
     _is_draining: bool = attrs.field(init=False, default=False)
     _server: asyncio.Server | None = attrs.field(init=False, default=None)
     _sweeper: asyncio.TimerHandle | None = attrs.field(init=False, default=None)
@@ -56,7 +59,7 @@
         """End each connection after its next answer; still take new ones."""
         self._is_draining = True
         for connection in self._connections:
-            connection.is_draining = True
+            connection.drain()
 
     def close(self) -> None:
         """Stop listening and close all connections."""
@@ -68,16 +71,15 @@
             connection.close()
 
     def _connect(self) -> ServerConnection:
-        return ServerConnection(
+        connection = ServerConnection(
             self._clock,
             self._handler,
-            self._limits_now,
+            self._limits,
             self._connections,
-            self._is_draining,
         )
-
-    def _limits_now(self) -> CallerLimits:
-        return self.limits
+        if self._is_draining:
+            connection.drain()
+        return connection
 
     def _sweep(self) -> None:
         for connection in tuple(self._connections):
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -18,19 +18,21 @@
     RESOLVE_PATH,
     UPSTREAM_KIND,
 )
-from catkindrift.platform._messages import (
-    answers_request,
+from catkindrift.platform._request_messages import (
     caller_place,
-    cold_left_ms,
     directory_body,
     forwarded_headers,
-    is_misdirected,
-    is_signed,
-    load_report,
     object_key,
     remaining_ms,
     request_id,
     retry_after,
+)
+from catkindrift.platform._response_messages import (
+    answers_request,
+    cold_left_ms,
+    is_misdirected,
+    is_signed,
+    load_report,
     says_not_run,
 )
 from catkindrift.platform._store_client import StoreClient
--- a/src/catkindrift/platform/_entries.py
+++ b/src/catkindrift/platform/_entries.py
@@ -11,8 +11,6 @@
 from catkindrift.platform._wire_server import WireServer
 from catkindrift.steering import RoutingConfiguration, Upstream
 
-_DRAINING = 'draining'
-
 
 def decode_configuration(found: StoreObject) -> RoutingConfiguration | None:
     """Return the configuration in an object, or nothing if malformed."""
@@ -34,8 +32,7 @@
         regions: Region of each availability zone.
     """
     try:
-        wire = msgspec.convert(found.spec, WireServer)
-        return wire.decoded(found.name, found.revision, regions)
+        return _upstream(found, regions)
     except (msgspec.ValidationError, ValueError) as malformed:
         logging.warning('upstream entry %s: %s', found.name, malformed)
         return None
@@ -51,3 +48,8 @@
     spec = found.spec
     address = spec.get('peers') if isinstance(spec, dict) else None
     return address if isinstance(address, str) else ''
+
+
+def _upstream(found: StoreObject, regions: Mapping[str, str]) -> Upstream:
+    wire = msgspec.convert(found.spec, WireServer)
+    return wire.decoded(found.name, found.revision, regions)
--- /dev/null
+++ b/tests/platform_deployment.py
@@ -0,0 +1,256 @@
+"""A deployment in the platform's form, in this process."""
+
+import asyncio
+import contextlib
+import json
+import re
+import socket
+from pathlib import Path
+
+import attrs
+
+from catkindrift.gateway import Gateway
+from catkindrift.settings import GatewaySettings, load_settings
+from tests.platform_store import PlatformStore
+from tests.platform_upstream import PlatformUpstream
+
+TEMPLATE = Path(__file__).parents[1] / 'deploy' / 'settings.toml.template'
+ZONES = {'ovd-a': 'asturias', 'gij-b': 'asturias', 'snt-a': 'cantabria'}
+
+
+def free_port():
+    """Return a port that is free on loopback."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def render(template, fields):
+    """Fill in a template as the platform does, as far as ours needs it."""
+
+    def look_up(path):
+        found = fields
+        for part in path.split('.'):
+            if isinstance(found, list):
+                found = found[int(part)]
+            else:
+                found = found.get(part) if found else None
+        return found
+
+    def section(match):
+        found = look_up(match[1])
+        if isinstance(found, dict):
+            return ''.join(
+                match[2]
+                .replace('{{@}}', key)
+                .replace('{{.|json}}', json.dumps(each))
+                for key, each in found.items()
+            )
+        return match[2] if found is not None else ''
+
+    text = re.sub(
+        r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', section, template, flags=re.S
+    )
+    text = re.sub(
+        r'\{\{([\w.]+)\|json\}\}', lambda m: json.dumps(look_up(m[1])), text
+    )
+    return re.sub(r'\{\{([\w.]+)\}\}', lambda m: str(look_up(m[1])), text)
+
+
+def platform_fields(name, zone, store_port):
+    """Return the fields that the platform fills in for one VM."""
+    ports = [free_port() for _ in range(5)]
+    return {
+        'node_name': name,
+        'zone': zone,
+        'region': ZONES[zone],
+        'zones': ZONES,
+        'ip': '127.0.0.1',
+        'listen': {
+            'front': f'127.0.0.1:{ports[0]}',
+            'ready': f'127.0.0.1:{ports[1]}',
+            'directory': f'127.0.0.1:{ports[2]}',
+        },
+        'internal_ports': ports[3:],
+        'platform': {'address': f'127.0.0.1:{store_port}'},
+        'bounds': {
+            'grace_s': 1.2,
+            'retry_budget_ratio': 0.2,
+            'budget_window_s': 10,
+            'budget_extra_tries': 64,
+            'cold_overshoot': 1.5,
+            'cold_slack': 5,
+            'ttl_max_s': 5,
+        },
+    }
+
+
+def configuration(version=1, routes=(), **limits):
+    """Return a configuration as the operator writes it."""
+    resources = [
+        {
+            'entry_kind': 'routes',
+            'metadata': {'name': f'route-{index}'},
+            'spec': {
+                'host': 'quotes.example',
+                'priority': 1,
+                'slo_latency_s': 0.4,
+                'timeout_s': 2,
+                'max_attempts': 2,
+                'sticky': True,
+                'home_regions': [],
+                **route,
+            },
+        }
+        for index, route in enumerate(routes)
+    ]
+    resources.append(
+        {
+            'entry_kind': 'services',
+            'metadata': {'name': 'tariffs'},
+            'spec': {
+                'health_path': '/health',
+                'max_conns': 100,
+                'cold_start_s': 3,
+                'cold_per_s': 7.7,
+            },
+        }
+    )
+    resources.append(
+        {
+            'entry_kind': 'limits',
+            'metadata': {},
+            'spec': {
+                'max_header_bytes': 4096,
+                'max_body_bytes': 100_000,
+                'header_timeout_s': 3,
+                'idle_timeout_s': 15,
+                **limits,
+            },
+        }
+    )
+    return {'version': f'{version:08x}', 'resources': resources}
+
+
+SAFE = {'path_prefix': '/safe/', 'kind': 'safe', 'service': 'tariffs'}
+UNSAFE = {'path_prefix': '/unsafe/', 'kind': 'unsafe', 'service': 'tariffs'}
+UPLOAD = {'path_prefix': '/upload/', 'kind': 'upload', 'service': 'tariffs'}
+
+
+@attrs.define(eq=False)
+class PlatformDeployment:
+    """A store, upstreams and entry VMs on loopback."""
+
+    folder: Path
+    store: PlatformStore = attrs.field(factory=PlatformStore)
+    store_port: int = attrs.field(factory=free_port)
+    gateways: list = attrs.field(factory=list)
+    fields: list = attrs.field(factory=list)
+    upstreams: list = attrs.field(factory=list)
+
+    async def start(self, *, routes=(SAFE, UNSAFE, UPLOAD), upstreams=2):
+        await self.store.start(self.store_port)
+        await self.configure(1, routes)
+        for index in range(upstreams):
+            await self.add_upstream(f'i-{index}')
+
+    async def configure(self, version, routes, **limits):
+        document = configuration(version, routes, **limits)
+        await self.store.put('config', 'main', document)
+
+    async def add_upstream(self, name, **how):
+        upstream = PlatformUpstream(name, 'tariffs', **how)
+        await upstream.start()
+        self.upstreams.append(upstream)
+        await self.store.put('servers', name, upstream.spec)
+        return upstream
+
+    def settings(self, name, zone='ovd-a'):
+        fields = platform_fields(name, zone, self.store_port)
+        path = self.folder / f'{name}.toml'
+        path.write_text(render(TEMPLATE.read_text(), fields))
+        self.fields.append(fields)
+        return path
+
+    async def add_gateway(self, name='front-1', zone='ovd-a'):
+        path = self.settings(name, zone)
+        gateway = Gateway(load_settings(path, GatewaySettings))
+        await gateway.start()
+        self.gateways.append(gateway)
+        await eventually(lambda: gateway.is_ready)
+        return gateway
+
+    async def stop(self):
+        for gateway in self.gateways:
+            await gateway.stop()
+        for upstream in self.upstreams:
+            upstream.close()
+        self.store.close()
+
+    def address(self, kind='front', index=0):
+        host, _, port = self.fields[index]['listen'][kind].partition(':')
+        return host, int(port)
+
+
+async def eventually(holds, seconds=10):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(seconds):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def deployed(folder, **how):
+    """Run a deployment with one entry VM."""
+    deployment = PlatformDeployment(folder)
+    await deployment.start(**how)
+    await deployment.add_gateway()
+    try:
+        yield deployment
+    finally:
+        await deployment.stop()
+
+
+def head(
+    path,
+    method='GET',
+    attempt='a1',
+    deadline=1500,
+    extra='',
+):
+    """Return the head of a caller's request."""
+    return (
+        f'{method} {path} HTTP/1.1\r\nHost: quotes.example\r\n'
+        f'Attempt-Id: {attempt}\r\nCookie: Affinity-Key=17\r\n'
+        f'Deadline-Remaining: {deadline}\r\n{extra}\r\n'
+    ).encode()
+
+
+async def read_answer(reader):
+    """Return status, headers and body of the next answer."""
+    raw = await reader.readuntil(b'\r\n\r\n')
+    lines = raw.split(b'\r\n')
+    headers = dict(
+        line.decode().lower().split(': ', 1) for line in lines[1:] if line
+    )
+    status = int(lines[0].split(b' ')[1])
+    if headers.get('transfer-encoding') == 'chunked':
+        body = b''
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readline()
+        await reader.readline()
+        return status, headers, body
+    length = int(headers.get('content-length', 0))
+    return status, headers, await reader.readexactly(length)
+
+
+async def ask(address, request):
+    """Send one request on its own connection and return the answer."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(request)
+    try:
+        async with asyncio.timeout(10):
+            return await read_answer(reader)
+    finally:
+        writer.close()
--- /dev/null
+++ b/tests/platform_store.py
@@ -0,0 +1,143 @@
+"""A stand-in for the platform's store, in the platform's own form."""
+
+import asyncio
+import json
+from http import HTTPStatus
+from urllib.parse import parse_qs
+
+import attrs
+
+from catkindrift.clock import SystemClock
+from catkindrift.http1 import Answer, HttpServer
+
+
+@attrs.define(eq=False)
+class PlatformStore:
+    """Objects by kind and name, one revision counter, pages and watches.
+
+    Faults are fields: `is_down` refuses calls, `is_silent` answers none,
+    `lost_writes` counts writes that take effect and are not answered.
+    """
+
+    page_size: int = 50
+    is_down: bool = False
+    is_silent: bool = False
+    lost_writes: int = 0
+    revision: int = 1
+    oldest: int = 0
+    calls: list = attrs.field(factory=list)
+    _objects: dict = attrs.field(factory=dict)
+    _log: list = attrs.field(factory=list)
+    _changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
+    _server: HttpServer = attrs.field(init=False)
+
+    async def start(self, port):
+        self._server = HttpServer(SystemClock(), self._handle)
+        await self._server.start('127.0.0.1', port)
+
+    def close(self):
+        self._server.close()
+
+    async def put(self, kind, name, spec):
+        """Write an object as the operator or an upstream does."""
+        self.revision += 1
+        metadata = {'name': name, 'revision': self.revision}
+        document = {'metadata': metadata, 'spec': spec, 'status': None}
+        self._objects[kind, name] = document
+        await self._note(kind, document, deleted=False)
+
+    async def delete(self, kind, name):
+        """Remove an object."""
+        document = self._objects.pop((kind, name))
+        self.revision += 1
+        await self._note(kind, document, deleted=True)
+
+    def names(self, kind):
+        """Return the names of all objects of a kind."""
+        return sorted(name for each, name in self._objects if each == kind)
+
+    async def compact(self):
+        """Forget all history."""
+        self.oldest = self.revision
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _note(self, kind, document, *, deleted):
+        async with self._changed:
+            event = {'deleted': deleted, 'object': document}
+            self._log.append((self.revision, kind, event))
+            self._changed.notify_all()
+
+    async def _handle(self, request):
+        query = {
+            key: found[0]
+            for key, found in parse_qs(request.query.decode()).items()
+        }
+        self.calls.append((request.method.decode(), request.path, query))
+        if self.is_silent:
+            await asyncio.sleep(3600)
+        if self.is_down:
+            return Answer(HTTPStatus.SERVICE_UNAVAILABLE)
+        kind, _, name = request.path.removeprefix('/objects/').partition('/')
+        if request.method == b'GET':
+            if 'watch' in query:
+                return await self._watch(kind, query)
+            return self._list(kind, query.get('after', ''))
+        return await self._write(request, kind, name)
+
+    def _list(self, kind, after):
+        names = [name for name in self.names(kind) if name > after]
+        page = names[: self.page_size]
+        return _json(
+            HTTPStatus.OK,
+            {
+                'items': [self._objects[kind, name] for name in page],
+                'has_more': len(names) > len(page),
+                'current_rev': self.revision,
+            },
+        )
+
+    async def _watch(self, kind, query):
+        since = int(query['watch'])
+        limit = int(query['wait_ms']) / 1000
+        try:
+            async with asyncio.timeout(limit), self._changed:
+                await self._changed.wait_for(
+                    lambda: since < self.oldest or self._since(kind, since),
+                )
+        except TimeoutError:
+            pass
+        if since < self.oldest:
+            return _json(HTTPStatus.GONE, {})
+        return _json(
+            HTTPStatus.OK,
+            {
+                'events': self._since(kind, since),
+                'current_rev': self.revision,
+            },
+        )
+
+    def _since(self, kind, since):
+        return [
+            event
+            for revision, each, event in self._log
+            if each == kind and revision > since
+        ]
+
+    async def _write(self, request, kind, name):
+        while not request.body.is_complete:
+            await asyncio.sleep(0)
+        document = json.loads(request.body.wholly_kept)
+        name = name or document['metadata']['name']
+        exists = (kind, name) in self._objects
+        if request.method == b'POST' and exists:
+            return _json(HTTPStatus.CONFLICT, self._objects[kind, name])
+        await self.put(kind, name, document['spec'])
+        if self.lost_writes:
+            self.lost_writes -= 1
+            await asyncio.sleep(3600)
+        return _json(HTTPStatus.OK, self._objects[kind, name])
+
+
+def _json(status, document):
+    return Answer(status, [], json.dumps(document).encode())
--- /dev/null
+++ b/tests/platform_upstream.py
@@ -0,0 +1,133 @@
+"""A stand-in upstream in the platform's form, with scripted faults."""
+
+import asyncio
+
+import attrs
+
+
+@attrs.define(eq=False)
+class PlatformUpstream:
+    """Answers one request at a time on each connection.
+
+    Args:
+        id: What it is called in the store.
+        service: Service that it belongs to.
+        zone: Availability zone.
+    """
+
+    id: str
+    service: str
+    zone: str = 'ovd-a'
+    state: str = 'ready'
+    cold_left_s: float = 0
+    delay_s: float = 0
+    script: list = attrs.field(factory=list)
+    requests: list = attrs.field(factory=list)
+    cut: int = 0
+    connections: int = 0
+    host: str = '127.0.0.1'
+    _server: asyncio.Server | None = None
+    _writers: set = attrs.field(factory=set)
+
+    @property
+    def port(self):
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def spec(self):
+        return {
+            'address': f'{self.host}:{self.port}',
+            'info': {
+                'service': self.service,
+                'version': 'v1',
+                'zone': self.zone,
+                'slots': 4,
+            },
+            'status': {
+                'state': self.state,
+                'seq_no': 1,
+                'cold_left_s': self.cold_left_s,
+            },
+        }
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, self.host, 0)
+
+    def close(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    def ok(self, attempt, body=b'hello', extra=b''):
+        """Return the bytes of a whole, signed answer."""
+        return (
+            b'HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Signature: s\r\n'
+            b'Server-Load: 1,0,4\r\n%bContent-Length: %d\r\n\r\n%b'
+            % (attempt, extra, len(body), body)
+        )
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await self._answer(reader, writer, head)
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, reader, writer, head):
+        lines = head.split(b'\r\n')
+        headers = dict(
+            line.lower().split(b': ', 1) for line in lines[1:] if line
+        )
+        body = await _read_body(reader, headers)
+        self.requests.append((lines[0], headers, body))
+        attempt = headers.get(b'attempt-id', b'')
+        if headers.get(b'expected-instance') != self.id.encode():
+            writer.write(
+                b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n'
+            )
+            return
+        closed = asyncio.create_task(reader.read(1))
+        done, _ = await asyncio.wait({closed}, timeout=self.delay_s)
+        if done:
+            self.cut += 1
+            raise ConnectionResetError
+        closed.cancel()
+        await asyncio.wait({closed})
+        reply = self.script.pop(0) if self.script else self.ok(attempt)
+        if callable(reply):
+            reply = reply(self, attempt)
+        if reply is None:
+            writer.transport.abort()
+            raise ConnectionResetError
+        writer.write(reply)
+        if b'Connection: close' in reply:
+            await writer.drain()
+            writer.close()
+            raise ConnectionResetError
+
+
+async def _read_body(reader, headers):
+    if headers.get(b'transfer-encoding') == b'chunked':
+        body = b''
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readline()
+        await reader.readline()
+        return body
+    return await reader.readexactly(int(headers.get(b'content-length', 0)))
+
+
+def shed(_upstream, _attempt):
+    """Refuse without starting."""
+    return (
+        b'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,405 @@
+"""The data path on the platform: real sockets, stand-in store and upstreams."""
+
+import asyncio
+
+import pytest
+
+from tests.platform_deployment import (
+    SAFE,
+    UNSAFE,
+    ask,
+    deployed,
+    eventually,
+    head,
+    read_answer,
+)
+from tests.platform_upstream import shed
+
+
+def run(test):
+    """Run a test on a loop of its own."""
+    return asyncio.run(test)
+
+
+def arrivals(deployment):
+    return [
+        request
+        for upstream in deployment.upstreams
+        for request in upstream.requests
+    ]
+
+
+def test_request_reaches_upstream_unchanged(tmp_path):
+    """Method, target, id and body arrive; our own headers are added."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            status, headers, body = await ask(
+                deployment.address(),
+                head('/unsafe/x?y=1', 'POST', extra='Content-Length: 3\r\n')
+                + b'abc',
+            )
+            assert (status, body) == (200, b'hello')
+            assert headers['server-signature'] == 's'
+            ((line, sent, sent_body),) = arrivals(deployment)
+            assert line == b'POST /unsafe/x?y=1 HTTP/1.1'
+            assert sent[b'attempt-id'] == b'a1'
+            assert sent[b'expected-instance'].startswith(b'i-')
+            assert 0 < int(sent[b'deadline-remaining']) <= 1500
+            assert sent_body == b'abc'
+
+    run(scenario())
+
+
+def test_unknown_route_is_not_found(tmp_path):
+    """A path without a route gets 404 and reaches no upstream."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            status, _, _ = await ask(deployment.address(), head('/none/x'))
+            assert status == 404
+            assert not arrivals(deployment)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('request_bytes', 'expected'),
+    [
+        (b'GARBAGE\r\n\r\n', 400),
+        (head('/safe/x', extra=f'X: {"y" * 5000}\r\n'), 431),
+        (head('/unsafe/x', 'POST', extra='Content-Length: 999999\r\n'), 413),
+        (
+            head(
+                '/unsafe/x',
+                'POST',
+                extra='Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+            ),
+            400,
+        ),
+    ],
+)
+def test_bad_input_is_refused(tmp_path, request_bytes, expected):
+    """Malformed or oversized requests get a clear status and reach nobody."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            status, headers, _ = await ask(deployment.address(), request_bytes)
+            assert status == expected
+            assert headers['connection'] == 'close'
+            assert not arrivals(deployment)
+
+    run(scenario())
+
+
+def test_chunked_body_over_the_limit_is_refused(tmp_path):
+    """A body whose length is not stated is measured as it comes."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            part = b'19000\r\n' + b'z' * 0x19000 + b'\r\n'
+            request = head(
+                '/upload/x', 'POST', extra='Transfer-Encoding: chunked\r\n'
+            )
+            status, _, _ = await ask(deployment.address(), request + part)
+            assert status == 413
+
+    run(scenario())
+
+
+def test_refused_attempt_goes_to_another_upstream(tmp_path):
+    """An upstream that says it did not run the request is not the last."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.script = [shed]
+            first = len(arrivals(deployment))
+            status, headers, _ = await ask(
+                deployment.address(), head('/unsafe/x', 'POST')
+            )
+            assert status == 503
+            assert float(headers['retry-after']) > 0
+            assert len(arrivals(deployment)) - first == 2
+            status, _, _ = await ask(
+                deployment.address(), head('/unsafe/x', 'POST', 'a2')
+            )
+            assert status == 200
+
+    run(scenario())
+
+
+def test_lost_answer_of_unsafe_request_promises_nothing(tmp_path):
+    """It is sent once, and the caller learns that its outcome is unknown."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.script = [None]
+            status, _, _ = await ask(
+                deployment.address(), head('/unsafe/x', 'POST')
+            )
+            assert status == 502
+            assert len(arrivals(deployment)) == 1
+
+    run(scenario())
+
+
+def test_lost_answer_of_safe_request_is_asked_for_again(tmp_path):
+    """A safe request is sent to another upstream."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.script = [None]
+            deployment.upstreams[0].script.append(None)
+            status, _, _ = await ask(deployment.address(), head('/safe/x'))
+            assert len(arrivals(deployment)) == 2
+            assert status == 502
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    'spoiled',
+    [
+        b'NOT HTTP AT ALL\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n'
+        b'Connection: close\r\nContent-Length: 50\r\n\r\ncut',
+        b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 3\r\n\r\nabc',
+        b'HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Signature: s\r\n'
+        b'Connection: close\r\nContent-Length: 3\r\n\r\nabc',
+    ],
+)
+def test_spoiled_answer_is_never_shown(tmp_path, spoiled):
+    """Malformed, cut, unsigned and foreign answers end as unknown."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.script = [spoiled]
+            status, _, body = await ask(
+                deployment.address(), head('/unsafe/x', 'POST', deadline=400)
+            )
+            assert status in {502, 504}
+            assert body == b''
+
+    run(scenario())
+
+
+def test_late_extra_answer_is_passed_over(tmp_path):
+    """An answer to an earlier request is not taken for the next one's."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=1) as deployment:
+            upstream = deployment.upstreams[0]
+            upstream.script = [
+                lambda up, attempt: up.ok(b'old', b'stale') + up.ok(attempt),
+            ]
+            _, _, body = await ask(deployment.address(), head('/safe/x'))
+            assert body == b'hello'
+            await ask(deployment.address(), head('/safe/x', attempt='a2'))
+            assert upstream.connections == 2
+
+    run(scenario())
+
+
+def test_surplus_bytes_end_a_connection(tmp_path):
+    """A second answer behind the first belongs to nobody."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=1) as deployment:
+            upstream = deployment.upstreams[0]
+            upstream.script = [
+                lambda up, attempt: up.ok(attempt) + up.ok(attempt, b'more'),
+            ]
+            for number in range(3):
+                _, _, body = await ask(
+                    deployment.address(), head('/safe/x', attempt=f'n{number}')
+                )
+                assert body == b'hello'
+            assert upstream.connections == 2
+
+    run(scenario())
+
+
+def test_answer_without_length_ends_with_its_connection(tmp_path):
+    """The caller gets the whole body, with a length."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.script = [
+                    b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n'
+                    b'Server-Signature: s\r\nConnection: close\r\n\r\nwhole',
+                ]
+            status, headers, body = await ask(
+                deployment.address(), head('/safe/x')
+            )
+            assert (status, body) == (200, b'whole')
+            assert headers['content-length'] == '5'
+
+    run(scenario())
+
+
+def test_promise_without_a_statement_is_not_passed_on(tmp_path):
+    """A bare 503 to a request that may not repeat could be untrue."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.script = [
+                    b'HTTP/1.1 503 No\r\nAttempt-Id: a1\r\n'
+                    b'Content-Length: 0\r\n\r\n',
+                ]
+            status, _, _ = await ask(
+                deployment.address(), head('/unsafe/x', 'POST')
+            )
+            assert status == 502
+
+    run(scenario())
+
+
+def test_caller_who_leaves_cancels_the_work(tmp_path):
+    """The upstream's connection is closed at once."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.delay_s = 30
+            _, writer = await asyncio.open_connection(*deployment.address())
+            writer.write(head('/safe/x'))
+            await eventually(lambda: len(arrivals(deployment)) == 1)
+            writer.close()
+            await eventually(
+                lambda: sum(each.cut for each in deployment.upstreams) == 1,
+                seconds=1,
+            )
+
+    run(scenario())
+
+
+def test_route_timeout_ends_the_wait(tmp_path):
+    """The final answer comes at the route's time-out, not the deadline."""
+
+    async def scenario():
+        routes = ({**SAFE, 'timeout_s': 0.2, 'max_attempts': 1}, UNSAFE)
+        async with deployed(tmp_path, routes=routes) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.delay_s = 30
+            status, _, _ = await ask(
+                deployment.address(), head('/safe/x', deadline=9000)
+            )
+            assert status == 504
+
+    run(scenario())
+
+
+def test_requests_sent_ahead_are_answered_in_order(tmp_path):
+    """The second answer waits for the first, though it was ready before."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            reader, writer = await asyncio.open_connection(
+                *deployment.address()
+            )
+            for upstream in deployment.upstreams:
+                upstream.script = [
+                    lambda up, attempt: up.ok(attempt, attempt) for _ in '1234'
+                ]
+                upstream.delay_s = 0.05
+            requests = [
+                head('/safe/x', attempt=f'n{number}') for number in range(4)
+            ]
+            writer.write(b''.join(requests))
+            bodies = [(await read_answer(reader))[2] for _ in requests]
+            assert bodies == [b'n0', b'n1', b'n2', b'n3']
+            writer.close()
+
+    run(scenario())
+
+
+def test_upload_streams_through(tmp_path):
+    """A chunked body larger than one read arrives whole."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            request = head(
+                '/upload/x', 'POST', extra='Transfer-Encoding: chunked\r\n'
+            )
+            part = b'8000\r\n' + b'u' * 0x8000 + b'\r\n'
+            status, _, _ = await ask(
+                deployment.address(), request + part + part + b'0\r\n\r\n'
+            )
+            assert status == 200
+            ((_, _, body),) = arrivals(deployment)
+            assert body == b'u' * 0x10000
+
+    run(scenario())
+
+
+def test_planned_stop_finishes_requests(tmp_path):
+    """A stop answers what runs, says close, and is not ready at once."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.delay_s = 0.5
+            asked = asyncio.create_task(
+                ask(deployment.address(), head('/unsafe/x', 'POST'))
+            )
+            await eventually(lambda: len(arrivals(deployment)) == 1)
+            stopping = asyncio.create_task(deployment.gateways[0].stop())
+            await asyncio.sleep(0)
+            status, _, _ = await ask(
+                deployment.address('ready'),
+                b'GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n',
+            )
+            assert status == 503
+            status, headers, _ = await asked
+            assert status == 200
+            assert headers['connection'] == 'close'
+            await stopping
+
+    run(scenario())
+
+
+def test_directory_names_the_ready_vm(tmp_path):
+    """A caller learns an address and how long it holds."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            await asyncio.sleep(0.2)
+            status, _, body = await ask(
+                deployment.address('directory'),
+                b'GET /resolve?name=q&region=asturias&zone=ovd-a HTTP/1.1\r\n'
+                b'Host: x\r\n\r\n',
+            )
+            assert status == 200
+            assert deployment.fields[0]['listen']['front'].encode() in body
+
+    run(scenario())
+
+
+def test_entry_vms_find_each_other(tmp_path):
+    """Two entry VMs learn of each other through store and heartbeats."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            await deployment.add_gateway('front-2', 'gij-b')
+            request = (
+                b'GET /resolve?name=q&region=asturias&zone=ovd-a HTTP/1.1\r\n'
+                b'Host: x\r\n\r\n'
+            )
+            body = b''
+            async with asyncio.timeout(10):
+                while body.count(b'127.0.0.1') < 2:
+                    _, _, body = await ask(
+                        deployment.address('directory'), request
+                    )
+                    await asyncio.sleep(0.05)
+            await deployment.gateways.pop().stop()
+            _, _, body = await ask(deployment.address('directory'), request)
+            assert body.count(b'127.0.0.1') == 1
+
+    run(scenario())
