--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,349 @@
+"""Decisions about requests, in virtual time and without input or output."""
+
+import attrs
+import pytest
+
+from catkindrift.clock import ManualClock
+from catkindrift.steering import (
+    CandidateOrder,
+    ColdPace,
+    CostModel,
+    Heartbeat,
+    LoadReport,
+    MemberFacts,
+    Members,
+    NoRoomReason,
+    NotPlaced,
+    Placed,
+    Placement,
+    PlacementRequest,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceRules,
+    SharedRetryBudget,
+    SteeringBounds,
+    Upstream,
+    UpstreamRegistry,
+    WeightedRotation,
+    WeightedService,
+    ZoneDistances,
+    addresses_for,
+)
+from catkindrift.steering._caller_limits import CallerLimits
+
+REGIONS = {'ovd-a': 'asturias', 'gij-b': 'asturias', 'snt-a': 'cantabria'}
+BOUNDS = SteeringBounds(0.2, 10_000, 64, 1.5, 5)
+RULES = ServiceRules('tariffs', '/health', 390, 3000, 7.7)
+
+
+def upstream(name, zone='ovd-a', **changes):
+    known = Upstream(
+        id=name,
+        service='tariffs',
+        host='10.0.0.1',
+        port=80,
+        zone=zone,
+        region=REGIONS[zone],
+        slots=4,
+        is_draining=False,
+        cold_left_ms=0,
+        revision=1,
+    )
+    return attrs.evolve(known, **changes)
+
+
+def route(kind=RequestKind.SAFE, **changes):
+    known = Route(
+        name='r',
+        host='quotes.example',
+        path_prefix='/a/',
+        kind=kind,
+        timeout_ms=800,
+        objective_ms=400,
+        priority=1,
+        max_attempts=2,
+        home_regions=frozenset(),
+        targets=(WeightedService('tariffs', 1),),
+    )
+    return attrs.evolve(known, **changes)
+
+
+class Bench:
+    """Placement over some upstreams."""
+
+    def __init__(self, *upstreams, zone='ovd-a', members=('one',)):
+        self.clock = ManualClock(100_000)
+        self.registry = UpstreamRegistry(self.clock)
+        for each in upstreams:
+            self.registry.put(each, 0)
+        self.registry.primed()
+        self.pace = ColdPace(self.clock, BOUNDS, 'one')
+        self.pace.share_among(members)
+        self.placement = Placement(
+            self.clock,
+            CandidateOrder(self.registry),
+            CostModel(ZoneDistances(zone, REGIONS)),
+            self.pace,
+        )
+        self.placement.rules = {'tariffs': RULES}
+
+    def choose(self, key='17', excluded=(), remaining_ms=800, **changes):
+        return self.placement.choose(
+            PlacementRequest(
+                route(**changes),
+                'tariffs',
+                key,
+                remaining_ms,
+                is_urgent=True,
+                excluded=frozenset(excluded),
+            ),
+        )
+
+    def chosen(self, *args, **kwargs):
+        choice = self.choose(*args, **kwargs)
+        return choice.state.upstream.id if isinstance(choice, Placed) else None
+
+
+def many(count, zone='ovd-a'):
+    return [upstream(f'i-{zone}-{index}', zone) for index in range(count)]
+
+
+def test_same_object_has_the_same_place_from_all_regions():
+    """Entry VMs of different regions warm the same upstreams."""
+    everyone = [*many(6), *many(6, 'snt-a')]
+    near = Bench(*everyone)
+    far = Bench(*everyone, zone='snt-a')
+    for key in map(str, range(50)):
+        assert near.chosen(key) == far.chosen(key)
+
+
+def test_objects_stay_when_an_upstream_leaves():
+    """Only the objects of the one that left move."""
+    everyone = many(8)
+    bench = Bench(*everyone)
+    before = {key: bench.chosen(key) for key in map(str, range(60))}
+    bench.registry.remove(everyone[0].id)
+    for key, place in before.items():
+        if place != everyone[0].id:
+            assert bench.chosen(key) == place
+
+
+def test_waiting_for_a_warm_upstream_beats_a_third_choice():
+    """Under load an object stays on two upstreams, then is refused."""
+    bench = Bench(*many(8))
+    used = set()
+    for token in range(40):
+        choice = bench.choose()
+        if isinstance(choice, NotPlaced):
+            break
+        choice.state.sent(token, '17', bench.clock.now_ms())
+        used.add(choice.state.upstream.id)
+    assert len(used) == 2
+    assert choice.reason is NoRoomReason.ALL_FULL
+    assert choice.retry_after_ms > 0
+
+
+def test_what_cannot_be_in_time_is_refused_at_once():
+    """Less time than the wait means a refusal, not a send."""
+    bench = Bench(*many(2))
+    for token in range(12):
+        choice = bench.choose()
+        choice.state.sent(token, '17', bench.clock.now_ms())
+    refused = bench.choose(remaining_ms=60)
+    assert refused.reason is NoRoomReason.TOO_LATE
+
+
+def test_uploads_stay_in_the_region():
+    """Their bytes between regions are dear."""
+    bench = Bench(*many(3), *many(3, 'snt-a'))
+    for key in map(str, range(30)):
+        chosen = bench.chosen(key, kind=RequestKind.UPLOAD)
+        assert chosen.startswith('i-ovd-a')
+
+
+def test_homes_bind():
+    """A route with homes runs nowhere else, even when home is down."""
+    bench = Bench(*many(3), *many(1, 'snt-a'))
+    homes = frozenset(('cantabria',))
+    assert bench.chosen(home_regions=homes) == 'i-snt-a-0'
+    refused = bench.choose(home_regions=homes, excluded=('i-snt-a-0',))
+    assert refused.reason is NoRoomReason.NO_UPSTREAM
+
+
+def test_draining_and_evacuated_upstreams_get_nothing():
+    """Both take effect with the fact."""
+    bench = Bench(*many(1), *many(1, 'snt-a'))
+    leaving = upstream('i-ovd-a-0', is_draining=True, revision=2)
+    bench.registry.put(leaving, 0)
+    assert bench.chosen() == 'i-snt-a-0'
+    bench.registry.evacuate(['snt-a'], 3000)
+    assert bench.chosen() is None
+    bench.registry.evacuate([], 3000)
+    assert bench.chosen() == 'i-snt-a-0'
+
+
+def test_older_facts_about_an_upstream_are_passed_over():
+    """A list that lags does not bring a draining upstream back."""
+    bench = Bench(upstream('i-1', is_draining=True, revision=9))
+    bench.registry.put(upstream('i-1', revision=8), 0)
+    assert bench.chosen() is None
+
+
+def test_slow_upstream_is_avoided_while_its_request_is_overdue():
+    """One answer that does not come is enough."""
+    bench = Bench(*many(2))
+    first = bench.choose().state
+    first.sent(1, '17', bench.clock.now_ms())
+    bench.clock.advance(1500)
+    assert bench.chosen() != first.upstream.id
+
+
+def test_failures_eject_for_a_time():
+    """Two failures in a row pause an upstream; then it is tried again."""
+    bench = Bench(*many(2))
+    first = bench.choose().state
+    first.failed(bench.clock.now_ms())
+    first.failed(bench.clock.now_ms())
+    assert bench.chosen() != first.upstream.id
+    bench.clock.advance(60_000)
+    assert first.ejected_until_ms < bench.clock.now_ms()
+
+
+def test_last_upstream_is_tried_although_ejected():
+    """One request at a time goes to the only one there is."""
+    bench = Bench(*many(1))
+    only = bench.choose().state
+    only.eject(bench.clock.now_ms())
+    assert bench.chosen() == only.upstream.id
+    only.sent(1, '17', bench.clock.now_ms())
+    assert bench.chosen() is None
+
+
+def test_reported_load_of_others_counts_and_fades():
+    """A full upstream is passed over until its report is old."""
+    bench = Bench(*many(2))
+    first = bench.choose().state
+    for _ in range(4):
+        first.reported(LoadReport(4, 12, 4), bench.clock.now_ms())
+    assert bench.chosen() != first.upstream.id
+    bench.clock.advance(3000)
+    assert bench.chosen() == first.upstream.id
+
+
+@pytest.mark.parametrize('vms', [1, 3, 11, 12, 16, 40])
+def test_cold_pace_holds_over_all_entry_vms(vms):
+    """Together they send no more in any second than the bound."""
+    names = tuple(f'vm-{index}' for index in range(vms))
+    clock = ManualClock(50_000)
+    registry = UpstreamRegistry(clock)
+    registry.put(upstream('i-1'), 0)
+    state = registry.find('i-1')
+    paces = [ColdPace(clock, BOUNDS, name) for name in names]
+    sent = []
+    for pace in paces:
+        pace.share_among(names)
+    for _ in range(300):
+        clock.advance(10)
+        for pace in paces:
+            while pace.allows(state, RULES):
+                pace.count('i-1')
+                sent.append(clock.now_ms())
+    most = max(
+        sum(1 for each in sent if start <= each < start + 1000)
+        for start in sent
+    )
+    assert 0 < most <= 7.7 * 1.5 + 5
+
+
+def test_new_upstreams_count_as_cold():
+    """One that appears later has just started, whatever it says."""
+    bench = Bench(*many(1))
+    bench.registry.put(upstream('i-new'), 3000)
+    assert bench.registry.find('i-new').is_cold(bench.clock.now_ms())
+    assert not bench.registry.find('i-ovd-a-0').is_cold(bench.clock.now_ms())
+
+
+@pytest.mark.parametrize('vms', [1, 5, 12])
+def test_retry_budget_holds_over_all_entry_vms(vms):
+    """Extra attempts of all together stay within ratio and slack."""
+    clock = ManualClock(0)
+    budgets = [SharedRetryBudget(clock, BOUNDS) for _ in range(vms)]
+    extras = 0
+    for budget in budgets:
+        budget.share_among(vms)
+        for _ in range(100):
+            budget.count_request('tariffs')
+            extras += budget.try_spend('tariffs')
+    assert 0 < extras <= 0.2 * 100 * vms + 64
+
+
+def test_rotation_keeps_weights():
+    """Every hundred requests are split as the weights say."""
+    rotation = WeightedRotation(
+        (WeightedService('a', 90), WeightedService('b', 10)),
+    )
+    picks = [rotation.next_service() for _ in range(100)]
+    assert picks.count('a') == 90
+
+
+def test_longest_prefix_wins():
+    """Of two routes that fit, the narrower one is taken."""
+    wide = route(name='wide')
+    narrow = route(name='narrow', path_prefix='/a/b/')
+    known = RoutingConfiguration(1, (wide, narrow), {}, CallerLimits())
+    assert known.find_route('Quotes.example:80', '/a/b/c').name == 'narrow'
+    assert known.find_route('quotes.example', '/a/c').name == 'wide'
+    assert known.find_route('quotes.example', '/c') is None
+    assert known.find_route('other.example', '/a/c') is None
+
+
+def facts(name, zone='ovd-a', count=1, started_ms=1, is_ready=True):
+    return MemberFacts(
+        name,
+        started_ms,
+        zone,
+        REGIONS[zone],
+        f'{name}:1',
+        f'{name}:2',
+        is_ready,
+        count,
+    )
+
+
+def test_silent_members_are_not_alive_but_keep_their_shares():
+    """A VM that may be cut off still counts for common bounds."""
+    clock = ManualClock(10_000)
+    members = Members(clock, 'one')
+    members.heard(Heartbeat(facts('two'), (facts('three'),), {}))
+    assert {each.name for each in members.alive()} == {'two', 'three'}
+    clock.advance(2000)
+    members.heard(Heartbeat(facts('two', count=2), (facts('three'),), {}))
+    clock.advance(1000)
+    assert {each.name for each in members.alive()} == {'two'}
+    assert members.names == ('one', 'three', 'two')
+
+
+def test_restarted_member_is_heard_at_once():
+    """A new start outweighs a higher count of the old one."""
+    clock = ManualClock(10_000)
+    members = Members(clock, 'one')
+    members.learn([facts('two', count=500)])
+    members.learn([facts('two', count=1, started_ms=2, is_ready=False)])
+    assert not members.alive()[0].is_ready
+
+
+def test_directory_names_the_nearest_ready_vms():
+    """The zone if it has two, else the region, else all."""
+    vms = [
+        facts('a1'),
+        facts('a2'),
+        facts('b1', 'gij-b'),
+        facts('c1', 'snt-a', is_ready=False),
+        facts('c2', 'snt-a'),
+    ]
+    assert addresses_for(vms, 'ovd-a', 'asturias') == ['a1:1', 'a2:1']
+    near = addresses_for(vms, 'gij-b', 'asturias')
+    assert near == ['a1:1', 'a2:1', 'b1:1']
+    assert addresses_for(vms, 'snt-a', 'cantabria') == ['c2:1']
+    assert len(addresses_for(vms, 'x', 'nowhere')) == 4
