Notice a silent store watch on entry VMs that were cut off

Peers that were ahead did not cut it short, because each heartbeat of the other lagging VM cleared what was noted; peers that had listed anew stated no revision; and the wait in progress stayed long although the VM had become its own sentinel. Ruled out: an upstream id that came back, decoding. Change: the highest revision of all peers is kept, lists count as known, a new sentinel starts its short wait at once, and connects to the store have a limit. Test: three of tests/test_store_watch.py failed before.

--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -48,10 +48,11 @@
     _on_list: Callable[[tuple[StoreObject, ...]], None]
     _on_change: Callable[[StoreObject], None]
     _on_return: Callable[[], None]
-    is_sentinel: bool = attrs.field(init=False, default=False)
     newest: int = attrs.field(init=False, default=0)
     answered_ms: int = attrs.field(init=False)
     _revision: int = attrs.field(init=False, default=0)
+    _peer_revision: int = attrs.field(init=False, default=0)
+    _is_sentinel: bool = attrs.field(init=False, default=False)
     _failures: int = attrs.field(init=False, default=0)
     _behind_since_ms: int | None = attrs.field(init=False, default=None)
     _waiting: asyncio.Task[StorePage] | None = attrs.field(
@@ -78,14 +79,24 @@
     def peer_is_at(self, revision: int) -> None:
         """Cut a waiting watch short if it has missed what a peer knows."""
         now_ms = self._clock.now_ms()
-        if revision <= self._revision:
+        self._peer_revision = max(self._peer_revision, revision)
+        if self._peer_revision <= self._revision:
             self._behind_since_ms = None
-            return
-        if self._behind_since_ms is None:
+        elif self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        elif now_ms - self._behind_since_ms > _BEHIND_MS:
             self._behind_since_ms = now_ms
-        elif now_ms - self._behind_since_ms > _BEHIND_MS and self._waiting:
-            self._behind_since_ms = None
             logging.info('watch of %s was silent; asking anew', self.kind)
+            self._cut_short()
+
+    def serve_as_sentinel(self, *, is_sentinel: bool) -> None:
+        """Ask at short intervals, or no longer."""
+        if is_sentinel and not self._is_sentinel:
+            self._cut_short()
+        self._is_sentinel = is_sentinel
+
+    def _cut_short(self) -> None:
+        if self._waiting:
             self._waiting.cancel()
 
     async def _step(self, *, is_listed: bool) -> bool:
@@ -100,7 +111,7 @@
         for each in page.objects:
             self._on_change(each)
         if page.objects:
-            self._note_newest(page)
+            self._note_newest(page.objects, page.revision)
             await asyncio.sleep(jittered(self._rng, _NEWS_PAUSE_S))
         return True
 
@@ -117,12 +128,13 @@
         self._answered()
         self._revision = max(self._revision, revision)
         self._on_list(tuple(found))
+        self._note_newest(tuple(found), revision)
 
     async def _wait(self) -> StorePage | None:
         """Return changes, or nothing if the wait was cut short."""
         settings = self._settings
         wait_ms = settings.watch_wait_ms
-        if self.is_sentinel:
+        if self._is_sentinel:
             wait_ms = settings.sentinel_wait_ms
         limit_ms = wait_ms + settings.call_timeout_ms
         loop = asyncio.get_running_loop()
@@ -153,12 +165,15 @@
         self._failures = 0
         self.answered_ms = now_ms
 
-    def _note_newest(self, page: StorePage) -> None:
-        changed = max(
-            page.revision if each.is_deleted else each.revision
-            for each in page.objects
-        )
-        self.newest = max(self.newest, changed)
+    def _note_newest(
+        self,
+        found: tuple[StoreObject, ...],
+        revision: int,
+    ) -> None:
+        changed = [
+            revision if each.is_deleted else each.revision for each in found
+        ]
+        self.newest = max(self.newest, *changed, 0)
 
     def _seconds(self, milliseconds: int) -> float:
         return milliseconds / _MILLISECONDS_PER_SECOND
--- a/src/catkindrift/gateway/_store_watches.py
+++ b/src/catkindrift/gateway/_store_watches.py
@@ -88,7 +88,7 @@
         alive = [own, *(each.name for each in self._members.alive())]
         for watch in self._watches:
             chosen = rendezvous_order(watch.kind, alive)[:_SENTINELS]
-            watch.is_sentinel = own in chosen
+            watch.serve_as_sentinel(is_sentinel=own in chosen)
 
     def _take_configurations(self, found: tuple[StoreObject, ...]) -> None:
         for each in found:
--- a/src/catkindrift/platform/_store_client.py
+++ b/src/catkindrift/platform/_store_client.py
@@ -27,6 +27,8 @@
 _REMEDY = 'check platform.url and the state of the platform'
 # Answers are whole pages of a megabyte at most, plus their frame.
 _MOST_ANSWER_BYTES = 2_097_152
+# A connect takes a round trip; behind a cut it would wait for long.
+_CONNECT_TIMEOUT_S = 0.8
 
 
 @final
@@ -179,11 +181,12 @@
 
     async def _connect(self) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            ClientConnection,
-            self._host,
-            self._port,
-        )
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                ClientConnection,
+                self._host,
+                self._port,
+            )
         return connection
 
 
--- /dev/null
+++ b/tests/test_store_watch.py
@@ -0,0 +1,155 @@
+"""Following a kind of objects through faults of the store."""
+
+import asyncio
+
+from catkindrift.clock import ManualClock
+from catkindrift.errors import HistoryGoneError, PlatformUnavailableError
+from catkindrift.gateway._store_watch import StoreWatch
+from catkindrift.platform import StoreObject, StorePage
+from catkindrift.settings import GatewayPlatformSettings
+from tests.platform_deployment import eventually
+
+SETTINGS = GatewayPlatformSettings('127.0.0.1:1')
+
+
+class ScriptedClient:
+    """Answers lists and watches from scripts; an empty script waits."""
+
+    def __init__(self, lists, watches):
+        self.lists = list(lists)
+        self.watches = list(watches)
+        self.waits = []
+        self.listed = 0
+
+    async def list_page(self, kind, after, timeout_s):
+        self.listed += 1
+        return _play(self.lists.pop(0))
+
+    async def watch(self, kind, revision, wait_ms, timeout_s):
+        self.waits.append((revision, wait_ms))
+        if not self.watches:
+            await asyncio.sleep(3600)
+        return _play(self.watches.pop(0))
+
+
+def _play(step):
+    if isinstance(step, Exception):
+        raise step
+    return step
+
+
+def page(revision, *names, is_deleted=False, has_more=False):
+    found = tuple(StoreObject(name, revision, {}, is_deleted) for name in names)
+    return StorePage(found, revision, has_more)
+
+
+class Seen:
+    """Takes what a watch reports."""
+
+    def __init__(self, client):
+        self.clock = ManualClock(100_000)
+        self.client = client
+        self.lists = []
+        self.changes = []
+        self.returns = 0
+        self.watch = StoreWatch(
+            self.clock,
+            client,
+            'servers',
+            SETTINGS,
+            self.lists.append,
+            self.changes.append,
+            self.note_return,
+        )
+
+    def note_return(self):
+        self.returns += 1
+
+
+def follow(client, check):
+    """Run a watch until `check` has passed."""
+
+    async def scenario():
+        seen = Seen(client)
+        task = asyncio.create_task(seen.watch.run())
+        await check(seen)
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_pages_are_joined_and_watched_from_the_first():
+    """Changes made between two pages are not missed."""
+    client = ScriptedClient([page(5, 'a', has_more=True), page(9, 'b')], [])
+
+    async def check(seen):
+        await eventually(lambda: client.waits)
+        assert [each.name for each in seen.lists[0]] == ['a', 'b']
+        assert client.waits[0][0] == 5
+
+    follow(client, check)
+
+
+def test_gone_history_is_listed_again():
+    """After 410 the whole list is read, not guessed."""
+    gone = HistoryGoneError('gone')
+    client = ScriptedClient([page(5, 'a'), page(20, 'b')], [gone])
+
+    async def check(seen):
+        await eventually(lambda: len(seen.lists) == 2)
+        await eventually(lambda: client.waits[-1][0] == 20)
+
+    follow(client, check)
+
+
+def test_failed_watch_goes_on_from_its_revision():
+    """A cut or refused watch costs no list."""
+    lost = PlatformUnavailableError('lost')
+    client = ScriptedClient([page(5, 'a')], [lost, lost, page(7, 'b')])
+
+    async def check(seen):
+        await eventually(lambda: seen.changes)
+        assert client.listed == 1
+        assert [revision for revision, _ in client.waits[:3]] == [5, 5, 5]
+
+    follow(client, check)
+
+
+def test_peer_that_is_ahead_cuts_a_silent_watch_short():
+    """A peer that lags too does not hide one that is ahead."""
+    client = ScriptedClient([page(5, 'a')], [])
+
+    async def check(seen):
+        await eventually(lambda: len(client.waits) == 1)
+        seen.watch.peer_is_at(9)
+        seen.watch.peer_is_at(4)
+        seen.clock.advance(400)
+        seen.watch.peer_is_at(4)
+        seen.watch.peer_is_at(9)
+        await eventually(lambda: len(client.waits) == 2, seconds=2)
+
+    follow(client, check)
+
+
+def test_list_tells_peers_how_far_it_is():
+    """What a list shows counts as known, as what a watch shows does."""
+    client = ScriptedClient([page(5, 'a')], [])
+
+    async def check(seen):
+        await eventually(lambda: client.waits)
+        assert seen.watch.newest == 5
+
+    follow(client, check)
+
+
+def test_becoming_a_sentinel_shortens_the_wait_that_runs():
+    """A VM that hears nobody does not sit out a long silent wait."""
+    client = ScriptedClient([page(5, 'a')], [])
+
+    async def check(seen):
+        await eventually(lambda: len(client.waits) == 1)
+        seen.watch.serve_as_sentinel(is_sentinel=True)
+        await eventually(lambda: len(client.waits) == 2, seconds=2)
+        assert client.waits[1][1] == SETTINGS.sentinel_wait_ms
+
+    follow(client, check)
