--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -207,11 +207,11 @@
             self._tick.run()
             self._pool.prune(self._facts.registry.ids)
             await asyncio.sleep(_TICK_SECONDS)
+            self._watches.choose_sentinels()
 
     async def _run_short_ticks(self) -> None:
         while True:
             self._heartbeats.set_ready(is_ready=self.is_ready)
-            self._watches.choose_sentinels()
             self._facts.drop_missing()
             await asyncio.sleep(_SHORT_TICK_SECONDS)
 
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -48,7 +48,7 @@
         validator=attrs.validators.in_(range(1, 30_001)),
     )
     sentinel_wait_ms: int = attrs.field(
-        default=1500,
+        default=2500,
         validator=attrs.validators.in_(range(1, 30_001)),
     )
     call_timeout_ms: int = attrs.field(
