Let changes within 0.7 s share a store call

Cause: an upstream that starts writes a lower cold time with each beat, and each costs every entry VM a call.

--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -19,7 +19,7 @@
 _FIRST_PAUSE_S = 0.15
 _LONGEST_PAUSE_S = 1.2
 # A pause after news, so that changes in quick succession share a call.
-_NEWS_PAUSE_S = 0.4
+_NEWS_PAUSE_S = 0.7
 # Calls fail for this long before the store counts as having been away.
 _AWAY_MS = 1200
 # Peers are ahead for this long before a waiting watch counts as silent.
