Read settings again while running; name every mistake without a traceback

Found on the way: a missing key was named twice over (vm.name.name), since the loader added a name that its caller had added. Change: catkindrift gateway, python -m catkindrift.gateway with exit code 2 for wrong settings, a settings file that is followed, bounds and zones that come into force at once; check-settings knows the new kind. Conclusion: names and addresses change at the next start only, and say so.

--- a/src/catkindrift/cli/_local_parsers.py
+++ b/src/catkindrift/cli/_local_parsers.py
@@ -25,6 +25,16 @@
     )
     entry = commands.add_parser('entry', help='run one entry VM')
     entry.add_argument('--settings', metavar=_PATH_NAME, required=True)
+    gateway = commands.add_parser(
+        'gateway',
+        help="run one entry VM on the users' platform",
+    )
+    gateway.add_argument(
+        '--settings',
+        metavar=_PATH_NAME,
+        default='',
+        help='settings file; default: the one that CATKINDRIFT_SETTINGS names',
+    )
     check = commands.add_parser(
         'check-settings',
         help='report every mistake in a settings or deployment file',
--- a/src/catkindrift/cli/_main.py
+++ b/src/catkindrift/cli/_main.py
@@ -22,6 +22,7 @@
 )
 from catkindrift.cli._report_commands import run_report
 from catkindrift.errors import InvalidInputError, SettingsFileError
+from catkindrift.gateway import run_gateway
 
 _MISTAKES = (SettingsFileError, InvalidInputError, ExceptionGroup)
 
@@ -58,6 +59,9 @@
             return run_demo(args.deployment, args.seconds)
         case 'entry':
             return run_entry(args.settings)
+        case 'gateway':
+            run_gateway(args.settings)
+            return ExitCode.DONE
         case 'check-settings':
             return check_settings(args.file)
         case 'report':
--- a/src/catkindrift/cli/_processes.py
+++ b/src/catkindrift/cli/_processes.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import Any
 
 from absl import logging
 
@@ -15,6 +16,7 @@
 from catkindrift.settings import (
     Deployment,
     EntrySettings,
+    GatewaySettings,
     load_settings,
     read_document,
 )
@@ -43,15 +45,11 @@
     return ExitCode.DONE
 
 
-def check_settings(path: str) -> ExitCode:
+def check_settings(name: str) -> ExitCode:
     """Report every mistake in a settings or deployment file."""
-    document = read_document(Path(path))
-    if 'deployment' in document:
-        load_settings(Path(path), Deployment)
-    elif 'objectives' in document:
-        load_settings(Path(path), Objectives)
-    else:
-        load_settings(Path(path), EntrySettings)
+    path = Path(name)
+    document = read_document(path)
+    load_settings(path, _type_of(document))
     write_line(f'{path}: no mistakes')
     return ExitCode.DONE
 
@@ -65,6 +63,16 @@
         write_error(str(error))
 
 
+def _type_of(document: dict[str, Any]) -> type[Any]:
+    if 'deployment' in document:
+        return Deployment
+    if 'objectives' in document:
+        return Objectives
+    if 'zones' in document:
+        return GatewaySettings
+    return EntrySettings
+
+
 async def _serve(settings: EntrySettings) -> None:
     # Server threads hand over to the loop sooner than by default.
     sys.setswitchinterval(_SWITCH_SECONDS)
--- a/src/catkindrift/gateway/__main__.py
+++ b/src/catkindrift/gateway/__main__.py
@@ -1,6 +1,8 @@
 """Runs an entry VM with ``python -m catkindrift.gateway``."""
 
-from catkindrift.gateway._run import run_gateway
+import sys
+
+from catkindrift.gateway._run import main
 
 if __name__ == '__main__':
-    run_gateway('')
+    sys.exit(main())
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -64,6 +64,9 @@
     _heartbeats: Heartbeats = attrs.field(init=False)
     _watches: StoreWatches = attrs.field(init=False)
     _registration: Registration = attrs.field(init=False)
+    _regions: dict[str, str] = attrs.field(init=False)
+    _budget: SharedRetryBudget = attrs.field(init=False)
+    _pace: ColdPace = attrs.field(init=False)
     _pool: UpstreamPool = attrs.field(init=False)
     _tick: SteeringTick = attrs.field(init=False)
     _callers: HttpServer = attrs.field(init=False)
@@ -73,6 +76,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Wire the parts."""
+        self._regions = dict(self._settings.zones)
+        bounds = _shared_bounds(self._settings.bounds)
+        self._budget = SharedRetryBudget(self._clock, bounds)
+        self._pace = ColdPace(self._clock, bounds, self._settings.vm.name)
         self._wire_facts()
         self._wire_data_path()
 
@@ -102,6 +109,19 @@
             self._tasks.append(task)
         logging.info('entry VM %s has started', self._settings.vm.name)
 
+    def apply(self, settings: GatewaySettings) -> None:
+        """Put newer settings in force, but for names and addresses."""
+        kept = (settings.vm, settings.listen, settings.platform)
+        before = self._settings
+        if kept != (before.vm, before.listen, before.platform):
+            logging.warning('names and addresses change at the next start')
+        self._regions.update(settings.zones)
+        bounds = _shared_bounds(settings.bounds)
+        self._budget.bounds = bounds
+        self._pace.bounds = bounds
+        self._settings = attrs.evolve(before, bounds=settings.bounds)
+        logging.info('newer settings are in force')
+
     async def stop(self) -> None:
         """End without cutting a request off, within the grace period."""
         self._is_stopping = True
@@ -122,7 +142,7 @@
         store = settings.platform.endpoint
         client = StoreClient(store.host, store.port)
         self._members = Members(clock, settings.vm.name)
-        self._facts = Facts(clock, UpstreamRegistry(clock), settings.zones)
+        self._facts = Facts(clock, UpstreamRegistry(clock), self._regions)
         self._watches = StoreWatches(
             clock, client, settings, self._facts, self._members
         )
@@ -138,32 +158,29 @@
     def _wire_data_path(self) -> None:
         clock = self._clock
         vm = self._settings.vm
-        bounds = _shared_bounds(self._settings.bounds)
         metrics = GatewayMetrics()
-        distances = ZoneDistances(vm.zone, self._settings.zones)
-        budget = SharedRetryBudget(clock, bounds)
-        pace = ColdPace(clock, bounds, vm.name)
+        distances = ZoneDistances(vm.zone, self._regions)
         placement = Placement(
             clock,
             CandidateOrder(self._facts.registry),
             CostModel(distances),
-            pace,
+            self._pace,
         )
         self._pool = UpstreamPool(clock, distances, metrics)
         self._tick = SteeringTick(
             self._facts,
             self._members,
             placement,
-            pace,
-            budget,
+            self._pace,
+            self._budget,
         )
         forwarder = Forwarder(
             clock,
             self._facts,
             placement,
             AttemptSender(clock, self._pool, placement, metrics),
-            budget,
-            pace,
+            self._budget,
+            self._pace,
             metrics,
         )
         self._listen(forwarder, metrics)
--- a/src/catkindrift/gateway/_run.py
+++ b/src/catkindrift/gateway/_run.py
@@ -1,17 +1,24 @@
 """Runs an entry VM of the users' platform as a process."""
 
 import asyncio
+import contextlib
 import os
 import signal
+import sys
+from collections.abc import Iterable
 from pathlib import Path
 
 from absl import logging
 
 from catkindrift.errors import SettingsFileError
 from catkindrift.gateway._gateway import Gateway
-from catkindrift.settings import GatewaySettings, load_settings
+from catkindrift.gateway._settings_file import SettingsFile
 
 SETTINGS_VARIABLE = 'CATKINDRIFT_SETTINGS'
+# The same as the command line's for wrong settings.
+_USAGE_EXIT_CODE = 2
+# A change without a signal is noticed within this time.
+_CHECK_SECONDS = 2.0
 
 
 def run_gateway(path: str) -> None:
@@ -30,24 +37,57 @@
         raise SettingsFileError(
             f'no settings file; give --settings or set {SETTINGS_VARIABLE}',
         )
-    settings = load_settings(Path(named), GatewaySettings)
+    settings_file = SettingsFile(Path(named))
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold(logging.INFO)
-    asyncio.run(_serve(settings))
+    asyncio.run(_serve(settings_file))
 
 
-async def _serve(settings: GatewaySettings) -> None:
-    gateway = Gateway(settings)
+def main() -> int:
+    """Run as the platform does; print every mistake in the settings."""
+    try:
+        run_gateway('')
+    except SettingsFileError as unreadable:
+        return _report([unreadable])
+    except ExceptionGroup as mistakes:
+        return _report(mistakes.exceptions)
+    return 0
+
+
+def _report(mistakes: Iterable[Exception]) -> int:
+    for mistake in mistakes:
+        sys.stderr.write(f'{mistake}\n')
+    return _USAGE_EXIT_CODE
+
+
+async def _serve(settings_file: SettingsFile) -> None:
+    gateway = Gateway(settings_file.settings)
     stop = asyncio.Event()
+    changed = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
     await gateway.start()
+    follower = loop.create_task(
+        _follow_settings(settings_file, gateway, changed)
+    )
     await stop.wait()
+    follower.cancel()
     await gateway.stop()
 
 
-def _note_reload() -> None:
-    logging.info('settings are read again at the next start')
+async def _follow_settings(
+    settings_file: SettingsFile,
+    gateway: Gateway,
+    changed: asyncio.Event,
+) -> None:
+    """Read the file again on a signal, and when it has changed without."""
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(changed.wait(), _CHECK_SECONDS)
+        changed.clear()
+        newer = settings_file.read_if_changed()
+        if newer:
+            gateway.apply(newer)
--- a/src/catkindrift/settings/_loader.py
+++ b/src/catkindrift/settings/_loader.py
@@ -89,8 +89,7 @@
                 for extra in sorted(error.extra_fields)
             ]
         case KeyError():
-            missing = f'{key}.{error.args[0]}'.lstrip('.')
-            return [SettingError(missing, 'nothing', 'a value; add the key')]
+            return [SettingError(key, 'nothing', 'a value; add the key')]
     return [SettingError(key or 'file', _shown(found), _expectation(error))]
 
 
--- a/src/catkindrift/steering/_cold_pace.py
+++ b/src/catkindrift/steering/_cold_pace.py
@@ -35,7 +35,7 @@
     """
 
     _clock: Clock
-    _bounds: SteeringBounds
+    bounds: SteeringBounds
     _own_name: str
     _members: tuple[str, ...] = attrs.field(init=False, default=())
     _sent_ms: dict[str, deque[int]] = attrs.field(init=False, factory=dict)
@@ -63,8 +63,8 @@
             self._sent_ms.pop(gone)
 
     def _share(self, upstream_id: str, rules: ServiceRules) -> int:
-        pace = rules.cold_per_second * self._bounds.cold_overshoot
-        room = int((pace + self._bounds.cold_slack) * _GIVEN_OUT)
+        pace = rules.cold_per_second * self.bounds.cold_overshoot
+        room = int((pace + self.bounds.cold_slack) * _GIVEN_OUT)
         senders = max(1, len(self._members))
         if senders <= room:
             return room // senders
--- a/src/catkindrift/steering/_shared_retry_budget.py
+++ b/src/catkindrift/steering/_shared_retry_budget.py
@@ -29,7 +29,7 @@
     """
 
     _clock: Clock
-    _bounds: SteeringBounds
+    bounds: SteeringBounds
     _members: int = attrs.field(init=False, default=1)
     _requests_ms: dict[str, deque[int]] = attrs.field(init=False, factory=dict)
     _extras_ms: dict[str, deque[int]] = attrs.field(init=False, factory=dict)
@@ -46,8 +46,8 @@
         """Spend one extra attempt and return whether there was one left."""
         extras = self._recent(self._extras_ms, service)
         requests = self._recent(self._requests_ms, service)
-        earned = self._bounds.retry_ratio * _RATIO_USED * len(requests)
-        given = self._bounds.retry_slack * _SLACK_USED / self._members
+        earned = self.bounds.retry_ratio * _RATIO_USED * len(requests)
+        given = self.bounds.retry_slack * _SLACK_USED / self._members
         if len(extras) + 1 > earned + given:
             return False
         extras.append(self._clock.now_ms())
@@ -59,7 +59,7 @@
         service: str,
     ) -> deque[int]:
         recent = counted.setdefault(service, deque())
-        oldest_ms = self._clock.now_ms() - self._bounds.retry_window_ms
+        oldest_ms = self._clock.now_ms() - self.bounds.retry_window_ms
         while recent and recent[0] <= oldest_ms:
             recent.popleft()
         return recent
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -6,6 +6,7 @@
 import re
 import socket
 from pathlib import Path
+from types import MappingProxyType
 
 import attrs
 
@@ -15,7 +16,13 @@
 from tests.platform_upstream import PlatformUpstream
 
 TEMPLATE = Path(__file__).parents[1] / 'deploy' / 'settings.toml.template'
-ZONES = {'ovd-a': 'asturias', 'gij-b': 'asturias', 'snt-a': 'cantabria'}
+ZONES = MappingProxyType(
+    {
+        'ovd-a': 'asturias',
+        'gij-b': 'asturias',
+        'snt-a': 'cantabria',
+    }
+)
 
 
 def free_port():
@@ -46,15 +53,19 @@
                 .replace('{{.|json}}', json.dumps(each))
                 for key, each in found.items()
             )
-        return match[2] if found is not None else ''
+        return '' if found is None else match[2]
 
     text = re.sub(
         r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', section, template, flags=re.S
     )
     text = re.sub(
-        r'\{\{([\w.]+)\|json\}\}', lambda m: json.dumps(look_up(m[1])), text
+        r'\{\{([\w.]+)\|json\}\}',
+        lambda match: json.dumps(look_up(match[1])),
+        text,
+    )
+    return re.sub(
+        r'\{\{([\w.]+)\}\}', lambda match: str(look_up(match[1])), text
     )
-    return re.sub(r'\{\{([\w.]+)\}\}', lambda m: str(look_up(m[1])), text)
 
 
 def platform_fields(name, zone, store_port):
@@ -64,7 +75,7 @@
         'node_name': name,
         'zone': zone,
         'region': ZONES[zone],
-        'zones': ZONES,
+        'zones': dict(ZONES),
         'ip': '127.0.0.1',
         'listen': {
             'front': f'127.0.0.1:{ports[0]}',
@@ -132,9 +143,19 @@
     return {'version': f'{version:08x}', 'resources': resources}
 
 
-SAFE = {'path_prefix': '/safe/', 'kind': 'safe', 'service': 'tariffs'}
-UNSAFE = {'path_prefix': '/unsafe/', 'kind': 'unsafe', 'service': 'tariffs'}
-UPLOAD = {'path_prefix': '/upload/', 'kind': 'upload', 'service': 'tariffs'}
+def _route(kind):
+    return MappingProxyType(
+        {
+            'path_prefix': f'/{kind}/',
+            'kind': kind,
+            'service': 'tariffs',
+        }
+    )
+
+
+SAFE = _route('safe')
+UNSAFE = _route('unsafe')
+UPLOAD = _route('upload')
 
 
 @attrs.define(eq=False)
@@ -248,9 +269,8 @@
 async def ask(address, request):
     """Send one request on its own connection and return the answer."""
     reader, writer = await asyncio.open_connection(*address)
-    writer.write(request)
-    try:
+    with contextlib.ExitStack() as stack:
+        stack.callback(writer.close)
+        writer.write(request)
         async with asyncio.timeout(10):
             return await read_answer(reader)
-    finally:
-        writer.close()
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's store, in the platform's own form."""
 
 import asyncio
+import contextlib
 import json
 from http import HTTPStatus
 from urllib.parse import parse_qs
@@ -100,13 +101,11 @@
     async def _watch(self, kind, query):
         since = int(query['watch'])
         limit = int(query['wait_ms']) / 1000
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit), self._changed:
                 await self._changed.wait_for(
                     lambda: since < self.oldest or self._since(kind, since),
                 )
-        except TimeoutError:
-            pass
         if since < self.oldest:
             return _json(HTTPStatus.GONE, {})
         return _json(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,12 +15,18 @@
 )
 from tests.platform_upstream import shed
 
+LAST = b'0\r\n\r\n'
+
 
 def run(test):
     """Run a test on a loop of its own."""
     return asyncio.run(test)
 
 
+def echo_attempt(upstream, attempt):
+    return upstream.ok(attempt, attempt)
+
+
 def arrivals(deployment):
     return [
         request
@@ -41,7 +47,7 @@
             )
             assert (status, body) == (200, b'hello')
             assert headers['server-signature'] == 's'
-            ((line, sent, sent_body),) = arrivals(deployment)
+            line, sent, sent_body = arrivals(deployment)[0]
             assert line == b'POST /unsafe/x?y=1 HTTP/1.1'
             assert sent[b'attempt-id'] == b'a1'
             assert sent[b'expected-instance'].startswith(b'i-')
@@ -97,7 +103,7 @@
 
     async def scenario():
         async with deployed(tmp_path) as deployment:
-            part = b'19000\r\n' + b'z' * 0x19000 + b'\r\n'
+            part = b'19000\r\n%b\r\n' % (b'z' * 0x19000)
             request = head(
                 '/upload/x', 'POST', extra='Transfer-Encoding: chunked\r\n'
             )
@@ -304,9 +310,7 @@
                 *deployment.address()
             )
             for upstream in deployment.upstreams:
-                upstream.script = [
-                    lambda up, attempt: up.ok(attempt, attempt) for _ in '1234'
-                ]
+                upstream.script = [echo_attempt for _ in '1234']
                 upstream.delay_s = 0.05
             requests = [
                 head('/safe/x', attempt=f'n{number}') for number in range(4)
@@ -327,13 +331,12 @@
             request = head(
                 '/upload/x', 'POST', extra='Transfer-Encoding: chunked\r\n'
             )
-            part = b'8000\r\n' + b'u' * 0x8000 + b'\r\n'
+            part = b'8000\r\n%b\r\n' % (b'u' * 0x8000)
             status, _, _ = await ask(
-                deployment.address(), request + part + part + b'0\r\n\r\n'
+                deployment.address(), b''.join((request, part, part, LAST))
             )
             assert status == 200
-            ((_, _, body),) = arrivals(deployment)
-            assert body == b'u' * 0x10000
+            assert arrivals(deployment)[0][2] == b'u' * 0x10000
 
     run(scenario())
 
--- /dev/null
+++ b/tests/test_gateway_settings.py
@@ -0,0 +1,103 @@
+"""Settings of an entry VM on the platform, from the template to a reload."""
+
+import os
+import re
+import signal
+import subprocess
+import sys
+
+import attrs
+import pytest
+
+from catkindrift.gateway import Gateway
+from catkindrift.gateway._settings_file import SettingsFile
+from catkindrift.settings import GatewaySettings, load_settings
+from tests.platform_deployment import TEMPLATE, platform_fields, render
+
+
+def write(folder, **changes):
+    fields = {**platform_fields('front-1', 'ovd-a', 8642), **changes}
+    path = folder / 'settings.toml'
+    path.write_text(render(TEMPLATE.read_text(), fields))
+    return path
+
+
+def test_template_yields_valid_settings(tmp_path):
+    """What the platform fills in is read without a mistake."""
+    settings = load_settings(write(tmp_path), GatewaySettings)
+    assert settings.vm.name == 'front-1'
+    assert settings.zones['snt-a'] == 'cantabria'
+    assert settings.bounds.retry_slack == 64
+
+
+def test_missing_bounds_get_safe_values(tmp_path):
+    """A deployment without the contract leaves the strict defaults."""
+    settings = load_settings(write(tmp_path, bounds={}), GatewaySettings)
+    assert settings.bounds.retry_slack < 64
+
+
+def test_every_mistake_stops_the_process(tmp_path):
+    """All wrong fields are named, and the exit code is not zero."""
+    path = write(tmp_path)
+    text = path.read_text().replace('name = "front-1"', 'nome = "front-1"')
+    path.write_text(re.sub('address = .*', 'address = "nowhere"', text))
+    ended = subprocess.run(
+        [sys.executable, '-m', 'catkindrift.gateway'],
+        env={**os.environ, 'CATKINDRIFT_SETTINGS': str(path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert ended.returncode == 2
+    assert 'vm.name: found nothing' in ended.stderr
+    assert 'vm.nome' in ended.stderr
+    assert 'platform: found' in ended.stderr
+    assert 'Traceback' not in ended.stderr
+
+
+def test_process_serves_and_stops_on_a_signal(tmp_path):
+    """The real process starts without a store, and ends on SIGTERM."""
+    path = write(tmp_path)
+    with subprocess.Popen(
+        [sys.executable, '-m', 'catkindrift.gateway'],
+        env={**os.environ, 'CATKINDRIFT_SETTINGS': str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        for line in process.stderr:
+            if 'has started' in line:
+                break
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        process.stderr.read()
+        assert process.wait(timeout=30) == 0
+
+
+def test_changed_file_is_taken_and_a_wrong_one_is_not(tmp_path):
+    """Mistakes leave the last settings in force."""
+    path = write(tmp_path)
+    file = SettingsFile(path)
+    assert file.read_if_changed() is None
+    good = path.read_text()
+    path.write_text('not = [toml')
+    assert file.read_if_changed() is None
+    path.write_text(good.replace('grace_s = 1.2', 'grace_s = 9'))
+    newer = file.read_if_changed()
+    assert newer.bounds.grace_s == pytest.approx(9)
+    assert file.read_if_changed() is None
+
+
+def test_new_zones_and_bounds_come_into_force(tmp_path):
+    """A reload changes shared bounds and regions, not addresses."""
+    settings = load_settings(write(tmp_path), GatewaySettings)
+    gateway = Gateway(settings)
+    gateway.apply(
+        attrs.evolve(
+            settings,
+            zones={**settings.zones, 'new-a': 'galicia'},
+            bounds=attrs.evolve(settings.bounds, retry_ratio=0.05),
+        ),
+    )
+    assert gateway._facts.regions['new-a'] == 'galicia'
+    assert gateway._budget.bounds.retry_ratio == pytest.approx(0.05)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -31,8 +31,8 @@
     addresses_for,
 )
 from catkindrift.steering._caller_limits import CallerLimits
+from tests.platform_deployment import ZONES as REGIONS
 
-REGIONS = {'ovd-a': 'asturias', 'gij-b': 'asturias', 'snt-a': 'cantabria'}
 BOUNDS = SteeringBounds(0.2, 10_000, 64, 1.5, 5)
 RULES = ServiceRules('tariffs', '/health', 390, 3000, 7.7)
 
