Quarantine requests that crash upstreams, in all entry VMs

An upstream that breaks off is asked for a connection: if it takes one, an answer was lost and nobody is blamed; if not, what ran there is, and heartbeats tell the other entry VMs. Two crashes under one fingerprint (method, target, object, caller, length) are the end; the caller is told not run. Ruled out: blaming by path alone, since callers share the objects that are hot.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -17,6 +17,7 @@
     NotRun,
     Unknown,
 )
+from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._pending_request import PendingRequest
 from catkindrift.gateway._upstream_pool import UpstreamPool
@@ -56,12 +57,14 @@
         pool: Connections.
         placement: Learns speeds.
         metrics: Counts failures.
+        crashes: Learns which requests crash upstreams.
     """
 
     _clock: Clock
     _pool: UpstreamPool
     _placement: Placement
     _metrics: GatewayMetrics
+    _crashes: CrashWatch
     _tokens: Iterator[int] = attrs.field(
         init=False,
         factory=itertools.count,
@@ -82,6 +85,8 @@
         state.sent(token, pending.key, now_ms)
         with contextlib.ExitStack() as stack:
             stack.callback(state.ended, token)
+            self._crashes.started(state.upstream, token, pending.fingerprint)
+            stack.callback(self._crashes.ended, state.upstream, token)
             return await self._send_counted(pending, state)
 
     async def _send_counted(
@@ -129,8 +134,11 @@
         head = receiver.head
         if head is None or receiver.failure:
             exchange.connection.abort()
+            if receiver.failure is ResponseFailure.CLOSED:
+                self._crashes.broke_off(state.upstream)
             return self._failed(state, receiver.failure)
         self._learn(state, head, now_ms)
+        self._crashes.answered(exchange.pending.fingerprint)
         if says_not_run(head):
             return self._refused(exchange, head, now_ms)
         if not exchange.pending.may_pass_on(head):
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -17,6 +17,7 @@
     NotRun,
     Unknown,
 )
+from catkindrift.gateway._crash_watch import CrashWatch, fingerprint_of
 from catkindrift.gateway._facts import Facts
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._pending_request import PendingRequest
@@ -43,6 +44,9 @@
 _UNREADY_RETRY_MS = 400.0
 # Advice after a refusal by upstreams: about one service time.
 _REFUSED_RETRY_MS = 150.0
+# A request that crashes upstreams will do so again; its caller's next try
+# may be another request.
+_QUARANTINED_RETRY_MS = 10_000.0
 # Connects that fail before a request is given up; they cost upstreams
 # nothing, but each takes time.
 _MOST_CONNECT_FAILURES = 4
@@ -60,6 +64,7 @@
         sender: Makes attempts.
         budget: Extra attempts.
         pace: Cold upstreams.
+        crashes: Requests that crash upstreams.
         metrics: Counts outcomes.
     """
 
@@ -69,6 +74,7 @@
     _sender: AttemptSender
     _budget: SharedRetryBudget
     _pace: ColdPace
+    _crashes: CrashWatch
     _metrics: GatewayMetrics
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
     _keyless: Iterator[int] = attrs.field(
@@ -96,13 +102,18 @@
         limit_ms = route.timeout_ms
         if waits_ms is not None:
             limit_ms = min(limit_ms, waits_ms)
+        key = object_key(request.headers) or self._spread_key()
+        fingerprint = fingerprint_of(request, key)
+        if self._crashes.is_quarantined(fingerprint):
+            return self._refusal('quarantined', _QUARANTINED_RETRY_MS)
         service = self._facts.rotation(route).next_service()
         pending = PendingRequest(
             request=request,
             route=route,
             service=service,
             attempt=request_id(request.headers),
-            key=object_key(request.headers) or self._spread_key(),
+            key=key,
+            fingerprint=fingerprint,
             deadline_ms=request.arrived_ms + limit_ms,
             is_urgent=configuration.is_most_urgent(route, service),
         )
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -9,6 +9,7 @@
 
 from catkindrift.clock import Clock, SystemClock
 from catkindrift.gateway._attempt import AttemptSender
+from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._directory import Directory, MetricsPage, Readiness
 from catkindrift.gateway._facts import Facts
 from catkindrift.gateway._forwarder import Forwarder
@@ -26,6 +27,7 @@
     CandidateOrder,
     ColdPace,
     CostModel,
+    Heartbeat,
     MemberFacts,
     Members,
     Placement,
@@ -67,7 +69,10 @@
     _regions: dict[str, str] = attrs.field(init=False)
     _budget: SharedRetryBudget = attrs.field(init=False)
     _pace: ColdPace = attrs.field(init=False)
+    _metrics: GatewayMetrics = attrs.field(init=False)
+    _distances: ZoneDistances = attrs.field(init=False)
     _pool: UpstreamPool = attrs.field(init=False)
+    _crashes: CrashWatch = attrs.field(init=False)
     _tick: SteeringTick = attrs.field(init=False)
     _callers: HttpServer = attrs.field(init=False)
     _servers: list[tuple[HttpServer, str]] = attrs.field(init=False)
@@ -80,6 +85,14 @@
         bounds = _shared_bounds(self._settings.bounds)
         self._budget = SharedRetryBudget(self._clock, bounds)
         self._pace = ColdPace(self._clock, bounds, self._settings.vm.name)
+        self._metrics = GatewayMetrics()
+        self._distances = ZoneDistances(self._settings.vm.zone, self._regions)
+        self._pool = UpstreamPool(
+            self._clock,
+            self._distances,
+            self._metrics,
+        )
+        self._crashes = CrashWatch(self._clock, self._pool)
         self._wire_facts()
         self._wire_data_path()
 
@@ -151,22 +164,19 @@
             self._members,
             _own_facts(settings, clock),
             self._watches.revisions,
-            self._watches.heard,
+            self._crashes.told,
+            self._heard,
         )
         self._registration = Registration(client, settings, self._heartbeats)
 
     def _wire_data_path(self) -> None:
         clock = self._clock
-        vm = self._settings.vm
-        metrics = GatewayMetrics()
-        distances = ZoneDistances(vm.zone, self._regions)
         placement = Placement(
             clock,
             CandidateOrder(self._facts.registry),
-            CostModel(distances),
+            CostModel(self._distances),
             self._pace,
         )
-        self._pool = UpstreamPool(clock, distances, metrics)
         self._tick = SteeringTick(
             self._facts,
             self._members,
@@ -178,14 +188,21 @@
             clock,
             self._facts,
             placement,
-            AttemptSender(clock, self._pool, placement, metrics),
+            AttemptSender(
+                clock,
+                self._pool,
+                placement,
+                self._metrics,
+                self._crashes,
+            ),
             self._budget,
             self._pace,
-            metrics,
+            self._crashes,
+            self._metrics,
         )
-        self._listen(forwarder, metrics)
+        self._listen(forwarder)
 
-    def _listen(self, forwarder: Forwarder, metrics: GatewayMetrics) -> None:
+    def _listen(self, forwarder: Forwarder) -> None:
         clock = self._clock
         listen = self._settings.listen
         directory = Directory(self._members, self._heartbeats)
@@ -195,7 +212,7 @@
             (self._callers, listen.callers),
             (HttpServer(clock, directory), listen.directory),
             (HttpServer(clock, readiness), listen.readiness),
-            (HttpServer(clock, MetricsPage(metrics)), listen.metrics),
+            (HttpServer(clock, MetricsPage(self._metrics)), listen.metrics),
         ]
 
     def _jobs(self) -> list[Coroutine[Any, Any, None]]:
@@ -235,6 +252,10 @@
     def _heartbeat_protocol(self) -> Heartbeats:
         return self._heartbeats
 
+    def _heard(self, heartbeat: Heartbeat) -> None:
+        self._watches.heard(heartbeat)
+        self._crashes.learn(heartbeat.crashes)
+
     def _caller_limits(self) -> CallerLimits:
         return self._facts.limits
 
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from catkindrift.clock import Clock
+from catkindrift.retries import Crash
 from catkindrift.settings import Endpoint
 from catkindrift.steering import Heartbeat, MemberFacts, Members
 
@@ -36,6 +37,7 @@
         members: Entry VMs.
         own: Facts about this VM; the count is set here.
         revisions: Returns the store revisions that this VM knows.
+        crashes: Returns the crashes that this VM knows.
         on_heartbeat: Takes what another VM sent.
     """
 
@@ -43,6 +45,7 @@
     _members: Members
     _own: MemberFacts
     _revisions: Callable[[], dict[str, int]]
+    _crashes: Callable[[], tuple[Crash, ...]]
     _on_heartbeat: Callable[[Heartbeat], None]
     _introductions: set[str] = attrs.field(init=False, factory=set)
     _transport: asyncio.DatagramTransport | None = attrs.field(
@@ -116,7 +119,9 @@
     def _heartbeat(self) -> Heartbeat:
         alive = self._members.alive()
         heard = self._rng.sample(alive, min(len(alive), _MOST_HEARD))
-        return Heartbeat(self._own, tuple(heard), self._revisions())
+        return Heartbeat(
+            self._own, tuple(heard), self._revisions(), self._crashes()
+        )
 
     def _receivers(self, *, is_for_all: bool) -> set[str]:
         known = self._members.facts
--- a/src/catkindrift/gateway/_pending_request.py
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -32,6 +32,7 @@
         service: Service that runs it.
         attempt: Id that the caller gave it.
         key: The object that it is about.
+        fingerprint: What a repetition by its caller has in common with it.
         deadline_ms: When its final answer is due.
         is_urgent: Whether no other route to the service is more urgent.
         may_have_run: Whether some upstream may have started it.
@@ -46,6 +47,7 @@
     service: str
     attempt: str
     key: str
+    fingerprint: str
     deadline_ms: int
     is_urgent: bool
     may_have_run: bool = False
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -28,6 +28,7 @@
 
     _clock: Clock
     _source: PausableReader
+    caller: str = attrs.field(init=False, default='')
     has_begun: bool = attrs.field(init=False, default=False)
     raw_bytes: int = attrs.field(init=False, default=0)
     _target: bytes = attrs.field(init=False, default=b'')
@@ -93,6 +94,7 @@
             headers=self._headers,
             body=RequestBody(self._source, bool(coding), int(length or 0)),
             arrived_ms=self._clock.now_ms(),
+            caller=self.caller,
         )
 
     def _check_target(self) -> HTTPStatus | None:
--- a/src/catkindrift/http1/_request.py
+++ b/src/catkindrift/http1/_request.py
@@ -21,6 +21,7 @@
         headers: Names and values as they came.
         body: The body, as it arrives.
         arrived_ms: When the head was complete.
+        caller: IP number of the caller.
     """
 
     method: bytes
@@ -30,6 +31,7 @@
     headers: Headers
     body: RequestBody
     arrived_ms: int
+    caller: str
 
     def header(self, name: bytes) -> bytes:
         """Return the first value of a header, or nothing."""
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -49,6 +49,10 @@
         """Return whether a head has arrived in part."""
         return self._collector.has_begun
 
+    def name_caller(self, address: str) -> None:
+        """Note the caller's IP number for the requests to come."""
+        self._collector.caller = address
+
     def feed(self, chunk: bytes) -> None:
         """Parse bytes; nothing is read after a refusal."""
         if self._has_refused:
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -71,6 +71,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._writer.attach(transport)  # type: ignore[arg-type]
+        peer = transport.get_extra_info('peername')
+        self._parser.name_caller(peer[0] if peer else '')
         self._quiet_since_ms = self._clock.now_ms()
         self._connections.add(self)
 
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from catkindrift.retries import Crash
+
 
 @final
 @attrs.frozen
@@ -44,9 +46,11 @@
     Args:
         sender: Facts about the sender.
         heard: Facts about others that the sender heard of lately.
+        crashes: Crashes that the sender or another has seen lately.
         revisions: Newest store revision known to the sender, by kind.
     """
 
     sender: MemberFacts
     heard: tuple[MemberFacts, ...]
     revisions: dict[str, int]
+    crashes: tuple[Crash, ...] = ()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -27,6 +27,11 @@
     return upstream.ok(attempt, attempt)
 
 
+def crash(upstream, _attempt):
+    """End like a process that is killed."""
+    upstream.close()
+
+
 def arrivals(deployment):
     return [
         request
@@ -406,3 +411,48 @@
             assert body.count(b'127.0.0.1') == 1
 
     run(scenario())
+
+
+def test_request_that_crashes_upstreams_is_quarantined(tmp_path):
+    """After two crashes it is refused, also by a VM that only heard of it."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=4) as deployment:
+            await deployment.add_gateway('front-2', 'gij-b')
+            for upstream in deployment.upstreams:
+                upstream.script = [crash]
+            for attempt in ('a1', 'a2', 'a3', 'a4'):
+                await ask(
+                    deployment.address(),
+                    head('/unsafe/poison', 'POST', attempt),
+                )
+                await asyncio.sleep(0.3)
+            assert len(arrivals(deployment)) == 2
+            async with asyncio.timeout(10):
+                while not deployment.gateways[1]._crashes.told():
+                    await asyncio.sleep(0.05)
+            status, _, _ = await ask(
+                deployment.address(index=1),
+                head('/unsafe/poison', 'POST', 'a5'),
+            )
+            assert status == 503
+            assert len(arrivals(deployment)) == 2
+
+    run(scenario())
+
+
+def test_lost_answers_blame_nobody(tmp_path):
+    """An upstream that takes connections has not crashed."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.script = [None, None, None]
+            for attempt in ('a1', 'a2', 'a3'):
+                await ask(
+                    deployment.address(), head('/unsafe/x', 'POST', attempt)
+                )
+                await asyncio.sleep(0.1)
+            assert not deployment.gateways[0]._crashes.told()
+
+    run(scenario())
