--- a/src/catkindrift/server/_caller_app.py
+++ b/src/catkindrift/callers/_caller_app.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from catkindrift.server._forwarder import Forwarder, answer_problem
-from catkindrift.server._lookup_app import LookupApp
-from catkindrift.server._problem import Problem
+from catkindrift.callers._forwarder import Forwarder, answer_problem
+from catkindrift.callers._lookup_app import LookupApp
+from catkindrift.serving import Problem
 
 
 @final
--- a/src/catkindrift/server/_caller_request.py
+++ b/src/catkindrift/callers/_caller_request.py
@@ -6,8 +6,8 @@
 import attrs
 import xxhash
 
-from catkindrift.server._body import HELD_BODY_BYTES, Body, StreamedBody
-from catkindrift.server._problem import Problem
+from catkindrift.callers._body import HELD_BODY_BYTES, Body, StreamedBody
+from catkindrift.serving import Problem
 
 _MILLISECONDS_PER_SECOND = 1000
 _HOP_HEADERS = frozenset(
--- a/src/catkindrift/server/_forwarder.py
+++ b/src/catkindrift/callers/_forwarder.py
@@ -9,6 +9,13 @@
 
 import attrs
 
+from catkindrift.callers._caller_request import (
+    BadRequestError,
+    CallerRequest,
+    read_request,
+)
+from catkindrift.callers._relay import Relay
+from catkindrift.callers._upstream_client import OpenAnswer, UpstreamClient
 from catkindrift.clock import Clock
 from catkindrift.core import (
     AttemptEnded,
@@ -26,16 +33,7 @@
     CallerGone,
     Outcome,
 )
-from catkindrift.server._bridge import Bridge
-from catkindrift.server._caller_request import (
-    BadRequestError,
-    CallerRequest,
-    read_request,
-)
-from catkindrift.server._metrics import Metrics
-from catkindrift.server._problem import Problem, problem_of
-from catkindrift.server._relay import Relay
-from catkindrift.server._upstream_client import OpenAnswer, UpstreamClient
+from catkindrift.serving import Bridge, Metrics, Problem, problem_of
 
 _MILLISECONDS_PER_SECOND = 1000
 _NOTHING: tuple[bytes, ...] = ()
--- a/src/catkindrift/server/_lookup_app.py
+++ b/src/catkindrift/callers/_lookup_app.py
@@ -8,10 +8,10 @@
 
 import attrs
 
+from catkindrift.callers._forwarder import answer_problem
 from catkindrift.domain import Vm
 from catkindrift.routing import LookupAnswer, LookupTable
-from catkindrift.server._forwarder import answer_problem
-from catkindrift.server._problem import Problem
+from catkindrift.serving import Problem
 
 _MOST_BLOCKS = 10_000
 _MOST_BODY_BYTES = 1_000_000
--- a/src/catkindrift/server/_relay.py
+++ b/src/catkindrift/callers/_relay.py
@@ -8,6 +8,8 @@
 import attrs
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 
+from catkindrift.callers._body import CHUNK_BYTES
+from catkindrift.callers._upstream_client import OpenAnswer
 from catkindrift.retries import (
     Answered,
     AttemptResult,
@@ -16,8 +18,7 @@
     CallerGone,
     RecordedAnswer,
 )
-from catkindrift.server._body import CHUNK_BYTES
-from catkindrift.server._upstream_client import OpenAnswer
+from catkindrift.serving import IncompleteAnswerError
 
 RECORDED_BYTES = 65_536
 _HOP_HEADERS = frozenset(
@@ -25,10 +26,6 @@
 )
 
 
-class IncompleteAnswerError(Exception):
-    """The upstream broke off; makes the server drop the connection."""
-
-
 @final
 @attrs.define(eq=False)
 class Relay:
--- a/src/catkindrift/server/_upstream_client.py
+++ b/src/catkindrift/callers/_upstream_client.py
@@ -12,6 +12,9 @@
     ReadTimeoutError,
 )
 
+from catkindrift.callers._body import CallerBodyError, StreamedBody
+from catkindrift.callers._caller_request import CallerRequest
+from catkindrift.callers._checked_response import CheckedConnection
 from catkindrift.core import Dispatch
 from catkindrift.domain import Vm
 from catkindrift.retries import (
@@ -22,9 +25,6 @@
     NotStarted,
     NotStartedReason,
 )
-from catkindrift.server._body import CallerBodyError, StreamedBody
-from catkindrift.server._caller_request import CallerRequest
-from catkindrift.server._checked_response import CheckedConnection
 
 OUTCOME_HEADER = 'Catkindrift-Outcome'
 STATE_HEADER = 'Catkindrift-State'
--- a/src/catkindrift/demo/_deployment.py
+++ b/src/catkindrift/demo/_deployment.py
@@ -19,7 +19,8 @@
 )
 from catkindrift.limits import Breaker, TokenBucket
 from catkindrift.plans import ConfigurationStore, put_service, put_zone
-from catkindrift.server import EntryVm, HttpServer
+from catkindrift.server import EntryVm
+from catkindrift.serving import HttpServer
 from catkindrift.settings import (
     Deployment,
     Endpoint,
--- a/src/catkindrift/demo/_upstream_app.py
+++ b/src/catkindrift/demo/_upstream_app.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from catkindrift.server import (
+from catkindrift.callers import (
     BUSY_HEADER,
     LEAVING,
     OUTCOME_HEADER,
--- a/src/catkindrift/server/_peer_answers.py
+++ b/src/catkindrift/exchange/_peer_answers.py
@@ -12,7 +12,7 @@
 from catkindrift.limits import Grant
 from catkindrift.peers import record_from_wire, record_to_wire
 from catkindrift.peers.protocol import peers_pb2
-from catkindrift.server._vm_list_cache import NEVER_MS, VmListCache
+from catkindrift.watching import NEVER_MS, VmListCache
 
 # A VM list is sent only when it is fresher by this much.
 _FRESHER_MS = 500
--- a/src/catkindrift/server/_peer_exchange.py
+++ b/src/catkindrift/exchange/_peer_exchange.py
@@ -16,14 +16,14 @@
 )
 from catkindrift.domain import Configuration, Vm, decode_json
 from catkindrift.peers import (
+    PEER_FAILURES,
     PeerAddress,
     PeerClient,
     record_from_wire,
     record_to_wire,
 )
 from catkindrift.peers.protocol import peers_pb2
-from catkindrift.server._effect_runner import PEER_FAILURES
-from catkindrift.server._vm_list_cache import VmListCache
+from catkindrift.watching import VmListCache
 
 _FAR_PEERS = 2
 
--- a/src/catkindrift/server/_handlers.py
+++ b/src/catkindrift/operators/_handlers.py
@@ -21,9 +21,8 @@
     PlatformAmbiguousError,
     PlatformUnavailableError,
 )
-from catkindrift.server._bridge import Bridge
-from catkindrift.server._operators import Operators
-from catkindrift.server._problem import Problem
+from catkindrift.operators._operators import Operators
+from catkindrift.serving import Bridge, Problem
 from catkindrift.settings import OperatorRole
 
 _Params = ParamSpec('_Params')
--- a/src/catkindrift/server/_observer.py
+++ b/src/catkindrift/operators/_observer.py
@@ -6,9 +6,9 @@
 
 from catkindrift.core import EntryCore
 from catkindrift.domain import Configuration, PlanState, Zone
+from catkindrift.operators._status import DeploymentStatus, Headroom, ZoneStatus
 from catkindrift.peers import PeerRecord
 from catkindrift.plans import FleetView
-from catkindrift.server._status import DeploymentStatus, Headroom, ZoneStatus
 from catkindrift.store import GuardedPlatform
 
 _OPEN = frozenset((PlanState.PROPOSED, PlanState.RUNNING, PlanState.PAUSED))
--- a/src/catkindrift/server/_operator_app.py
+++ b/src/catkindrift/operators/_operator_app.py
@@ -7,10 +7,10 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
-from catkindrift.server._handlers import ApiContext, Resource
-from catkindrift.server._observer import Observer
-from catkindrift.server._operator_service import OperatorService
-from catkindrift.server._resources import (
+from catkindrift.operators._handlers import ApiContext, Resource
+from catkindrift.operators._observer import Observer
+from catkindrift.operators._operator_service import OperatorService
+from catkindrift.operators._resources import (
     HeadroomResource,
     IntentsResource,
     PlansResource,
@@ -79,7 +79,7 @@
     def GET(self) -> bytes:  # noqa: N802
         """Return the OpenAPI document of the operator API."""
         cherrypy.response.headers[_CONTENT_TYPE] = 'application/json'
-        package = resources.files('catkindrift.server')
+        package = resources.files('catkindrift.operators')
         return package.joinpath('openapi.json').read_bytes()
 
 
--- a/src/catkindrift/server/_operator_service.py
+++ b/src/catkindrift/operators/_operator_service.py
@@ -16,6 +16,7 @@
     Zone,
 )
 from catkindrift.errors import NotFoundError
+from catkindrift.operators._observer import Observer
 from catkindrift.plans import (
     ConfigurationStore,
     Planner,
@@ -30,7 +31,6 @@
     remove_zone,
     resume_plan,
 )
-from catkindrift.server._observer import Observer
 
 _PLAN_NAME_DIGITS = 8
 
--- a/src/catkindrift/server/_plan_runner.py
+++ b/src/catkindrift/operators/_plan_runner.py
@@ -10,9 +10,9 @@
 
 from catkindrift.core import ConfigurationSeen, Event
 from catkindrift.limits import jittered
+from catkindrift.operators._observer import Observer
 from catkindrift.plans import ConfigurationStore, PlanExecutor
-from catkindrift.server._observer import Observer
-from catkindrift.server._platform_watcher import PLATFORM_FAILURES
+from catkindrift.watching import PLATFORM_FAILURES
 
 _PAUSE_SECONDS = 0.3
 
--- a/src/catkindrift/server/_resources.py
+++ b/src/catkindrift/operators/_resources.py
@@ -11,15 +11,15 @@
     decode_json,
 )
 from catkindrift.errors import InvalidInputError, NotFoundError
-from catkindrift.server._handlers import (
+from catkindrift.operators._handlers import (
     ApiContext,
     Resource,
     answers,
     read_body,
 )
-from catkindrift.server._observer import Observer
-from catkindrift.server._operator_service import OperatorService
-from catkindrift.server._status import DeploymentStatus, Headroom
+from catkindrift.operators._observer import Observer
+from catkindrift.operators._operator_service import OperatorService
+from catkindrift.operators._status import DeploymentStatus, Headroom
 from catkindrift.settings import OperatorRole
 
 
--- a/src/catkindrift/server/__init__.py
+++ b/src/catkindrift/server/__init__.py
@@ -1,19 +1,5 @@
-"""Servers of an entry VM and their composition."""
+"""Composition of an entry VM with the product's own interface."""
 
 from catkindrift.server._entry_vm import EntryVm
-from catkindrift.server._http_server import HttpServer
-from catkindrift.server._upstream_client import (
-    BUSY_HEADER,
-    LEAVING,
-    OUTCOME_HEADER,
-    STATE_HEADER,
-)
 
-__all__ = [
-    'BUSY_HEADER',
-    'LEAVING',
-    'OUTCOME_HEADER',
-    'STATE_HEADER',
-    'EntryVm',
-    'HttpServer',
-]
+__all__ = ['EntryVm']
--- a/src/catkindrift/server/_composition.py
+++ b/src/catkindrift/server/_composition.py
@@ -8,35 +8,29 @@
 import attrs
 from grpclib.server import Server as PeerServer
 
+from catkindrift.callers import CallerApp, Forwarder, LookupApp, UpstreamClient
 from catkindrift.claims import ClaimStore
 from catkindrift.clock import Clock
 from catkindrift.core import Bounds, EntryCore, Event, Identity
 from catkindrift.domain import Vm, VmRole
+from catkindrift.exchange import PeerAnswers, PeerExchange
 from catkindrift.limits import Breaker, Grant, TokenBucket
+from catkindrift.operators import (
+    ApiContext,
+    Observer,
+    Operators,
+    OperatorService,
+    PlanRunner,
+    operator_application,
+)
 from catkindrift.peers import PeerAddress, PeerClient, PeersService
 from catkindrift.plans import ConfigurationStore, PlanExecutor
-from catkindrift.server._bridge import Bridge
-from catkindrift.server._caller_app import CallerApp
 from catkindrift.server._core_collector import CoreCollector
 from catkindrift.server._effect_runner import EffectRunner
-from catkindrift.server._forwarder import Forwarder
-from catkindrift.server._handlers import ApiContext
-from catkindrift.server._http_server import HttpServer
-from catkindrift.server._lookup_app import LookupApp
-from catkindrift.server._metrics import Metrics
-from catkindrift.server._observer import Observer
-from catkindrift.server._operator_app import operator_application
-from catkindrift.server._operator_service import OperatorService
-from catkindrift.server._operators import Operators
-from catkindrift.server._peer_answers import PeerAnswers
-from catkindrift.server._peer_exchange import PeerExchange
-from catkindrift.server._plan_runner import PlanRunner
-from catkindrift.server._platform_watcher import PlatformWatcher
-from catkindrift.server._tls import peer_client_context
-from catkindrift.server._upstream_client import UpstreamClient
-from catkindrift.server._vm_list_cache import VmListCache
+from catkindrift.serving import Bridge, HttpServer, Metrics, peer_client_context
 from catkindrift.settings import Endpoint, EntrySettings
 from catkindrift.store import CallGate, GuardedPlatform, HttpPlatform
+from catkindrift.watching import PlatformWatcher, VmListCache
 
 _OPERATOR_THREADS = 8
 
--- a/src/catkindrift/server/_effect_runner.py
+++ b/src/catkindrift/server/_effect_runner.py
@@ -7,8 +7,8 @@
 
 import attrs
 from absl import logging
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from catkindrift.callers import UpstreamClient
 from catkindrift.claims import ClaimStore
 from catkindrift.clock import Clock
 from catkindrift.core import (
@@ -30,17 +30,9 @@
 )
 from catkindrift.domain import Vm
 from catkindrift.limits import Grant
-from catkindrift.peers import Members, PeerAddress, PeerClient
+from catkindrift.peers import PEER_FAILURES, Members, PeerAddress, PeerClient
 from catkindrift.peers.protocol import peers_pb2
-from catkindrift.server._bridge import Bridge
-from catkindrift.server._upstream_client import UpstreamClient
-
-PEER_FAILURES = (
-    OSError,
-    TimeoutError,
-    GRPCError,
-    StreamTerminatedError,
-)
+from catkindrift.serving import Bridge
 
 
 @final
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -11,7 +11,7 @@
 from catkindrift.core import EntryCore, StopRequested, Ticked
 from catkindrift.limits import jittered
 from catkindrift.server._composition import Composition
-from catkindrift.server._tls import peer_server_context
+from catkindrift.serving import peer_server_context
 from catkindrift.settings import EntrySettings
 
 _TICK_SECONDS = 0.02
--- a/src/catkindrift/server/_http_server.py
+++ b/src/catkindrift/serving/_http_server.py
@@ -8,7 +8,7 @@
 from cheroot import wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
-from catkindrift.server._relay import IncompleteAnswerError
+from catkindrift.serving._incomplete_answer import IncompleteAnswerError
 from catkindrift.settings import Endpoint, TlsSettings
 
 _IDLE_TIMEOUT_SECONDS = 30
--- /dev/null
+++ b/src/catkindrift/serving/_incomplete_answer.py
@@ -0,0 +1,5 @@
+"""An answer that broke off."""
+
+
+class IncompleteAnswerError(Exception):
+    """The upstream broke off; makes the server drop the connection."""
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -7,7 +7,7 @@
 
 from catkindrift.cli import ExitCode, main
 from catkindrift.errors import AuthenticationError, ForbiddenError
-from catkindrift.server._operators import Operators
+from catkindrift.operators import Operators
 from catkindrift.settings import OperatorRole, OperatorSettings
 from tests.deployment import HTTP
 
