Explain failed requests from structured logs

Change: one JSON line for each refusal, failed attempt and final answer of a request that did not go smoothly, by structlog, at most 60 a second, with a count of what was left out; writing never waits for a reader. catkindrift explain tells a request's story from the logs of all entry VMs. Ruled out: setting standard output to non-blocking, since the descriptor may be shared with other processes; lines below PIPE_BUF go out only when it is writable.

--- a/src/catkindrift/cli/_local_parsers.py
+++ b/src/catkindrift/cli/_local_parsers.py
@@ -35,6 +35,13 @@
         default='',
         help='settings file; default: the one that CATKINDRIFT_SETTINGS names',
     )
+    explain = commands.add_parser(
+        'explain',
+        help='tell what logs say about one request',
+    )
+    explain.add_argument('request_id', metavar='REQUEST-ID')
+    explain.add_argument('logs', metavar=_PATH_NAME, nargs='+')
+    explain.add_argument('--json', action='store_true', help='print JSON')
     check = commands.add_parser(
         'check-settings',
         help='report every mistake in a settings or deployment file',
--- a/src/catkindrift/cli/_main.py
+++ b/src/catkindrift/cli/_main.py
@@ -12,7 +12,8 @@
     UnreachableError,
 )
 from catkindrift.cli._exit_code import ExitCode
-from catkindrift.cli._output import print_document, write_error
+from catkindrift.cli._explain import read_story
+from catkindrift.cli._output import print_document, write_error, write_line
 from catkindrift.cli._parser import make_parser
 from catkindrift.cli._processes import (
     check_settings,
@@ -21,7 +22,11 @@
     run_entry,
 )
 from catkindrift.cli._report_commands import run_report
-from catkindrift.errors import InvalidInputError, SettingsFileError
+from catkindrift.errors import (
+    InvalidInputError,
+    NotFoundError,
+    SettingsFileError,
+)
 from catkindrift.gateway import run_gateway
 
 _MISTAKES = (SettingsFileError, InvalidInputError, ExceptionGroup)
@@ -40,6 +45,9 @@
     except _MISTAKES as mistakes:
         report_mistakes(mistakes)
         return ExitCode.USAGE
+    except NotFoundError as unknown:
+        write_error(str(unknown))
+        return ExitCode.REFUSED
     except BrokenPipeError:
         _discard_output()
         return ExitCode.DONE
@@ -62,6 +70,8 @@
         case 'gateway':
             run_gateway(args.settings)
             return ExitCode.DONE
+        case 'explain':
+            return _explain(args)
         case 'check-settings':
             return check_settings(args.file)
         case 'report':
@@ -73,6 +83,15 @@
     return ExitCode.DONE
 
 
+def _explain(args: argparse.Namespace) -> ExitCode:
+    story = read_story(args.request_id, args.logs)
+    if args.json:
+        print_document(story.document, as_json=True)
+    else:
+        write_line(story.text)
+    return ExitCode.DONE
+
+
 def _discard_output() -> None:
     """Drop what is left to print: its reader has seen enough."""
     nowhere = os.open(os.devnull, os.O_WRONLY)
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -21,6 +21,7 @@
 from catkindrift.gateway._facts import Facts
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.gateway._request_log import RequestLog
 from catkindrift.http1 import Answer, CallerRequest
 from catkindrift.limits import jittered
 from catkindrift.platform import (
@@ -70,6 +71,7 @@
         pace: Cold upstreams.
         crashes: Requests that crash upstreams.
         metrics: Counts outcomes.
+        log: Explains what did not go smoothly.
     """
 
     _clock: Clock
@@ -80,6 +82,7 @@
     _pace: ColdPace
     _crashes: CrashWatch
     _metrics: GatewayMetrics
+    _log: RequestLog
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
     _keyless: Iterator[int] = attrs.field(
         init=False,
@@ -97,7 +100,7 @@
     async def _answer(self, request: CallerRequest) -> Answer:
         configuration = self._facts.configuration
         if configuration is None or not self._facts.is_complete:
-            return self._refusal('not_ready', _UNREADY_RETRY_MS)
+            return self._refusal(request, 'not_ready', _UNREADY_RETRY_MS)
         host = request.header(b'host').decode('latin-1')
         route = configuration.find_route(host, request.path)
         if route is None:
@@ -105,7 +108,11 @@
         key = object_key(request.headers) or self._spread_key()
         fingerprint = fingerprint_of(request, key)
         if self._crashes.is_quarantined(fingerprint):
-            return self._refusal('quarantined', _QUARANTINED_RETRY_MS)
+            return self._refusal(
+                request,
+                'quarantined',
+                _QUARANTINED_RETRY_MS,
+            )
         service = self._facts.rotation(route).next_service()
         pending = PendingRequest(
             request=request,
@@ -118,7 +125,10 @@
             is_urgent=configuration.is_most_urgent(route, service),
         )
         self._budget.count_request(service)
-        return await self._serve_in_time(pending)
+        answer = await self._serve_in_time(pending)
+        if pending.has_failed or answer.status >= HTTPStatus.BAD_REQUEST:
+            self._log.ended(pending, answer.status)
+        return answer
 
     async def _serve_in_time(self, pending: PendingRequest) -> Answer:
         left_ms = pending.deadline_ms - self._clock.now_ms()
@@ -128,7 +138,11 @@
         except TimeoutError:
             if pending.may_have_run:
                 return Answer(HTTPStatus.GATEWAY_TIMEOUT)
-            return self._refusal('too_late', _REFUSED_RETRY_MS)
+            return self._refusal(
+                pending.request,
+                'too_late',
+                _REFUSED_RETRY_MS,
+            )
 
     async def _serve(self, pending: PendingRequest) -> Answer:
         connect_failures = 0
@@ -164,7 +178,9 @@
         wait_ms: float = _REFUSED_RETRY_MS,
     ) -> Answer:
         """Return what is known of earlier attempts, else a refusal."""
-        return pending.fallback or self._refusal(reason, wait_ms)
+        if pending.fallback:
+            return pending.fallback
+        return self._refusal(pending.request, reason, wait_ms)
 
     async def _attempt(
         self,
@@ -182,6 +198,9 @@
             pending.may_have_run = may_have_run
         if outcome != NotRun(has_arrived=False):
             pending.arrivals += 1
+        if not isinstance(outcome, Answered) or outcome.is_failure:
+            pending.has_failed = True
+            self._log.failed_attempt(pending, choice, _name_of(outcome))
         return outcome
 
     def _may_try_again(self, pending: PendingRequest) -> bool:
@@ -193,9 +212,17 @@
         self._metrics.extra_attempts.labels(str(is_allowed)).inc()
         return is_allowed
 
-    def _refusal(self, reason: str, wait_ms: float) -> Answer:
+    def _refusal(
+        self,
+        request: CallerRequest,
+        reason: str,
+        wait_ms: float,
+    ) -> Answer:
         """Return the promise that the request has not run and never will."""
         self._metrics.refusals.labels(reason).inc()
+        configuration = self._facts.configuration
+        version = configuration.version if configuration else 0
+        self._log.refused(request_id(request.headers), reason, wait_ms, version)
         advice = retry_after(jittered(self._rng, wait_ms))
         return Answer(HTTPStatus.SERVICE_UNAVAILABLE, [advice])
 
@@ -226,3 +253,13 @@
             return None if pending.may_repeat else pending.fallback
         case NotRun():
             return None
+
+
+def _name_of(outcome: AttemptOutcome) -> str:
+    match outcome:
+        case Answered(answer):
+            return f'status {answer.status}'
+        case Unknown(failure):
+            return failure.value
+        case NotRun(has_arrived):
+            return 'refused' if has_arrived else 'no connection'
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -9,6 +9,7 @@
 
 from catkindrift.clock import Clock, SystemClock
 from catkindrift.gateway._attempt import AttemptSender
+from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._directory import Directory, MetricsPage, Readiness
 from catkindrift.gateway._facts import Facts
@@ -16,6 +17,7 @@
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._registration import Registration
+from catkindrift.gateway._request_log import RequestLog
 from catkindrift.gateway._steering_tick import SteeringTick
 from catkindrift.gateway._store_watches import StoreWatches
 from catkindrift.gateway._upstream_pool import UpstreamPool
@@ -70,6 +72,7 @@
     _budget: SharedRetryBudget = attrs.field(init=False)
     _pace: ColdPace = attrs.field(init=False)
     _metrics: GatewayMetrics = attrs.field(init=False)
+    _log: RequestLog = attrs.field(init=False)
     _distances: ZoneDistances = attrs.field(init=False)
     _pool: UpstreamPool = attrs.field(init=False)
     _crashes: CrashWatch = attrs.field(init=False)
@@ -86,6 +89,11 @@
         self._budget = SharedRetryBudget(self._clock, bounds)
         self._pace = ColdPace(self._clock, bounds, self._settings.vm.name)
         self._metrics = GatewayMetrics()
+        self._log = RequestLog(
+            self._clock,
+            self._settings.vm.name,
+            BoundedOutput(self._clock),
+        )
         self._distances = ZoneDistances(self._settings.vm.zone, self._regions)
         self._pool = UpstreamPool(
             self._clock,
@@ -199,6 +207,7 @@
             self._pace,
             self._crashes,
             self._metrics,
+            self._log,
         )
         self._listen(forwarder)
 
@@ -239,6 +248,7 @@
     async def _run_ticks(self) -> None:
         while True:
             self._tick.run()
+            self._log.tell_left_out()
             self._pool.prune(self._facts.registry.ids)
             await asyncio.sleep(_TICK_SECONDS)
             self._watches.choose_sentinels()
--- a/src/catkindrift/gateway/_pending_request.py
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -37,6 +37,7 @@
         is_urgent: Whether no other route to the service is more urgent.
         may_have_run: Whether some upstream may have started it.
         had_to_wait: Whether all slots seemed taken when it was sent last.
+        has_failed: Whether an attempt did not go smoothly.
         arrivals: Upstreams that it has reached.
         fallback: Answer if no further attempt is made.
         excluded: Ids of upstreams that were tried.
@@ -52,6 +53,7 @@
     is_urgent: bool
     may_have_run: bool = False
     had_to_wait: bool = False
+    has_failed: bool = False
     arrivals: int = 0
     fallback: Answer | None = None
     excluded: set[str] = attrs.field(factory=set)
--- /dev/null
+++ b/src/catkindrift/gateway/_request_log.py
@@ -0,0 +1,130 @@
+"""Lines about requests that did not go smoothly."""
+
+from collections.abc import MutableMapping
+from typing import Any, final
+
+import attrs
+import msgspec
+import structlog
+
+from catkindrift.clock import Clock
+from catkindrift.gateway._bounded_output import BoundedOutput
+from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.steering import Placed, UpstreamState
+
+
+def _to_text(document: Any, **_options: Any) -> str:
+    return msgspec.json.encode(document).decode()
+
+
+@final
+@attrs.define(eq=False)
+class RequestLog:
+    """Writes one line for each decision that explains a failed request.
+
+    A request that its first upstream answers leaves no line. All others do:
+    what was decided, by which facts, how old they were, and the outcome.
+
+    Args:
+        clock: Source of time.
+        vm_name: Name of this entry VM.
+        output: Where lines go.
+    """
+
+    _clock: Clock
+    _vm_name: str
+    _output: BoundedOutput
+    _log: Any = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the logger."""
+        self._log = structlog.wrap_logger(
+            structlog.WriteLogger(self._output),  # type: ignore[arg-type]
+            processors=[
+                self._stamp,
+                structlog.processors.JSONRenderer(serializer=_to_text),
+            ],
+            cache_logger_on_first_use=True,
+        )
+
+    def refused(
+        self,
+        request_id: str,
+        reason: str,
+        retry_after_ms: float,
+        version: int,
+    ) -> None:
+        """Tell that a request was refused as not run."""
+        self._log.info(
+            'refused',
+            id=request_id,
+            reason=reason,
+            retry_after_ms=round(retry_after_ms),
+            configuration=version,
+        )
+
+    def failed_attempt(
+        self,
+        pending: PendingRequest,
+        choice: Placed,
+        outcome: str,
+    ) -> None:
+        """Tell that an upstream did not answer as it should."""
+        now_ms = self._clock.now_ms()
+        self._log.info(
+            'attempt_failed',
+            id=pending.attempt,
+            outcome=outcome,
+            service=pending.service,
+            choice=choice.reason.value,
+            expected_ms=round(choice.cost_ms),
+            left_ms=pending.deadline_ms - now_ms,
+            **_facts(choice.state, now_ms),
+        )
+
+    def ended(self, pending: PendingRequest, status: int) -> None:
+        """Tell the final answer of a request with failed attempts."""
+        now_ms = self._clock.now_ms()
+        self._log.info(
+            'ended',
+            id=pending.attempt,
+            status=status,
+            route=pending.route.name,
+            took_ms=now_ms - pending.request.arrived_ms,
+            arrivals=pending.arrivals,
+            tried=sorted(pending.excluded),
+        )
+
+    def tell_left_out(self) -> None:
+        """Tell how many lines were left out, if any were."""
+        self._output.flush()
+        count = self._output.take_left_out()
+        if count:
+            self._log.info('left_out', lines=count)
+
+    def _stamp(
+        self,
+        _logger: Any,
+        _method: str,
+        entry: MutableMapping[str, Any],
+    ) -> dict[str, Any]:
+        return {
+            'at_ms': self._clock.wall_ms(),
+            'vm': self._vm_name,
+            **entry,
+        }
+
+
+def _facts(state: UpstreamState, now_ms: int) -> dict[str, Any]:
+    upstream = state.upstream
+    return {
+        'upstream': upstream.id,
+        'zone': upstream.zone,
+        'revision': upstream.revision,
+        'known_for_ms': now_ms - state.first_seen_ms,
+        'load': round(state.load(now_ms), 1),
+        'in_flight': state.in_flight,
+        'failure_rate': round(state.failure_rate, 2),
+        'is_cold': state.is_cold(now_ms),
+        'is_ejected': state.ejected_until_ms > now_ms,
+    }
--- /dev/null
+++ b/tests/test_request_log.py
@@ -0,0 +1,84 @@
+"""Lines about requests, their bounds, and the story they tell."""
+
+import asyncio
+import json
+import os
+
+import pytest
+
+from catkindrift.cli import main
+from catkindrift.clock import ManualClock
+from catkindrift.gateway._bounded_output import BoundedOutput
+from catkindrift.gateway._request_log import RequestLog
+from tests.platform_deployment import ask, deployed, head
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def test_volume_is_bounded_and_counted(pipe):
+    """A storm of refusals writes some lines and says how many it left out."""
+    clock = ManualClock(100_000)
+    output = BoundedOutput(clock, pipe[1])
+    log = RequestLog(clock, 'front-1', output)
+    for number in range(500):
+        log.refused(f'a{number}', 'all_full', 100, 7)
+    clock.advance(1000)
+    log.tell_left_out()
+    lines = os.read(pipe[0], 1_000_000).splitlines()
+    assert len(lines) < 100
+    last = json.loads(lines[-1])
+    assert last['event'] == 'left_out'
+    assert last['lines'] == 500 - (len(lines) - 1)
+
+
+def test_blocked_output_holds_up_nothing(pipe):
+    """Nobody reads; lines are counted as left out, and writing returns."""
+    clock = ManualClock(100_000)
+    output = BoundedOutput(clock, pipe[1])
+    for _ in range(200):
+        clock.advance(1000)
+        for _ in range(50):
+            output.write('x' * 300)
+    assert output.left_out > 0
+
+
+def test_logs_explain_a_failed_request(tmp_path, capfd):
+    """From its id to what was tried, by the command line alone."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.script = [None]
+            await ask(
+                deployment.address(),
+                head('/unsafe/x', 'POST', 'req-1'),
+            )
+
+    asyncio.run(scenario())
+    log = tmp_path / 'front-1.log'
+    torn = '{"at_ms":1,"vm"'
+    log.write_text(f'{capfd.readouterr().out}\nforeign line\n{torn}\n')
+    assert main(['explain', 'req-1', str(log)]) == 0
+    told = capfd.readouterr().out
+    assert 'attempt_failed: outcome=closed' in told
+    assert 'ended: status=502' in told
+    assert '1 torn lines' in told
+    assert main(['explain', 'req-1', str(log), '--json']) == 0
+    entries = json.loads(capfd.readouterr().out)['entries']
+    assert [each['event'] for each in entries] == ['attempt_failed', 'ended']
+
+
+def test_unknown_request_and_missing_file_are_told(tmp_path, capsys):
+    """Each has a message that names what to do."""
+    log = tmp_path / 'front-1.log'
+    log.write_text('')
+    assert main(['explain', 'nobody', str(log)]) == 1
+    assert 'nobody' in capsys.readouterr().err
+    assert main(['explain', 'nobody', str(tmp_path / 'none')]) == 2
+    assert 'readable log file' in capsys.readouterr().err
