Keep watches within the store's history, share calls for news

Change: no wait is longer than nine tenths of the history; news share a call for 1.2 s (at most 1.44 s of the 2.5 s allowed), 1.8 s in a process's first seconds; sentinels wait 3 s.

--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -18,8 +18,14 @@
 # Pauses between calls that fail; doubled with each failure in a row.
 _FIRST_PAUSE_S = 0.15
 _LONGEST_PAUSE_S = 1.2
-# A pause after news, so that changes in quick succession share a call.
-_NEWS_PAUSE_S = 0.7
+# A pause after news, so that changes in quick succession share a call. It
+# stays well below the 2.5 s in which a change has to be in force.
+_NEWS_PAUSE_S = 1.2
+_NEWS_SPREAD = 0.2
+# A process that has just started hears of many changes, and little of what it
+# decides is bound by time yet.
+_STARTING_MS = 3000
+_STARTING_PAUSE_S = 1.8
 # Calls fail for this long before the store counts as having been away.
 _AWAY_MS = 1200
 # Peers are ahead for this long before a waiting watch counts as silent.
@@ -50,6 +56,7 @@
     _on_change: Callable[[StoreObject], None]
     _on_return: Callable[[int], None]
     newest: int = attrs.field(init=False, default=0)
+    _started_ms: int = attrs.field(init=False)
     _revision: int = attrs.field(init=False, default=0)
     _peer_revision: int = attrs.field(init=False, default=0)
     _is_sentinel: bool = attrs.field(init=False, default=False)
@@ -62,6 +69,10 @@
     )
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
 
+    def __attrs_post_init__(self) -> None:
+        """Note when the process started."""
+        self._started_ms = self._clock.now_ms()
+
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         is_listed = False
@@ -70,7 +81,7 @@
                 is_listed = await self._step(is_listed=is_listed)
             except HistoryGoneError:
                 is_listed = False
-                await asyncio.sleep(jittered(self._rng, _NEWS_PAUSE_S))
+                await asyncio.sleep(jittered(self._rng, _FIRST_PAUSE_S))
             except PlatformUnavailableError as unavailable:
                 await self._pause_after(unavailable)
 
@@ -110,9 +121,16 @@
             self._on_change(each)
         if page.objects:
             self._note_newest(page.objects, page.revision)
-            await asyncio.sleep(jittered(self._rng, _NEWS_PAUSE_S))
+            await self._pause_for_more()
         return True
 
+    async def _pause_for_more(self) -> None:
+        age_ms = self._clock.now_ms() - self._started_ms
+        pause = _NEWS_PAUSE_S
+        if age_ms < _STARTING_MS:
+            pause = _STARTING_PAUSE_S
+        await asyncio.sleep(jittered(self._rng, pause, _NEWS_SPREAD))
+
     async def _list(self) -> None:
         timeout_s = self._seconds(self._settings.call_timeout_ms)
         page = await self._client.list_page(self.kind, '', timeout_s)
@@ -131,7 +149,7 @@
     async def _wait(self) -> StorePage | None:
         """Return changes, or nothing if the wait was cut short."""
         settings = self._settings
-        wait_ms = settings.watch_wait_ms
+        wait_ms = settings.longest_wait_ms
         if self._is_sentinel:
             wait_ms = settings.sentinel_wait_ms
         limit_ms = wait_ms + settings.call_timeout_ms
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -7,6 +7,10 @@
 from catkindrift.settings._endpoint import Endpoint, check_endpoint
 from catkindrift.settings._vm import VmSettings
 
+_MILLISECONDS_PER_SECOND = 1000
+# Part of the history that a wait may take; answers need some time too.
+_USED_HISTORY = 0.9
+
 
 @final
 @attrs.frozen
@@ -39,6 +43,7 @@
             platform allows 30 s.
         sentinel_wait_ms: The same on the few entry VMs that notice for all
             that watches have gone silent.
+        history_s: Time in seconds for which the store keeps changes.
         call_timeout_ms: Time limit of a call, besides the time it waits.
     """
 
@@ -48,13 +53,23 @@
         validator=attrs.validators.in_(range(1, 30_001)),
     )
     sentinel_wait_ms: int = attrs.field(
-        default=2500,
+        default=3000,
         validator=attrs.validators.in_(range(1, 30_001)),
     )
+    history_s: float = attrs.field(default=20, validator=attrs.validators.gt(0))
     call_timeout_ms: int = attrs.field(
         default=1000, validator=attrs.validators.ge(1)
     )
 
+    @property
+    def longest_wait_ms(self) -> int:
+        """Return the wait of a watch that does not outlast the history.
+
+        A watch whose revision is dropped while it waits has to list anew.
+        """
+        kept_ms = self.history_s * _MILLISECONDS_PER_SECOND
+        return min(self.watch_wait_ms, round(kept_ms * _USED_HISTORY))
+
     @property
     def endpoint(self) -> Endpoint:
         """Return the address in parts."""
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -181,3 +181,26 @@
         assert len(seen.returns) == 1
 
     follow(client, check)
+
+
+def test_wait_does_not_outlast_the_history():
+    """A revision that is dropped while a watch waits costs a list."""
+    client = ScriptedClient([page(5, 'a')], [])
+
+    async def check(seen):
+        await eventually(lambda: client.waits)
+        assert client.waits[0][1] < SETTINGS.history_s * 1000
+
+    follow(client, check)
+
+
+def test_changes_in_quick_succession_share_a_call():
+    """After news the next call waits a little for more of it."""
+    client = ScriptedClient([page(5, 'a')], [page(6, 'b')])
+
+    async def check(seen):
+        await eventually(lambda: seen.changes)
+        await asyncio.sleep(0.2)
+        assert len(client.waits) == 1
+
+    follow(client, check)
