--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -189,6 +189,7 @@
     ) -> AttemptOutcome:
         upstream = choice.state.upstream
         pending.excluded.add(upstream.id)
+        pending.choice = choice
         self._metrics.choices.labels(choice.reason.value).inc()
         if choice.state.is_cold(self._clock.now_ms()):
             self._pace.count(upstream.id)
--- a/src/catkindrift/gateway/_pending_request.py
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -7,7 +7,7 @@
 
 from catkindrift.http1 import Answer, CallerRequest, ResponseHead
 from catkindrift.platform import answers_request, is_signed
-from catkindrift.steering import PlacementRequest, Route
+from catkindrift.steering import Placed, PlacementRequest, Route
 
 _FIRST_REDIRECT = 300
 # Statuses that promise "not run", which only an upstream that says so can.
@@ -40,6 +40,7 @@
         has_failed: Whether an attempt did not go smoothly.
         arrivals: Upstreams that it has reached.
         fallback: Answer if no further attempt is made.
+        choice: Upstream that it was sent to last.
         excluded: Ids of upstreams that were tried.
     """
 
@@ -56,6 +57,7 @@
     has_failed: bool = False
     arrivals: int = 0
     fallback: Answer | None = None
+    choice: Placed | None = None
     excluded: set[str] = attrs.field(factory=set)
 
     @property
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -85,6 +85,8 @@
     def ended(self, pending: PendingRequest, status: int) -> None:
         """Tell the final answer of a request with failed attempts."""
         now_ms = self._clock.now_ms()
+        choice = pending.choice
+        facts = _facts(choice.state, now_ms) if choice else {}
         self._log.info(
             'ended',
             id=pending.attempt,
@@ -93,6 +95,8 @@
             took_ms=now_ms - pending.request.arrived_ms,
             arrivals=pending.arrivals,
             tried=sorted(pending.excluded),
+            expected_ms=round(choice.cost_ms) if choice else None,
+            **facts,
         )
 
     def tell_left_out(self) -> None:
--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -89,7 +89,8 @@
         """Cut a waiting watch short if it has missed what a peer knows."""
         now_ms = self._clock.now_ms()
         self._peer_revision = max(self._peer_revision, revision)
-        if self._peer_revision <= self._revision:
+        is_waiting = self._waiting is not None and not self._waiting.done()
+        if not is_waiting or self._peer_revision <= self._revision:
             self._behind_since_ms = None
         elif self._behind_since_ms is None:
             self._behind_since_ms = now_ms
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -68,6 +68,7 @@
     told = capfd.readouterr().out
     assert 'attempt_failed: outcome=closed' in told
     assert 'ended: status=502' in told
+    assert told.count('failure_rate=') == 2
     assert '1 torn lines' in told
     assert main(['explain', 'req-1', str(log), '--json']) == 0
     entries = json.loads(capfd.readouterr().out)['entries']
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -204,3 +204,21 @@
         assert len(client.waits) == 1
 
     follow(client, check)
+
+
+def test_pause_for_more_news_is_no_silence():
+    """A peer that is ahead meanwhile costs no call once the pause is over."""
+    client = ScriptedClient([page(5, 'a')], [page(6, 'b')])
+
+    async def check(seen):
+        await eventually(lambda: seen.changes)
+        seen.watch.peer_is_at(9)
+        seen.clock.advance(400)
+        seen.watch.peer_is_at(9)
+        await eventually(lambda: len(client.waits) == 2)
+        seen.clock.advance(400)
+        seen.watch.peer_is_at(9)
+        await asyncio.sleep(0.1)
+        assert len(client.waits) == 2
+
+    follow(client, check)
