Look only at the upstreams that a choice needs

Change: the walk along an object's order ends at its second sound upstream; the order that prefers the own region is kept as well.

--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -181,7 +181,7 @@
         clock = self._clock
         placement = Placement(
             clock,
-            CandidateOrder(self._facts.registry),
+            CandidateOrder(self._facts.registry, self._distances),
             CostModel(self._distances),
             self._pace,
         )
--- a/src/catkindrift/steering/_candidate_order.py
+++ b/src/catkindrift/steering/_candidate_order.py
@@ -5,6 +5,7 @@
 import attrs
 
 from catkindrift.routing import rendezvous_order
+from catkindrift.steering._distances import ZoneDistances
 from catkindrift.steering._upstream_registry import UpstreamRegistry
 from catkindrift.steering._upstream_state import UpstreamState
 
@@ -19,27 +20,46 @@
 
     Args:
         registry: All upstreams.
+        distances: Tells which of them lie in the own region.
     """
 
     _registry: UpstreamRegistry
+    _distances: ZoneDistances
     _epoch: int = attrs.field(init=False, default=-1)
-    _orders: dict[tuple[str, str], list[UpstreamState]] = attrs.field(
+    _orders: dict[tuple[str, str, bool], list[UpstreamState]] = attrs.field(
         init=False,
         factory=dict,
     )
 
-    def of_key(self, service: str, key: str) -> list[UpstreamState]:
-        """Return the open upstreams of a service, best for `key` first."""
+    def of_key(
+        self,
+        service: str,
+        key: str,
+        *,
+        near_first: bool = False,
+    ) -> list[UpstreamState]:
+        """Return the open upstreams of a service, best for `key` first.
+
+        Args:
+            service: Name of the service.
+            key: The object.
+            near_first: Whether those of the own region come before others.
+        """
         if self._epoch != self._registry.epoch:
             self._orders.clear()
             self._epoch = self._registry.epoch
-        order = self._orders.get((service, key))
+        order = self._orders.get((service, key, near_first))
         if order is None:
             order = self._compute(service, key)
+            if near_first:
+                order.sort(key=self._is_far)
             if len(self._orders) < _MOST_ORDERS:
-                self._orders[service, key] = order
+                self._orders[service, key, near_first] = order
         return order
 
+    def _is_far(self, state: UpstreamState) -> bool:
+        return not self._distances.is_own_region(state.upstream.zone)
+
     def _compute(self, service: str, key: str) -> list[UpstreamState]:
         by_id = {
             state.upstream.id: state
--- a/src/catkindrift/steering/_cost.py
+++ b/src/catkindrift/steering/_cost.py
@@ -63,16 +63,12 @@
         """Return the charge for bytes that leave the zone or region."""
         zone = state.upstream.zone
         is_upload = route.kind is RequestKind.UPLOAD
-        if self.is_far(state):
+        if not self._distances.is_own_region(zone):
             return _UPLOAD_OTHER_REGION_MS if is_upload else _OTHER_REGION_MS
         if is_upload and not self._distances.is_own_zone(zone):
             return _UPLOAD_OTHER_ZONE_MS
         return 0
 
-    def is_far(self, state: UpstreamState) -> bool:
-        """Return whether an upstream lies in another region."""
-        return not self._distances.is_own_region(state.upstream.zone)
-
     def object_ms(self, rank: int, usual_ms: float, *, is_warm: bool) -> float:
         """Return the charge for an upstream that may not know the object."""
         if rank == 0 or is_warm:
--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -1,6 +1,6 @@
 """Choice of the upstream for a request."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import final
 
 import attrs
@@ -61,31 +61,40 @@
     def choose(self, request: PlacementRequest) -> Placed | NotPlaced:
         """Return the best upstream, or why there is none."""
         now_ms = self._clock.now_ms()
-        allowed = self._allowed(request, now_ms)
-        if not allowed:
-            return NotPlaced(NoRoomReason.NO_UPSTREAM, _NO_UPSTREAM_RETRY_MS)
-        sound = [each for each in allowed if each.ejected_until_ms <= now_ms]
-        if not sound:
-            return self._last_resort(request, allowed, now_ms)
-        if request.route.kind is RequestKind.UPLOAD:
-            sound.sort(key=self._cost.is_far)
-        choices = sound[:_CHOICES]
+        choices, paused = self._sound_and_paused(request, now_ms)
+        if not choices:
+            return self._without_sound(request, paused, now_ms)
         best = self._best(request, choices, now_ms)
         return self._in_time(request, best, choices, now_ms)
 
+    def _sound_and_paused(
+        self,
+        request: PlacementRequest,
+        now_ms: int,
+    ) -> tuple[list[UpstreamState], list[UpstreamState]]:
+        """Return the first sound upstreams, and those passed over."""
+        sound: list[UpstreamState] = []
+        paused: list[UpstreamState] = []
+        for state in self._allowed(request, now_ms):
+            is_paused = state.ejected_until_ms > now_ms
+            (paused if is_paused else sound).append(state)
+            if len(sound) == _CHOICES:
+                break
+        return sound, paused
+
     def _allowed(
         self,
         request: PlacementRequest,
         now_ms: int,
-    ) -> list[UpstreamState]:
-        homes = request.route.home_regions
-        return [
-            state
-            for state in self._order.of_key(request.service, request.key)
-            if state.upstream.id not in request.excluded
-            and (not homes or state.upstream.region in homes)
-            and self._keeps_pace(state, now_ms)
-        ]
+    ) -> Iterator[UpstreamState]:
+        order = self._order.of_key(
+            request.service,
+            request.key,
+            near_first=request.route.kind is RequestKind.UPLOAD,
+        )
+        for state in order:
+            if request.admits(state) and self._keeps_pace(state, now_ms):
+                yield state
 
     def _keeps_pace(self, state: UpstreamState, now_ms: int) -> bool:
         if not state.is_cold(now_ms):
@@ -133,14 +142,16 @@
             return NotPlaced(NoRoomReason.TOO_LATE, _bounded(wait_ms / 2))
         return best
 
-    def _last_resort(
+    def _without_sound(
         self,
         request: PlacementRequest,
-        ejected: list[UpstreamState],
+        paused: list[UpstreamState],
         now_ms: int,
     ) -> Placed | NotPlaced:
         """Try the upstream whose pause ends first, one request at a time."""
-        first = min(ejected, key=_pause_end)
+        if not paused:
+            return NotPlaced(NoRoomReason.NO_UPSTREAM, _NO_UPSTREAM_RETRY_MS)
+        first = min(paused, key=_pause_end)
         if first.in_flight:
             pause_ms = first.ejected_until_ms - now_ms
             return NotPlaced(NoRoomReason.NO_UPSTREAM, _bounded(pause_ms))
--- a/src/catkindrift/steering/_placement_request.py
+++ b/src/catkindrift/steering/_placement_request.py
@@ -5,6 +5,7 @@
 import attrs
 
 from catkindrift.steering._route import Route
+from catkindrift.steering._upstream_state import UpstreamState
 
 
 @final
@@ -27,3 +28,10 @@
     remaining_ms: float
     is_urgent: bool
     excluded: frozenset[str] = frozenset()
+
+    def admits(self, state: UpstreamState) -> bool:
+        """Return whether the request may go to an upstream at all."""
+        if state.upstream.id in self.excluded:
+            return False
+        homes = self.route.home_regions
+        return not homes or state.upstream.region in homes
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -80,10 +80,11 @@
         self.registry.primed()
         self.pace = ColdPace(self.clock, BOUNDS, 'one')
         self.pace.share_among(members)
+        distances = ZoneDistances(zone, REGIONS)
         self.placement = Placement(
             self.clock,
-            CandidateOrder(self.registry),
-            CostModel(ZoneDistances(zone, REGIONS)),
+            CandidateOrder(self.registry, distances),
+            CostModel(distances),
             self.pace,
         )
         self.placement.rules = {'tariffs': RULES}
