Wire the gateway's parts in one module, run them in another

Change: _parts.py wires, _gateway.py starts and stops; readiness and metrics page have modules of their own; the directory's lifetime follows the setting; a gauge shows store calls. No change of decisions.

--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -3,7 +3,7 @@
 from typing import final
 
 import attrs
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 
 @final
@@ -18,6 +18,7 @@
     failures: Counter = attrs.field(init=False)
     extra_attempts: Counter = attrs.field(init=False)
     connections_opened: Counter = attrs.field(init=False)
+    store_calls: Gauge = attrs.field(init=False)
     answer_seconds: Histogram = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -36,6 +37,12 @@
             'Connections to upstreams',
             'outcome',
         )
+        self.store_calls = Gauge(
+            'catkindrift_store_calls',
+            'Calls to the platform store since the start',
+            ['method'],
+            registry=self.registry,
+        )
         self.answer_seconds = Histogram(
             'catkindrift_answer_seconds',
             'Time from the request head to the answer',
--- /dev/null
+++ b/src/catkindrift/gateway/_parts.py
@@ -0,0 +1,200 @@
+"""The parts of an entry VM on the users' platform, wired together."""
+
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.gateway._attempt import AttemptSender
+from catkindrift.gateway._bounded_output import BoundedOutput
+from catkindrift.gateway._crash_watch import CrashWatch
+from catkindrift.gateway._directory import Directory
+from catkindrift.gateway._facts import Facts
+from catkindrift.gateway._forwarder import Forwarder
+from catkindrift.gateway._heartbeats import Heartbeats
+from catkindrift.gateway._metrics import GatewayMetrics
+from catkindrift.gateway._metrics_page import MetricsPage
+from catkindrift.gateway._readiness import Readiness
+from catkindrift.gateway._registration import Registration
+from catkindrift.gateway._request_log import RequestLog
+from catkindrift.gateway._steering_tick import SteeringTick
+from catkindrift.gateway._store_watches import StoreWatches
+from catkindrift.gateway._upstream_pool import UpstreamPool
+from catkindrift.http1 import HttpServer
+from catkindrift.platform import StoreClient
+from catkindrift.settings import GatewayBoundSettings, GatewaySettings
+from catkindrift.steering import (
+    CallerLimits,
+    CandidateOrder,
+    ColdPace,
+    CostModel,
+    Heartbeat,
+    MemberFacts,
+    Members,
+    Placement,
+    SharedRetryBudget,
+    SteeringBounds,
+    UpstreamRegistry,
+    ZoneDistances,
+)
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@final
+@attrs.define(eq=False)
+class GatewayParts:
+    """All parts of one entry VM; the only place that wires them.
+
+    Args:
+        settings: Checked settings.
+        clock: Source of time.
+        is_ready: Returns whether callers may be sent here.
+    """
+
+    _settings: GatewaySettings
+    _clock: Clock
+    _is_ready: Callable[[], bool]
+    store_client: StoreClient = attrs.field(init=False)
+    facts: Facts = attrs.field(init=False)
+    members: Members = attrs.field(init=False)
+    heartbeats: Heartbeats = attrs.field(init=False)
+    watches: StoreWatches = attrs.field(init=False)
+    registration: Registration = attrs.field(init=False)
+    regions: dict[str, str] = attrs.field(init=False)
+    budget: SharedRetryBudget = attrs.field(init=False)
+    pace: ColdPace = attrs.field(init=False)
+    metrics: GatewayMetrics = attrs.field(init=False)
+    log: RequestLog = attrs.field(init=False)
+    distances: ZoneDistances = attrs.field(init=False)
+    pool: UpstreamPool = attrs.field(init=False)
+    crashes: CrashWatch = attrs.field(init=False)
+    tick: SteeringTick = attrs.field(init=False)
+    callers: HttpServer = attrs.field(init=False)
+    servers: list[tuple[HttpServer, str]] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Wire the parts."""
+        clock = self._clock
+        vm = self._settings.vm
+        self.regions = dict(self._settings.zones)
+        bounds = _shared_bounds(self._settings.bounds)
+        self.budget = SharedRetryBudget(clock, bounds)
+        self.pace = ColdPace(clock, bounds, vm.name)
+        self.metrics = GatewayMetrics()
+        self.log = RequestLog(clock, vm.name, BoundedOutput(clock))
+        self.distances = ZoneDistances(vm.zone, self.regions)
+        self.pool = UpstreamPool(clock, self.distances, self.metrics)
+        self.crashes = CrashWatch(clock, self.pool)
+        self._wire_facts()
+        self._wire_data_path()
+
+    def apply(self, settings: GatewaySettings) -> None:
+        """Put zones and bounds of newer settings in force."""
+        self.regions.update(settings.zones)
+        bounds = _shared_bounds(settings.bounds)
+        self.budget.bounds = bounds
+        self.pace.bounds = bounds
+
+    def _wire_facts(self) -> None:
+        settings = self._settings
+        clock = self._clock
+        store = settings.platform.endpoint
+        client = StoreClient(store.host, store.port)
+        self.store_client = client
+        self.members = Members(clock, settings.vm.name)
+        self.facts = Facts(clock, UpstreamRegistry(clock), self.regions)
+        self.watches = StoreWatches(
+            clock, client, settings, self.facts, self.members
+        )
+        self.heartbeats = Heartbeats(
+            clock,
+            self.members,
+            _own_facts(settings, clock),
+            self.watches.revisions,
+            self.crashes.told,
+            self._heard,
+        )
+        self.registration = Registration(client, settings, self.heartbeats)
+
+    def _wire_data_path(self) -> None:
+        clock = self._clock
+        placement = Placement(
+            clock,
+            CandidateOrder(self.facts.registry, self.distances),
+            CostModel(self.distances),
+            self.pace,
+        )
+        self.tick = SteeringTick(
+            self.facts,
+            self.members,
+            placement,
+            self.pace,
+            self.budget,
+        )
+        forwarder = Forwarder(
+            clock,
+            self.facts,
+            placement,
+            AttemptSender(
+                clock,
+                self.pool,
+                placement,
+                self.metrics,
+                self.crashes,
+            ),
+            self.budget,
+            self.pace,
+            self.crashes,
+            self.metrics,
+            self.log,
+        )
+        self._listen(forwarder)
+
+    def _listen(self, forwarder: Forwarder) -> None:
+        clock = self._clock
+        listen = self._settings.listen
+        directory = Directory(
+            self.members,
+            self.heartbeats,
+            self._settings.bounds.directory_lifetime_s,
+        )
+        readiness = Readiness(self._is_ready)
+        self.callers = HttpServer(clock, forwarder, self._caller_limits)
+        self.servers = [
+            (self.callers, listen.callers),
+            (HttpServer(clock, directory), listen.directory),
+            (HttpServer(clock, readiness), listen.readiness),
+            (HttpServer(clock, MetricsPage(self.metrics)), listen.metrics),
+        ]
+
+    def _heard(self, heartbeat: Heartbeat) -> None:
+        self.watches.heard(heartbeat)
+        self.crashes.learn(heartbeat.crashes)
+
+    def _caller_limits(self) -> CallerLimits:
+        return self.facts.limits
+
+
+def _own_facts(settings: GatewaySettings, clock: Clock) -> MemberFacts:
+    return MemberFacts(
+        name=settings.vm.name,
+        started_ms=clock.wall_ms(),
+        zone=settings.vm.zone,
+        region=settings.vm.region,
+        callers=settings.listen.callers,
+        peers=settings.listen.peers,
+        is_ready=False,
+        count=0,
+    )
+
+
+def _shared_bounds(settings: GatewayBoundSettings) -> SteeringBounds:
+    return SteeringBounds(
+        settings.retry_ratio,
+        round(settings.retry_window_s * _MILLISECONDS_PER_SECOND),
+        settings.retry_slack,
+        settings.cold_overshoot,
+        settings.cold_slack,
+    )
--- a/src/catkindrift/steering/_upstream_state.py
+++ b/src/catkindrift/steering/_upstream_state.py
@@ -42,7 +42,6 @@
     cold_until_ms: int = 0
     ejected_until_ms: int = 0
     failure_rate: float = 0
-    sends: int = 0
     _failures_in_row: int = 0
     _others: float = 0
     _reported_ms: int = 0
@@ -79,7 +78,6 @@
 
     def sent(self, token: int, key: str, now_ms: int) -> None:
         """Count a request that is handed to the upstream."""
-        self.sends += 1
         self._in_flight[token] = now_ms
         if key:
             self._warm[key] = now_ms
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -429,7 +429,7 @@
                 await asyncio.sleep(0.3)
             assert len(arrivals(deployment)) == 2
             async with asyncio.timeout(10):
-                while not deployment.gateways[1]._crashes.told():
+                while not deployment.gateways[1]._parts.crashes.told():
                     await asyncio.sleep(0.05)
             status, _, _ = await ask(
                 deployment.address(index=1),
@@ -453,7 +453,7 @@
                     deployment.address(), head('/unsafe/x', 'POST', attempt)
                 )
                 await asyncio.sleep(0.1)
-            assert not deployment.gateways[0]._crashes.told()
+            assert not deployment.gateways[0]._parts.crashes.told()
 
     run(scenario())
 
@@ -474,3 +474,21 @@
             assert handed_on <= 370
 
     run(scenario())
+
+
+def test_metrics_count_answers_and_store_calls(tmp_path):
+    """What happened can be read at the metrics address."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            await ask(deployment.address(), head('/safe/x'))
+            port = deployment.fields[0]['internal_ports'][1]
+            await asyncio.sleep(1.2)
+            _, _, page = await ask(
+                ('127.0.0.1', port),
+                b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n',
+            )
+            assert b'catkindrift_answers_total{status="200"} 1.0' in page
+            assert b'catkindrift_store_calls{method="GET"}' in page
+
+    run(scenario())
