--- /dev/null
+++ b/benchmarks/heartbeats.py
@@ -0,0 +1,55 @@
+"""Size and cost of heartbeats between entry VMs of the users' platform."""
+
+import time
+
+import msgspec
+
+from benchmarks.report import show
+from catkindrift.clock import ManualClock
+from catkindrift.steering import Heartbeat, MemberFacts, Members
+
+ROUNDS = 20_000
+NANOSECONDS_PER_MICROSECOND = 1000
+REVISIONS = {'config': 1234, 'servers': 5678, 'evacuations': 91}
+
+
+def facts(index, count):
+    """Return the facts of one entry VM."""
+    return MemberFacts(
+        f'front-{index}',
+        1_790_000_000_000,
+        'zone-a',
+        'region-a',
+        f'10.1.0.{index % 250}:8641',
+        f'10.1.0.{index % 250}:7620',
+        is_ready=True,
+        count=count,
+    )
+
+
+def measure(members):
+    """Return one row for a number of known entry VMs."""
+    known = Members(ManualClock(0), 'own')
+    known.learn(facts(index, 0) for index in range(members))
+    encoder = msgspec.msgpack.Encoder()
+    decoder = msgspec.msgpack.Decoder(Heartbeat)
+    heartbeat = Heartbeat(facts(0, 1), (facts(1, 1), facts(2, 1)), REVISIONS)
+    datagram = encoder.encode(heartbeat)
+    began = time.perf_counter_ns()
+    for _ in range(ROUNDS):
+        known.heard(decoder.decode(datagram))
+    took = time.perf_counter_ns() - began
+    return {
+        'entry VMs': members,
+        'bytes': len(datagram),
+        'us to decode and learn': took / ROUNDS / NANOSECONDS_PER_MICROSECOND,
+    }
+
+
+def main():
+    """Print the table."""
+    show('heartbeats', [measure(size) for size in (12, 84, 300)])
+
+
+if __name__ == '__main__':
+    main()
