Wait for the platform in the test of a lost answer

The test before it takes the platform down; where that lasts longer, as on a slow machine, the entry VM's breaker still refuses calls when the change comes, as it should. Change: the test waits until each entry VM has had an answer since the outage; its assertions are the same. Conclusion: the assumption was the test's.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -126,6 +126,7 @@
 
     def test_lost_answer_of_a_change(self, running):
         """An operator's change whose answer was lost counts once."""
+        wait_until_platform_is_back(running)
         before = running.operate('GET', '/v1/status')
         running.local.faults.lost_answers = 1
         status, _ = running.operate(
@@ -175,6 +176,18 @@
             assert resident_bytes() - before < 16_000_000
 
 
+def wait_until_platform_is_back(running):
+    """Wait until each entry VM has had an answer since the last outage.
+
+    Until then its breaker may refuse calls, as it should.
+    """
+    gates = [vm._parts._gate for vm in running.local.entry_vms.values()]
+    until = time.monotonic() + 30
+    while any(gate._breaker._failures for gate in gates):
+        assert time.monotonic() < until
+        time.sleep(0.05)
+
+
 def resident_bytes():
     """Return the resident memory of this process."""
     with open('/proc/self/statm', encoding='ascii') as statm:
