--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -33,6 +33,7 @@
 def test_missing_bounds_get_safe_values(tmp_path):
     """A deployment without the contract leaves the strict defaults."""
     settings = load_settings(write(tmp_path, bounds={}), GatewaySettings)
+    assert settings.bounds.retry_ratio == pytest.approx(0.1)
     assert settings.bounds.retry_slack < 64
 
 
