Give up long answers that nobody has begun to read

Cause: the rest of a long answer was a generator. A caller who left while it waited for an earlier answer cancelled the task, but a generator that was never started runs no clean-up: the connection stayed open and the upstream at work. Found by reading, while the exchange with an upstream was taken out of gateway/_attempt.py for use by both data paths.

Ruled out: closing the generator (it does nothing before its first step).

Change: ResponseRest is an object that is closed with its answer.

Before: test_long_answer_that_waits_for_its_turn_is_cancelled times out after 2 s. After: passes; tests of the gateway, facts and watches pass.

Conclusion: a request that is given up now always frees its upstream.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -1,16 +1,15 @@
 """Sends one request to one upstream."""
 
-import asyncio
 import contextlib
+import functools
 import itertools
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import final
 
 import attrs
 
 from catkindrift.clock import Clock
-from catkindrift.errors import BrokenAnswerError
 from catkindrift.gateway._attempt_outcome import (
     Answered,
     AttemptOutcome,
@@ -23,13 +22,13 @@
 from catkindrift.gateway._upstream_pool import UpstreamPool
 from catkindrift.http1 import (
     Answer,
-    ClientConnection,
+    Exchange,
     ResponseFailure,
     ResponseHead,
-    ResponseReceiver,
-    encode_head,
+    ResponseRest,
+    body_length,
     end_to_end,
-    find_header,
+    without_framing,
 )
 from catkindrift.platform import (
     cold_left_ms,
@@ -102,97 +101,102 @@
             state.eject(self._clock.now_ms())
             self._metrics.failures.labels('connect').inc()
             return NotRun(has_arrived=False)
-        receiver = ResponseReceiver(
-            pending.is_answer, connection.resume_reading
+        exchange = Exchange(
+            pending.request,
+            connection,
+            pending.is_answer,
         )
-        exchange = _Exchange(pending, state, connection, receiver)
+        attempt = _Attempt(pending, state, exchange)
         try:
-            return await self._exchange(exchange)
+            return await self._exchange(attempt)
         except BaseException:
             connection.abort()
             raise
 
-    async def _exchange(self, exchange: '_Exchange') -> AttemptOutcome:
-        pending = exchange.pending
+    async def _exchange(self, attempt: '_Attempt') -> AttemptOutcome:
+        pending = attempt.pending
+        request = pending.request
         pending.may_have_run = True
         began_ms = self._clock.now_ms()
-        exchange.start(pending.deadline_ms - began_ms)
-        if pending.request.body.is_empty:
-            await exchange.receiver.wait_for(_HOLD_BYTES)
-        else:
-            await exchange.wait_while_sending(_HOLD_BYTES)
-        return self._judge(exchange, began_ms)
+        headers = forwarded_headers(
+            end_to_end(request.headers),
+            max(1, pending.deadline_ms - began_ms),
+            attempt.state.upstream.id,
+        )
+        exchange = attempt.exchange
+        exchange.start(request.target, headers)
+        await exchange.send_until(exchange.receiver.wait_for(_HOLD_BYTES))
+        return self._judge(attempt, began_ms)
 
     def _judge(
         self,
-        exchange: '_Exchange',
+        attempt: '_Attempt',
         began_ms: int,
     ) -> AttemptOutcome:
-        state = exchange.state
-        receiver = exchange.receiver
+        state = attempt.state
+        pending = attempt.pending
+        receiver = attempt.exchange.receiver
         now_ms = self._clock.now_ms()
         head = receiver.head
         if head is None or receiver.failure:
-            exchange.connection.abort()
+            attempt.abort()
             if receiver.failure is ResponseFailure.CLOSED:
                 self._crashes.broke_off(state.upstream)
             return self._failed(state, receiver.failure)
         self._learn(state, head, now_ms)
-        self._crashes.answered(exchange.pending.fingerprint)
+        self._crashes.answered(pending.fingerprint)
         if says_not_run(head):
-            return self._refused(exchange, head, now_ms)
-        if not exchange.pending.may_pass_on(head):
-            exchange.connection.abort()
+            return self._refused(attempt, head, now_ms)
+        if not pending.may_pass_on(head):
+            attempt.abort()
             return self._failed(state, ResponseFailure.MALFORMED)
         is_failure = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if is_failure:
             state.refused()
         else:
-            self._learn_speed(exchange, now_ms, now_ms - began_ms)
-        return Answered(self._answer(exchange, head), is_failure)
+            self._learn_speed(attempt, now_ms, now_ms - began_ms)
+        return Answered(self._answer(attempt, head), is_failure)
 
-    def _answer(self, exchange: '_Exchange', head: ResponseHead) -> Answer:
-        receiver = exchange.receiver
-        headers = [
-            each
-            for each in end_to_end(head.headers)
-            if each[0].lower() != b'content-length'
-        ]
-        stated = find_header(head.headers, b'content-length')
-        length = int(stated) if stated.isdigit() else None
+    def _answer(self, attempt: '_Attempt', head: ResponseHead) -> Answer:
+        receiver = attempt.exchange.receiver
+        rest = None
         body = receiver.take()
         if receiver.is_complete:
-            self._pool.give_back(exchange.state.upstream, exchange.connection)
-            return Answer(head.status, headers, body, length)
-        rest = self._rest(exchange)
-        return Answer(head.status, headers, body, length, rest)
+            self._end(attempt, is_whole=True)
+        else:
+            rest = ResponseRest(
+                receiver,
+                functools.partial(self._end, attempt),
+            )
+        return Answer(
+            head.status,
+            without_framing(head.headers),
+            body,
+            body_length(head.headers),
+            rest,
+        )
 
-    async def _rest(self, exchange: '_Exchange') -> AsyncIterator[bytes]:
-        receiver = exchange.receiver
-        try:
-            while not receiver.is_complete or receiver.buffered:
-                part = await receiver.next_chunk()
-                if receiver.failure:
-                    raise BrokenAnswerError('the upstream broke off')
-                yield part
-        except BaseException:
-            exchange.connection.abort()
-            raise
-        self._pool.give_back(exchange.state.upstream, exchange.connection)
+    def _end(self, attempt: '_Attempt', is_whole: bool) -> None:
+        """Keep the connection of a whole response, or close it."""
+        if is_whole:
+            connection = attempt.exchange.connection
+            self._pool.give_back(attempt.state.upstream, connection)
+        else:
+            attempt.abort()
 
     def _refused(
         self,
-        exchange: '_Exchange',
+        attempt: '_Attempt',
         head: ResponseHead,
         now_ms: int,
     ) -> NotRun:
-        state = exchange.state
+        state = attempt.state
         if is_misdirected(head):
             state.eject(now_ms)
-            exchange.connection.abort()
+            attempt.abort()
         else:
             state.refused()
-            self._pool.give_back(state.upstream, exchange.connection)
+            self._end(attempt, is_whole=True)
         if load_report(head) is None:
             slots = state.upstream.slots
             full = LoadReport(slots, slots * _FULL_TIMES, slots)
@@ -225,71 +229,24 @@
 
     def _learn_speed(
         self,
-        exchange: '_Exchange',
+        attempt: '_Attempt',
         now_ms: int,
         took_ms: int,
     ) -> None:
-        state = exchange.state
+        state = attempt.state
         speed = self._placement.speed(state.upstream.service)
         state.answered(now_ms, took_ms, speed.usual_ms)
-        if not exchange.pending.had_to_wait:
+        if not attempt.pending.had_to_wait:
             speed.learn(took_ms)
 
 
 @final
-@attrs.define(eq=False)
-class _Exchange:
+@attrs.frozen(eq=False)
+class _Attempt:
     pending: PendingRequest
     state: UpstreamState
-    connection: ClientConnection
-    receiver: ResponseReceiver
-
-    def start(self, left_ms: int) -> None:
-        """Send the head, and the body if it has come already."""
-        request = self.pending.request
-        headers = forwarded_headers(
-            end_to_end(request.headers),
-            max(1, left_ms),
-            self.state.upstream.id,
-        )
-        if request.body.is_chunked:
-            headers.append((b'Transfer-Encoding', b'chunked'))
-        first_line = b'%b %b HTTP/1.1' % (request.method, request.target)
-        self.connection.start(
-            self.receiver,
-            is_head_request=request.method == b'HEAD',
-        )
-        self.connection.write(encode_head(first_line, headers))
-
-    async def wait_while_sending(self, most_bytes: int) -> None:
-        """Send the body as it arrives, until the response is there.
-
-        A connection whose response came before the whole request was sent is
-        not used again: other bytes would take the place of the rest.
-        """
-        sender = asyncio.get_running_loop().create_task(self._send_body())
-        async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(self._stop_sending, sender)
-            await self.receiver.wait_for(most_bytes)
-
-    async def _stop_sending(self, sender: asyncio.Task[None]) -> None:
-        if not sender.done():
-            self.connection.spend()
-        sender.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await sender
-
-    async def _send_body(self) -> None:
-        body = self.pending.request.body
-        for index in itertools.count():
-            part = await body.next_part(index)
-            if part is None:
-                break
-            self.connection.write(_framed(part, is_chunked=body.is_chunked))
-            await self.connection.wait_writable()
-        if body.is_chunked:
-            self.connection.write(b'0\r\n\r\n')
-
+    exchange: Exchange
 
-def _framed(part: bytes, *, is_chunked: bool) -> bytes:
-    return b'%x\r\n%b\r\n' % (len(part), part) if is_chunked else part
+    def abort(self) -> None:
+        """Close the connection, so that the upstream stops."""
+        self.exchange.connection.abort()
--- a/src/catkindrift/http1/__init__.py
+++ b/src/catkindrift/http1/__init__.py
@@ -1,25 +1,33 @@
 """HTTP/1.1 on the loop: a server for callers, and client connections."""
 
-from catkindrift.http1._answer import Answer
+from catkindrift.http1._answer import Answer, AnswerRest
 from catkindrift.http1._answer_queue import Handler
 from catkindrift.http1._client_connection import ClientConnection
+from catkindrift.http1._connection_pool import ConnectionPool
+from catkindrift.http1._exchange import Exchange
 from catkindrift.http1._failure import ResponseFailure
 from catkindrift.http1._headers import (
     Headers,
+    body_length,
     encode_head,
     end_to_end,
     find_header,
+    without_framing,
 )
 from catkindrift.http1._receiver import ResponseReceiver
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_body import RequestBody
 from catkindrift.http1._response_head import ResponseHead
+from catkindrift.http1._response_rest import ResponseRest
 from catkindrift.http1._server import HttpServer
 
 __all__ = [
     'Answer',
+    'AnswerRest',
     'CallerRequest',
     'ClientConnection',
+    'ConnectionPool',
+    'Exchange',
     'Handler',
     'Headers',
     'HttpServer',
@@ -27,7 +35,10 @@
     'ResponseFailure',
     'ResponseHead',
     'ResponseReceiver',
+    'ResponseRest',
+    'body_length',
     'encode_head',
     'end_to_end',
     'find_header',
+    'without_framing',
 ]
--- a/src/catkindrift/http1/_answer.py
+++ b/src/catkindrift/http1/_answer.py
@@ -1,14 +1,30 @@
 """What a caller is answered."""
 
 import http
-from collections.abc import AsyncIterator
-from typing import final
+from typing import Protocol, Self, final
 
 import attrs
 
 from catkindrift.http1._headers import Headers
 
 
+class AnswerRest(Protocol):
+    """Further parts of an answer's body."""
+
+    def __aiter__(self) -> Self:
+        """Return itself."""
+
+    async def __anext__(self) -> bytes:
+        """Return the next part.
+
+        Raises:
+            BrokenAnswerError: The rest will not come.
+        """
+
+    def close(self) -> None:
+        """Give up what has not been taken."""
+
+
 @final
 @attrs.frozen(eq=False)
 class Answer:
@@ -19,8 +35,7 @@
         headers: Headers but for those that frame the body.
         body: The whole body, or its first part.
         length: Length of the whole body, where it is known before.
-        rest: Further parts, if the body is longer. It raises
-            `BrokenAnswerError` when the rest will not come.
+        rest: Further parts, if the body is longer.
         closes: Whether the connection ends after it.
     """
 
@@ -28,7 +43,7 @@
     headers: Headers = attrs.field(factory=list)
     body: bytes = b''
     length: int | None = None
-    rest: AsyncIterator[bytes] | None = None
+    rest: AnswerRest | None = None
     closes: bool = False
 
     @property
@@ -36,6 +51,11 @@
         """Return the first line of the answer."""
         return b'HTTP/1.1 %d %b' % (self.status, _reason(self.status))
 
+    def close(self) -> None:
+        """Give up what has not been written."""
+        if self.rest:
+            self.rest.close()
+
 
 def _reason(status: int) -> bytes:
     try:
--- a/src/catkindrift/http1/_answer_queue.py
+++ b/src/catkindrift/http1/_answer_queue.py
@@ -1,6 +1,7 @@
 """Requests of one connection, answered in their order."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -14,6 +15,7 @@
 from catkindrift.http1._request import CallerRequest
 
 Handler = Callable[[CallerRequest], Awaitable[Answer]]
+RefusalAnswer = Callable[[HTTPStatus], Answer]
 
 
 @final
@@ -39,6 +41,7 @@
 
     Args:
         handler: Answers requests.
+        refusal: Returns the answer to malformed input.
         writer: Writes answers.
         on_answered: Called after each answer.
         on_end: Called when the connection has to end, with whether the
@@ -46,6 +49,7 @@
     """
 
     _handler: Handler
+    _refusal: RefusalAnswer
     _writer: AnswerWriter
     _on_answered: Callable[[], None]
     _on_end: Callable[[bool], None]
@@ -88,9 +92,10 @@
         if request.method not in {b'GET', b'HEAD'}:
             await exchange.turn.wait()
         answer = await self._answer(request)
-        await exchange.turn.wait()
-        closes = self._closes_after(exchange, answer)
-        await self._writer.send(answer, request.method, closes=closes)
+        with contextlib.closing(answer):
+            await exchange.turn.wait()
+            closes = self._closes_after(exchange, answer)
+            await self._writer.send(answer, request.method, closes=closes)
         if not request.body.is_complete:
             request.body.discard()
         self._finish(exchange)
@@ -104,7 +109,8 @@
         status: HTTPStatus,
     ) -> None:
         await exchange.turn.wait()
-        await self._writer.send(Answer(status), b'GET', closes=True)
+        answer = self._refusal(status)
+        await self._writer.send(answer, b'GET', closes=True)
         self._finish(exchange)
         self._on_end(True)
 
--- /dev/null
+++ b/src/catkindrift/http1/_exchange.py
@@ -0,0 +1,106 @@
+"""One request on one connection, and its response."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import final
+
+import attrs
+
+from catkindrift.http1._client_connection import ClientConnection
+from catkindrift.http1._failure import ResponseFailure
+from catkindrift.http1._headers import Headers, encode_head
+from catkindrift.http1._receiver import ResponseReceiver
+from catkindrift.http1._request import CallerRequest
+from catkindrift.http1._response_head import ResponseHead
+
+
+@final
+@attrs.define(eq=False)
+class Exchange:
+    """Sends a caller's request to an upstream and receives the response.
+
+    Args:
+        request: Head and body.
+        connection: Connection that carries nothing else meanwhile.
+        is_own: Tells from a head whether it answers this request.
+        most_body_bytes: Body bytes that the upstream may be sent; nothing
+            for any number.
+    """
+
+    request: CallerRequest
+    connection: ClientConnection
+    _is_own: Callable[[ResponseHead], bool]
+    _most_body_bytes: int | None = None
+    receiver: ResponseReceiver = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make ready to receive."""
+        self.receiver = ResponseReceiver(
+            self._is_own,
+            self.connection.resume_reading,
+        )
+
+    def start(self, target: bytes, headers: Headers) -> None:
+        """Send the head.
+
+        Args:
+            target: Request target.
+            headers: All headers but the one that frames a chunked body.
+        """
+        method = self.request.method
+        if self.request.body.is_chunked:
+            headers.append((b'Transfer-Encoding', b'chunked'))
+        self.connection.start(
+            self.receiver,
+            is_head_request=method == b'HEAD',
+        )
+        first_line = b'%b %b HTTP/1.1' % (method, target)
+        self.connection.write(encode_head(first_line, headers))
+
+    async def send_until(self, arrived: Awaitable[None]) -> None:
+        """Send the body as it comes, until a part of the response is there.
+
+        A connection whose response came before the whole request was sent is
+        not used again: other bytes would take the place of the rest.
+
+        Args:
+            arrived: Ends when enough of the response is there.
+        """
+        if self.request.body.is_empty:
+            await arrived
+            return
+        sender = asyncio.get_running_loop().create_task(self._send_body())
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._stop_sending, sender)
+            await arrived
+
+    async def _stop_sending(self, sender: asyncio.Task[None]) -> None:
+        if not sender.done():
+            self.connection.spend()
+        sender.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await sender
+
+    async def _send_body(self) -> None:
+        body = self.request.body
+        for index in itertools.count():
+            part = await body.next_part(index)
+            if part is None:
+                break
+            if self._is_too_large(body.received):
+                self.receiver.fail(ResponseFailure.REQUEST_TOO_LARGE)
+                return
+            self.connection.write(_framed(part, is_chunked=body.is_chunked))
+            await self.connection.wait_writable()
+        if body.is_chunked:
+            self.connection.write(b'0\r\n\r\n')
+
+    def _is_too_large(self, received: int) -> bool:
+        most = self._most_body_bytes
+        return most is not None and received > most
+
+
+def _framed(part: bytes, *, is_chunked: bool) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(part), part) if is_chunked else part
--- a/src/catkindrift/http1/_failure.py
+++ b/src/catkindrift/http1/_failure.py
@@ -11,3 +11,4 @@
     CLOSED = 'closed'
     TRUNCATED = 'truncated'
     MALFORMED = 'malformed'
+    REQUEST_TOO_LARGE = 'request_too_large'
--- a/src/catkindrift/http1/_headers.py
+++ b/src/catkindrift/http1/_headers.py
@@ -46,3 +46,18 @@
     lines.extend(b'%b: %b' % header for header in headers)
     lines.append(b'\r\n')
     return b'\r\n'.join(lines)
+
+
+def without_framing(headers: Headers) -> Headers:
+    """Return end-to-end headers but for the length of the body."""
+    return [
+        each
+        for each in end_to_end(headers)
+        if each[0].lower() != b'content-length'
+    ]
+
+
+def body_length(headers: Headers) -> int | None:
+    """Return the length of the body that the headers state, if any."""
+    stated = find_header(headers, b'content-length')
+    return int(stated) if stated.isdigit() else None
--- a/src/catkindrift/http1/_receiver.py
+++ b/src/catkindrift/http1/_receiver.py
@@ -67,6 +67,11 @@
         while not self.has_ended and self.buffered < most_bytes:
             await self._changed()
 
+    async def wait_for_head(self) -> None:
+        """Wait until the head has come, or nothing more will."""
+        while self.head is None and not self.has_ended:
+            await self._changed()
+
     async def next_chunk(self) -> bytes:
         """Return the next part of the body; empty when it has ended."""
         while not self._buffer and not self.has_ended:
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -1,13 +1,15 @@
 """Listens for callers."""
 
 import asyncio
+import ssl
 from collections.abc import Callable
 from typing import final
 
 import attrs
 
 from catkindrift.clock import Clock
-from catkindrift.http1._answer_queue import Handler
+from catkindrift.http1._answer import Answer
+from catkindrift.http1._answer_queue import Handler, RefusalAnswer
 from catkindrift.http1._server_connection import ServerConnection
 from catkindrift.steering import CallerLimits
 
@@ -25,11 +27,15 @@
         clock: Source of time.
         handler: Answers requests.
         limits: Returns the limits in force.
+        refusal: Returns the answer to input that breaks HTTP or a limit.
+        tls: Certificate and key, when connections use TLS.
     """
 
     _clock: Clock
     _handler: Handler
     _limits: Callable[[], CallerLimits] = CallerLimits
+    _refusal: RefusalAnswer = Answer
+    _tls: ssl.SSLContext | None = None
     _is_draining: bool = attrs.field(init=False, default=False)
     _server: asyncio.Server | None = attrs.field(init=False, default=None)
     _sweeper: asyncio.TimerHandle | None = attrs.field(init=False, default=None)
@@ -44,15 +50,22 @@
         """Listen.
 
         Raises:
-            OSError: The address cannot be listened on.
+            OSError: The address is in use or cannot be listened on.
         """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._connect,
-            host,
-            port,
-            backlog=_BACKLOG,
-        )
+        try:
+            self._server = await loop.create_server(
+                self._connect,
+                host,
+                port,
+                backlog=_BACKLOG,
+                ssl=self._tls,
+            )
+        except OSError as failure:
+            raise OSError(
+                f'cannot listen on {host}:{port} ({failure}); stop the other'
+                ' process or change the address',
+            ) from failure
         self._sweep()
 
     def drain(self) -> None:
@@ -74,6 +87,7 @@
         connection = ServerConnection(
             self._clock,
             self._handler,
+            self._refusal,
             self._limits,
             self._connections,
         )
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -8,7 +8,11 @@
 import attrs
 
 from catkindrift.clock import Clock
-from catkindrift.http1._answer_queue import AnswerQueue, Handler
+from catkindrift.http1._answer_queue import (
+    AnswerQueue,
+    Handler,
+    RefusalAnswer,
+)
 from catkindrift.http1._answer_writer import AnswerWriter
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_parser import RequestParser
@@ -29,12 +33,14 @@
     Args:
         clock: Source of time.
         handler: Answers requests.
+        refusal: Returns the answer to malformed input.
         limits: Returns the limits in force.
         connections: Where open connections are listed.
     """
 
     _clock: Clock
     _handler: Handler
+    _refusal: RefusalAnswer
     _limits: Callable[[], CallerLimits]
     _connections: set['ServerConnection']
     _parser: RequestParser = attrs.field(init=False)
@@ -54,6 +60,7 @@
         )
         self._queue = AnswerQueue(
             self._handler,
+            self._refusal,
             self._writer,
             self._note_answered,
             self._end,
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -1,6 +1,7 @@
 """A stand-in upstream in the platform's form, with scripted faults."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -25,6 +26,7 @@
     requests: list = attrs.field(factory=list)
     cut: int = 0
     connections: int = 0
+    on_lost: Callable = attrs.field(default=lambda _id: None)
     host: str = '127.0.0.1'
     _server: asyncio.Server | None = None
     _writers: set = attrs.field(factory=set)
@@ -80,6 +82,7 @@
         ):
             self._writers.discard(writer)
             writer.close()
+            self.on_lost(self.id)
 
     async def _answer(self, reader, writer, head):
         lines = head.split(b'\r\n')
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -503,3 +503,35 @@
             assert b'catkindrift_answers_total{status="200"} 1.0' in page
 
     run(scenario())
+
+
+def test_long_answer_that_waits_for_its_turn_is_cancelled(tmp_path):
+    """A caller who leaves cancels an answer that nobody has begun to read.
+
+    It came ahead of the answer to an earlier request, so it was waiting.
+    """
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=1) as deployment:
+            upstream = deployment.upstreams[0]
+            ends = []
+
+            def begin_long(upstream, attempt):
+                whole = upstream.ok(attempt, b'x' * 400_000)
+                return whole[:300_000]
+
+            upstream.delay_s = 5
+            _, writer = await asyncio.open_connection(*deployment.address())
+            writer.write(head('/safe/slow', attempt='a1'))
+            await eventually(lambda: upstream.requests)
+            upstream.delay_s = 0
+            upstream.script = [begin_long]
+            upstream.on_lost = ends.append
+            writer.write(head('/safe/long', attempt='a2'))
+            await eventually(lambda: len(upstream.requests) == 2)
+            await asyncio.sleep(0.2)
+            assert not ends
+            writer.close()
+            await eventually(lambda: len(ends) == 2, seconds=2)
+
+    run(scenario())
