Serve the product's own callers on the loop that serves the platform's

Cause: two data paths. Callers of the product's own interface had a thread each on CherryPy's server and urllib3 to upstreams: a caller who left was noticed only when the answer was written, 100 Continue was sent before a refusal could be, escapes in a path were decoded and encoded anew, look-ups waited for threads.

Ruled out: keeping threads for bytes and sharing only the parsers (two pools, two readings of what a broken response is); one forwarder for both (the core decides by events, with claims, caps and plans; steering by calls).

Change: both interfaces share http1: server, pool, exchange with an upstream, rest of a long answer. callers/ asks the core and moves bytes with these. The bridge keeps only what operators' threads need.

tests/test_callers.py is new.

Conclusion: one data path for bytes; two ways to decide remain.

--- a/src/catkindrift/callers/__init__.py
+++ b/src/catkindrift/callers/__init__.py
@@ -1,15 +1,17 @@
-"""The data path of the product's own interface."""
+"""Callers of the product's own interface: look-ups and services."""
 
 from catkindrift.callers._caller_app import CallerApp
+from catkindrift.callers._decisions import Decisions
 from catkindrift.callers._forwarder import Forwarder
 from catkindrift.callers._lookup_app import LookupApp
-from catkindrift.callers._upstream_client import (
+from catkindrift.callers._problem_answer import refused_input
+from catkindrift.callers._upstream_headers import (
     BUSY_HEADER,
     LEAVING,
     OUTCOME_HEADER,
     STATE_HEADER,
-    UpstreamClient,
 )
+from catkindrift.callers._upstream_sender import UpstreamSender
 
 __all__ = [
     'BUSY_HEADER',
@@ -17,7 +19,9 @@
     'OUTCOME_HEADER',
     'STATE_HEADER',
     'CallerApp',
+    'Decisions',
     'Forwarder',
     'LookupApp',
-    'UpstreamClient',
+    'UpstreamSender',
+    'refused_input',
 ]
--- a/src/catkindrift/callers/_caller_app.py
+++ b/src/catkindrift/callers/_caller_app.py
@@ -1,14 +1,15 @@
-"""The WSGI application that callers use."""
+"""What callers may ask for."""
 
-from collections.abc import Iterable
 from http import HTTPStatus
-from typing import Any, final
+from typing import final
+from urllib.parse import unquote
 
 import attrs
 
-from catkindrift.callers._forwarder import Forwarder, answer_problem
+from catkindrift.callers._forwarder import Forwarder
 from catkindrift.callers._lookup_app import LookupApp
-from catkindrift.serving import Problem
+from catkindrift.callers._problem_answer import bad_request, problem_answer
+from catkindrift.http1 import Answer, CallerRequest
 
 
 @final
@@ -24,27 +25,25 @@
     _forwarder: Forwarder
     _lookups: LookupApp
 
-    def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
-        """Serve one request."""
-        path = environ['SCRIPT_NAME'] + environ['PATH_INFO']
-        match path.split('/', 3):
+    async def __call__(self, request: CallerRequest) -> Answer:
+        """Return the answer to one request."""
+        match request.path.split('/', 3):
             case ['', 'lookup']:
-                return self._lookups.serve(environ, start_response)
+                return await self._lookups.serve(request)
             case ['', 'services', service, *rest]:
-                target = f'/{rest[0] if rest else ""}'
-                if environ.get('QUERY_STRING'):
-                    target = f'{target}?{environ["QUERY_STRING"]}'
-                return self._forwarder.serve(
-                    environ,
-                    start_response,
-                    service,
+                path = rest[0] if rest else ''
+                target = f'/{path}'.encode('latin-1')
+                if request.query:
+                    target = b'%b?%b' % (target, request.query)
+                return await self._forwarder.serve(
+                    request,
+                    unquote(service),
                     target,
                 )
-        problem = Problem(
-            HTTPStatus.NOT_FOUND,
-            'unknown_path',
-            'there is no such path; use /lookup or /services/NAME/...',
-            outcome='not_run',
-            closes=True,
+        return problem_answer(
+            bad_request(
+                'unknown_path',
+                'there is no such path; use /lookup or /services/NAME/...',
+                HTTPStatus.NOT_FOUND,
+            ),
         )
-        return answer_problem(start_response, problem)
--- /dev/null
+++ b/src/catkindrift/callers/_held_body.py
@@ -0,0 +1,28 @@
+"""Bodies that are read whole before anything is decided."""
+
+import asyncio
+
+from catkindrift.callers._bad_request import BadRequestError
+from catkindrift.callers._problem_answer import bad_request
+from catkindrift.http1 import CallerRequest
+
+# A caller who sends a small body more slowly than this has stalled.
+_LONGEST_BODY_SECONDS = 30.0
+
+
+async def read_body(request: CallerRequest, most_bytes: int) -> bytes | None:
+    """Return the whole body, or nothing if it is larger than `most_bytes`.
+
+    Raises:
+        BadRequestError: The body did not arrive in time.
+    """
+    try:
+        async with asyncio.timeout(_LONGEST_BODY_SECONDS):
+            return await request.body.read_whole(most_bytes)
+    except TimeoutError as late:
+        raise BadRequestError(
+            bad_request(
+                'short_body',
+                'the body did not arrive; send it whole',
+            ),
+        ) from late
--- a/src/catkindrift/callers/_lookup_app.py
+++ b/src/catkindrift/callers/_lookup_app.py
@@ -1,15 +1,17 @@
 """Serves look-ups: which entry VMs a caller should use."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, final
 from urllib.parse import parse_qs
 
 import attrs
 
-from catkindrift.callers._forwarder import answer_problem
+from catkindrift.callers._held_body import read_body
+from catkindrift.callers._problem_answer import problem_answer
 from catkindrift.domain import Vm
+from catkindrift.http1 import Answer, CallerRequest
 from catkindrift.routing import LookupAnswer, LookupTable
 from catkindrift.serving import Problem
 
@@ -22,41 +24,40 @@
 @final
 @attrs.define(eq=False)
 class LookupApp:
-    """Answers single and batched look-ups from the published table.
+    """Answers single and batched look-ups.
 
     Args:
-        table: The newest table; the loop replaces it.
+        table: Returns the table in force.
         scheme: URL scheme of callers' connections.
     """
 
-    table: LookupTable
+    _table: Callable[[], LookupTable]
     _scheme: str
 
-    def serve(self, environ: Any, start_response: Any) -> Iterable[bytes]:
-        """Serve one look-up as a WSGI application does."""
+    async def serve(self, request: CallerRequest) -> Answer:
+        """Return the answer to one look-up."""
+        is_single = request.method == b'GET'
         try:
-            answers = self._answer_all(_blocks(environ))
+            answers = self._answer_all(await _blocks(request))
         except _MALFORMED as malformed:
-            return answer_problem(start_response, _malformed(malformed))
+            return problem_answer(_malformed(malformed))
         documents = [self._document(answer) for answer in answers]
-        is_single = environ['REQUEST_METHOD'] == 'GET'
         content = json.dumps(
             documents[0] if is_single else {'answers': documents},
-        ).encode()
+        )
         lifetime_ms = min(answer.lifetime_ms for answer in answers)
         seconds = lifetime_ms // _MILLISECONDS_PER_SECOND
-        start_response(
-            '200 OK',
+        return Answer(
+            HTTPStatus.OK,
             [
-                ('Content-Type', 'application/json'),
-                ('Content-Length', str(len(content))),
-                ('Cache-Control', f'max-age={seconds}'),
+                (b'Content-Type', b'application/json'),
+                (b'Cache-Control', b'max-age=%d' % seconds),
             ],
+            content.encode(),
         )
-        return (content,)
 
     def _answer_all(self, blocks: list[str]) -> list[LookupAnswer]:
-        table = self.table
+        table = self._table()
         return [table.answer(block) for block in blocks]
 
     def _document(self, answer: LookupAnswer) -> dict[str, Any]:
@@ -74,14 +75,14 @@
         }
 
 
-def _blocks(environ: Any) -> list[str]:
-    if environ['REQUEST_METHOD'] == 'GET':
-        query = parse_qs(environ.get('QUERY_STRING', ''))
-        return query.get('block') or [environ['REMOTE_ADDR']]
-    length = int(environ.get('CONTENT_LENGTH') or 0)
-    if not 0 < length <= _MOST_BODY_BYTES:
+async def _blocks(request: CallerRequest) -> list[str]:
+    if request.method == b'GET':
+        query = parse_qs(request.query.decode('latin-1'))
+        return query.get('block') or [request.caller]
+    body = await read_body(request, _MOST_BODY_BYTES)
+    if not body:
         raise ValueError(f'a body of 1 to {_MOST_BODY_BYTES} bytes is needed')
-    blocks = json.loads(environ['wsgi.input'].read(length))['blocks']
+    blocks = json.loads(body)['blocks']
     if not isinstance(blocks, list) or not 0 < len(blocks) <= _MOST_BLOCKS:
         raise ValueError(f'"blocks" has to list 1 to {_MOST_BLOCKS} blocks')
     return blocks
--- a/src/catkindrift/callers/_relay.py
+++ b/src/catkindrift/callers/_relay.py
@@ -1,124 +1,109 @@
-"""Passes an upstream's answer on to the caller."""
+"""Passes the rest of an upstream's response on to the caller."""
 
+import asyncio
 import base64
-import time
-from collections.abc import Callable, Iterator
-from typing import final
+from collections.abc import Callable
+from typing import Self, final
 
 import attrs
-from urllib3.exceptions import HTTPError, ReadTimeoutError
 
-from catkindrift.callers._body import CHUNK_BYTES
-from catkindrift.callers._upstream_client import OpenAnswer
+from catkindrift.callers._open_response import OpenResponse
+from catkindrift.clock import Clock
+from catkindrift.errors import BrokenAnswerError
+from catkindrift.http1 import ResponseRest, find_header
 from catkindrift.retries import (
-    Answered,
     AttemptResult,
     Broken,
     BrokenReason,
     CallerGone,
     RecordedAnswer,
 )
-from catkindrift.serving import IncompleteAnswerError
 
-RECORDED_BYTES = 65_536
-_HOP_HEADERS = frozenset(
-    ('connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'trailer'),
-)
+# Larger answers are not kept for repetitions of a request.
+_RECORDED_BYTES = 65_536
+_MILLISECONDS_PER_SECOND = 1000
 
 
 @final
 @attrs.define(eq=False)
 class Relay:
-    """Iterates over an answer and reports how the attempt ended.
+    """Iterates over a response and reports how the attempt ended.
 
     Args:
-        answer: The open answer.
-        ended: Called once with the result.
-        deadline: Time by which the answer must be through, as
-            ``time.monotonic`` gives it.
+        clock: Source of time.
+        response: The response.
+        deadline_ms: Time by which it must be through.
         keeps_answer: A small answer has to be part of the result.
+        on_end: Called once with the result.
     """
 
-    _answer: OpenAnswer
-    _ended: Callable[[AttemptResult], None]
-    _deadline: float
+    _clock: Clock
+    _response: OpenResponse
+    _deadline_ms: int
     _keeps_answer: bool
+    _on_end: Callable[[AttemptResult], None]
+    _rest: ResponseRest = attrs.field(init=False)
     _kept: bytes | None = attrs.field(init=False, default=b'')
-    _is_reported: bool = attrs.field(init=False, default=False)
-
-    @property
-    def status_line(self) -> str:
-        """Return status code and phrase."""
-        response = self._answer.response
-        return f'{response.status} {response.reason or "Unknown"}'
-
-    @property
-    def headers(self) -> list[tuple[str, str]]:
-        """Return the end-to-end headers of the answer."""
-        return [
-            (name, text)
-            for name, text in self._answer.response.headers.items()
-            if name.lower() not in _HOP_HEADERS
-        ]
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield the body in pieces.
+    _ended_as: AttemptResult = attrs.field(init=False, factory=CallerGone)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin where the head ended."""
+        receiver = self._response.exchange.receiver
+        self._rest = ResponseRest(receiver, self._ended)
+
+    def __aiter__(self) -> Self:
+        """Return itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next part.
 
         Raises:
-            IncompleteAnswerError: The upstream broke off.
+            BrokenAnswerError: The rest will not come, or comes too late.
         """
-        response = self._answer.response
+        left_ms = self._deadline_ms - self._clock.now_ms()
         try:
-            for piece in response.stream(CHUNK_BYTES, decode_content=False):
-                self._keep(piece)
-                self._check_deadline()
-                yield piece
-        except ReadTimeoutError as late:
-            self._report(Broken(BrokenReason.TIMEOUT, can_resend=False))
-            raise IncompleteAnswerError('the deadline has passed') from late
-        except (HTTPError, OSError) as broken:
-            self._report(Broken(BrokenReason.INCOMPLETE, can_resend=False))
-            raise IncompleteAnswerError('the upstream broke off') from broken
-        response.release_conn()
-        self._report(self._answered())
+            async with asyncio.timeout(left_ms / _MILLISECONDS_PER_SECOND):
+                part = await anext(self._rest)
+        except TimeoutError as late:
+            self._ended_as = Broken(BrokenReason.TIMEOUT, can_resend=False)
+            self.close()
+            raise BrokenAnswerError('the deadline has passed') from late
+        self._keep(part)
+        return part
+
+    def take_whole(self) -> bytes:
+        """Return the body of a response that has come whole."""
+        body = self._response.exchange.receiver.take()
+        self._keep(body)
+        self._ended(is_whole=True)
+        return body
 
     def close(self) -> None:
-        """End an answer that the caller did not take to its end."""
-        if not self._is_reported:
-            self._answer.response.close()
-            self._report(CallerGone())
+        """End a response that the caller did not take to its end."""
+        self._rest.close()
 
-    def _keep(self, piece: bytes) -> None:
+    def _keep(self, part: bytes) -> None:
         if not self._keeps_answer or self._kept is None:
             return
-        self._kept += piece
-        if len(self._kept) > RECORDED_BYTES:
+        self._kept += part
+        if len(self._kept) > _RECORDED_BYTES:
             self._kept = None
 
-    def _check_deadline(self) -> None:
-        if time.monotonic() > self._deadline:
-            raise OSError('the deadline has passed')
-
-    def _answered(self) -> Answered:
-        answer = self._answer
-        recorded: RecordedAnswer | None = None
-        if self._keeps_answer and self._kept is not None:
-            recorded = RecordedAnswer(
-                answer.response.status,
-                answer.response.headers.get('content-type', ''),
-                base64.b64encode(self._kept).decode(),
-            )
-        return Answered(
-            answer.response.status,
-            answer.latency_ms,
-            answer.is_leaving,
-            answer.busy_slots,
-            recorded,
-        )
+    def _ended(self, is_whole: bool) -> None:
+        if is_whole:
+            self._ended_as = self._response.answered(self._recorded())
+        elif self._response.exchange.receiver.failure:
+            self._ended_as = Broken(BrokenReason.INCOMPLETE, can_resend=False)
+        self._on_end(self._ended_as)
 
-    def _report(self, ended: AttemptResult) -> None:
-        if not self._is_reported:
-            self._is_reported = True
-            if not isinstance(ended, Answered):
-                self._answer.response.close()
-            self._ended(ended)
+    def _recorded(self) -> RecordedAnswer | None:
+        if not self._keeps_answer or self._kept is None:
+            return None
+        head = self._response.head
+        media_type = find_header(head.headers, b'content-type')
+        return RecordedAnswer(
+            head.status,
+            media_type.decode('latin-1'),
+            base64.b64encode(self._kept).decode(),
+        )
--- /dev/null
+++ b/src/catkindrift/callers/_service_request.py
@@ -0,0 +1,126 @@
+"""A caller's request to a service."""
+
+from typing import final
+
+import attrs
+import xxhash
+
+from catkindrift.callers._bad_request import BadRequestError
+from catkindrift.callers._held_body import read_body
+from catkindrift.callers._problem_answer import bad_request
+from catkindrift.core import Request
+from catkindrift.http1 import CallerRequest
+
+# Bodies up to this size are part of what tells a request from others.
+_HELD_BODY_BYTES = 262_144
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@final
+@attrs.frozen(eq=False)
+class ServiceRequest:
+    """What is passed on to an upstream, and what decisions need to know.
+
+    Args:
+        service: Service that the caller named.
+        target: Path and query below the service.
+        message: Head and body.
+        held_body: The whole body if it is small.
+        timeout_ms: Time limit that the caller set; 0 for none.
+    """
+
+    service: str
+    target: bytes
+    message: CallerRequest
+    held_body: bytes | None
+    timeout_ms: int
+
+    @property
+    def can_resend(self) -> bool:
+        """Return whether the whole request can be sent once more."""
+        return self.message.body.can_replay
+
+    @property
+    def caller(self) -> str:
+        """Return a digest of the caller's identity."""
+        identity = self.message.header(b'authorization')
+        return xxhash.xxh3_128_hexdigest(
+            identity or self.message.caller.encode(),
+        )
+
+    def described(self, request_id: int) -> Request:
+        """Return what decisions need to know.
+
+        Args:
+            request_id: Unique in this process.
+        """
+        message = self.message
+        is_held = self.held_body is not None
+        deadline_ms = 0
+        if self.timeout_ms:
+            deadline_ms = message.arrived_ms + self.timeout_ms
+        key = message.header(b'idempotency-key')
+        body = message.body
+        return Request(
+            request_id=request_id,
+            service=self.service,
+            caller=self.caller,
+            method=message.method.decode('latin-1'),
+            fingerprint=self._fingerprint(),
+            deadline_ms=deadline_ms,
+            body_bytes=None if body.is_chunked else body.length,
+            is_held=is_held,
+            idempotency_key=key.decode('latin-1'),
+        )
+
+    def _fingerprint(self) -> str:
+        """Return the digest that tells this request from others."""
+        digest = xxhash.xxh3_128(self.message.method)
+        digest.update(f' {self.service}'.encode())
+        digest.update(self.target)
+        if self.held_body is None:
+            digest.update(f'{self.caller} {self.message.body.length}'.encode())
+        else:
+            digest.update(self.held_body)
+        return digest.hexdigest()
+
+
+async def read_service_request(
+    message: CallerRequest,
+    service: str,
+    target: bytes,
+) -> ServiceRequest:
+    """Return a request, with its body if that is small.
+
+    Args:
+        message: Head and body as they arrive.
+        service: Service that the caller named.
+        target: Path and query below the service.
+
+    Raises:
+        BadRequestError: A header is malformed, or the body does not arrive.
+    """
+    timeout_ms = _timeout_ms(message)
+    body = message.body
+    held: bytes | None = None
+    if not body.is_chunked and body.length <= _HELD_BODY_BYTES:
+        held = await read_body(message, _HELD_BODY_BYTES)
+    return ServiceRequest(service, target, message, held, timeout_ms)
+
+
+def _timeout_ms(message: CallerRequest) -> int:
+    text = message.header(b'request-timeout')
+    if not text:
+        return 0
+    try:
+        timeout_ms = round(float(text) * _MILLISECONDS_PER_SECOND)
+    except (ValueError, OverflowError):
+        timeout_ms = 0
+    if timeout_ms < 1:
+        raise BadRequestError(
+            bad_request(
+                'malformed_timeout',
+                'Request-Timeout is not a positive number; send seconds',
+            ),
+        )
+    return timeout_ms
--- /dev/null
+++ b/src/catkindrift/callers/_upstream_headers.py
@@ -0,0 +1,30 @@
+"""What upstreams state in the headers of their responses."""
+
+from catkindrift.http1 import ResponseHead, find_header
+
+OUTCOME_HEADER = 'Catkindrift-Outcome'
+STATE_HEADER = 'Catkindrift-State'
+BUSY_HEADER = 'Catkindrift-Busy-Slots'
+LEAVING = 'leaving'
+_NOT_RUN = 'not_run'
+
+
+def says_not_run(head: ResponseHead) -> bool:
+    """Return whether the upstream did not start the request."""
+    return _stated(head, OUTCOME_HEADER) == _NOT_RUN
+
+
+def says_leaving(head: ResponseHead) -> bool:
+    """Return whether the upstream says that it is leaving."""
+    return _stated(head, STATE_HEADER) == LEAVING
+
+
+def busy_slots(head: ResponseHead) -> int:
+    """Return the slots in use as the upstream reports them."""
+    text = _stated(head, BUSY_HEADER)
+    return int(text) if text.isdecimal() else 0
+
+
+def _stated(head: ResponseHead, name: str) -> str:
+    found = find_header(head.headers, name.lower().encode())
+    return found.decode('latin-1')
--- a/src/catkindrift/core/_outcomes.py
+++ b/src/catkindrift/core/_outcomes.py
@@ -16,6 +16,7 @@
 from catkindrift.retries import (
     Answered,
     AttemptResult,
+    BodyTooLarge,
     Broken,
     BrokenReason,
     CallerGone,
@@ -198,4 +199,6 @@
             return RefusalReason.DEADLINE
         case NotStarted(reason=NotStartedReason.REFUSED_BY_UPSTREAM):
             return RefusalReason.NO_ROOM
+        case BodyTooLarge():
+            return RefusalReason.BODY_TOO_LARGE
     return RefusalReason.UPSTREAM_FAILED
--- a/src/catkindrift/demo/_deployment.py
+++ b/src/catkindrift/demo/_deployment.py
@@ -20,7 +20,7 @@
 from catkindrift.limits import Breaker, TokenBucket
 from catkindrift.plans import ConfigurationStore, put_service, put_zone
 from catkindrift.server import EntryVm
-from catkindrift.serving import HttpServer
+from catkindrift.serving import ThreadedServer
 from catkindrift.settings import (
     Deployment,
     Endpoint,
@@ -71,7 +71,7 @@
     entry_vms: dict[str, EntryVm] = attrs.field(init=False, factory=dict)
     settings: dict[str, EntrySettings] = attrs.field(init=False, factory=dict)
     platform_url: str = attrs.field(init=False, default='')
-    _servers: dict[str, HttpServer] = attrs.field(init=False, factory=dict)
+    _servers: dict[str, ThreadedServer] = attrs.field(init=False, factory=dict)
 
     async def start(self, *, with_entry_vms: bool = True) -> None:
         """Start all parts, the platform first.
@@ -211,8 +211,8 @@
         return tuple(known.listen.peers for known in self.settings.values())
 
 
-def _server(application: object, threads: int) -> HttpServer:
-    return HttpServer(
+def _server(application: object, threads: int) -> ThreadedServer:
+    return ThreadedServer(
         Endpoint(LOOPBACK, 0),
         application,
         threads,
--- a/src/catkindrift/http1/_answer_queue.py
+++ b/src/catkindrift/http1/_answer_queue.py
@@ -95,6 +95,9 @@
         with contextlib.closing(answer):
             await exchange.turn.wait()
             closes = self._closes_after(exchange, answer)
+            # A body that was not invited may come or not; nobody can tell
+            # it from the next request.
+            closes = closes or request.body.awaits_invitation
             await self._writer.send(answer, request.method, closes=closes)
         if not request.body.is_complete:
             request.body.discard()
--- a/src/catkindrift/http1/_answer_writer.py
+++ b/src/catkindrift/http1/_answer_writer.py
@@ -1,13 +1,14 @@
 """Writes answers to a caller's connection."""
 
 import asyncio
+from http import HTTPStatus
 from typing import final
 
 import attrs
 
 from catkindrift.errors import BrokenAnswerError
 from catkindrift.http1._answer import Answer
-from catkindrift.http1._headers import encode_head
+from catkindrift.http1._headers import Headers, encode_head
 
 
 @final
@@ -51,6 +52,11 @@
         if self._transport:
             self._transport.close()
 
+    def invite_body(self) -> None:
+        """Let the caller send the body of its request."""
+        if self._transport:
+            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
     async def send(
         self,
         answer: Answer,
@@ -65,7 +71,7 @@
             method: Method of the request, since HEAD has no body.
             closes: Whether the connection ends after it.
         """
-        headers = [*answer.headers, _framing(answer)]
+        headers = [*answer.headers, *_framing(answer)]
         if closes:
             headers.append((b'Connection', b'close'))
         head = encode_head(answer.status_line, headers)
@@ -101,13 +107,15 @@
         await self._writable.wait()
 
 
-def _framing(answer: Answer) -> tuple[bytes, bytes]:
+def _framing(answer: Answer) -> Headers:
+    if answer.status == HTTPStatus.NO_CONTENT:
+        return []
     if answer.rest is None:
         length = answer.length if answer.length else len(answer.body)
-        return (b'Content-Length', b'%d' % length)
+        return [(b'Content-Length', b'%d' % length)]
     if answer.length is None:
-        return (b'Transfer-Encoding', b'chunked')
-    return (b'Content-Length', b'%d' % answer.length)
+        return [(b'Transfer-Encoding', b'chunked')]
+    return [(b'Content-Length', b'%d' % answer.length)]
 
 
 def _part(part: bytes, *, is_chunked: bool) -> bytes:
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -9,11 +9,12 @@
 from catkindrift.clock import Clock
 from catkindrift.http1._headers import Headers, find_header
 from catkindrift.http1._request import CallerRequest
-from catkindrift.http1._request_body import PausableReader, RequestBody
+from catkindrift.http1._request_body import BodySource, RequestBody
 from catkindrift.steering import CallerLimits
 
 # Bytes around a header's name and value.
 _HEADER_EXTRA_BYTES = 4
+_CONTINUE = b'100-continue'
 
 
 @final
@@ -27,7 +28,7 @@
     """
 
     _clock: Clock
-    _source: PausableReader
+    _source: BodySource
     caller: str = attrs.field(init=False, default='')
     has_begun: bool = attrs.field(init=False, default=False)
     raw_bytes: int = attrs.field(init=False, default=0)
@@ -92,7 +93,12 @@
             path=parsed.path.decode('latin-1'),
             query=parsed.query or b'',
             headers=self._headers,
-            body=RequestBody(self._source, bool(coding), int(length or 0)),
+            body=RequestBody(
+                self._source,
+                bool(coding),
+                int(length or 0),
+                find_header(self._headers, b'expect').lower() == _CONTINUE,
+            ),
             arrived_ms=self._clock.now_ms(),
             caller=self.caller,
         )
--- a/src/catkindrift/http1/_headers.py
+++ b/src/catkindrift/http1/_headers.py
@@ -4,10 +4,12 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-# RFC 9110, section 7.6.1, with the older names that senders still use.
+# RFC 9110, section 7.6.1, with the older names that senders still use, and
+# Expect, which the server answers itself.
 _HOP_BY_HOP = frozenset(
     (
         b'connection',
+        b'expect',
         b'keep-alive',
         b'proxy-authenticate',
         b'proxy-authorization',
--- a/src/catkindrift/http1/_request_body.py
+++ b/src/catkindrift/http1/_request_body.py
@@ -12,12 +12,15 @@
 _PAUSE_REASON = 'body'
 
 
-class PausableReader(Protocol):
+class BodySource(Protocol):
     """Where the body comes from."""
 
     def set_paused(self, reason: str, *, is_paused: bool) -> None:
         """Read only while there is no reason to pause."""
 
+    def invite_body(self) -> None:
+        """Tell a caller who waits for it that the body is wanted."""
+
 
 @final
 @attrs.define(eq=False)
@@ -28,11 +31,13 @@
         source: The caller's connection.
         is_chunked: Whether the length is not known from the head.
         length: Length that the head states.
+        awaits_invitation: The caller holds the body back until it is wanted.
     """
 
-    _source: PausableReader
+    _source: BodySource
     is_chunked: bool
     length: int
+    awaits_invitation: bool = False
     is_complete: bool = attrs.field(init=False, default=False)
     can_replay: bool = attrs.field(init=False, default=True)
     received: int = attrs.field(init=False, default=0)
@@ -78,8 +83,19 @@
         self._unread = 0
         self._source.set_paused(_PAUSE_REASON, is_paused=False)
 
+    async def read_whole(self, most_bytes: int) -> bytes | None:
+        """Return the whole body, or nothing if it is larger."""
+        self._invite()
+        while not self.is_complete and self.received <= most_bytes:
+            self._unread = 0
+            self._source.set_paused(_PAUSE_REASON, is_paused=False)
+            self._changed.clear()
+            await self._changed.wait()
+        return self.wholly_kept if self.received <= most_bytes else None
+
     async def next_part(self, index: int) -> bytes | None:
         """Return the part at `index`, or nothing after the last one."""
+        self._invite()
         while index - self._first_part >= len(self._parts):
             if self.is_complete:
                 return None
@@ -89,6 +105,11 @@
         self._taken(index, len(part))
         return part
 
+    def _invite(self) -> None:
+        if self.awaits_invitation and not self.received:
+            self._source.invite_body()
+        self.awaits_invitation = False
+
     def _taken(self, index: int, size: int) -> None:
         self._unread = max(0, self._unread - size)
         if self._unread < _AHEAD_BYTES:
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -10,7 +10,7 @@
 from catkindrift.clock import Clock
 from catkindrift.http1._head_collector import HeadCollector
 from catkindrift.http1._request import CallerRequest
-from catkindrift.http1._request_body import PausableReader
+from catkindrift.http1._request_body import BodySource
 from catkindrift.steering import CallerLimits
 
 
@@ -30,7 +30,7 @@
     """
 
     _clock: Clock
-    _source: PausableReader
+    _source: BodySource
     _limits: Callable[[], CallerLimits]
     _on_request: Callable[[CallerRequest, bool], None]
     _on_refusal: Callable[[HTTPStatus, bool], None]
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -112,6 +112,10 @@
             if not self._pauses:
                 self._writer.resume_reading()
 
+    def invite_body(self) -> None:
+        """Let a caller who waits for it send the body."""
+        self._writer.invite_body()
+
     def sweep(self) -> None:
         """Close the connection if the caller has been silent for too long."""
         if self._queue.length:
--- a/src/catkindrift/retries/__init__.py
+++ b/src/catkindrift/retries/__init__.py
@@ -3,6 +3,7 @@
 from catkindrift.retries._attempt_result import (
     Answered,
     AttemptResult,
+    BodyTooLarge,
     Broken,
     BrokenReason,
     CallerGone,
@@ -17,6 +18,7 @@
 __all__ = [
     'Answered',
     'AttemptResult',
+    'BodyTooLarge',
     'Broken',
     'BrokenReason',
     'CallerGone',
--- a/src/catkindrift/retries/_attempt_result.py
+++ b/src/catkindrift/retries/_attempt_result.py
@@ -96,4 +96,10 @@
     """The caller closed its connection before the answer was complete."""
 
 
-AttemptResult = Answered | NotStarted | Broken | CallerGone
+@final
+@attrs.frozen
+class BodyTooLarge:
+    """The body proved larger than allowed while it was passed on."""
+
+
+AttemptResult = Answered | NotStarted | Broken | CallerGone | BodyTooLarge
--- a/src/catkindrift/server/_composition.py
+++ b/src/catkindrift/server/_composition.py
@@ -2,18 +2,27 @@
 
 import asyncio
 import random
+import sys
 from pathlib import Path
 from typing import final
 
 import attrs
 from grpclib.server import Server as PeerServer
 
-from catkindrift.callers import CallerApp, Forwarder, LookupApp, UpstreamClient
+from catkindrift.callers import (
+    CallerApp,
+    Decisions,
+    Forwarder,
+    LookupApp,
+    UpstreamSender,
+    refused_input,
+)
 from catkindrift.claims import ClaimStore
 from catkindrift.clock import Clock
 from catkindrift.core import Bounds, EntryCore, Event, Identity
 from catkindrift.domain import Vm, VmRole
 from catkindrift.exchange import PeerAnswers, PeerExchange
+from catkindrift.http1 import ConnectionPool, HttpServer
 from catkindrift.limits import Breaker, Grant, TokenBucket
 from catkindrift.operators import (
     ApiContext,
@@ -27,12 +36,23 @@
 from catkindrift.plans import ConfigurationStore, PlanExecutor
 from catkindrift.server._core_collector import CoreCollector
 from catkindrift.server._effect_runner import EffectRunner
-from catkindrift.serving import Bridge, HttpServer, Metrics, peer_client_context
+from catkindrift.serving import (
+    Bridge,
+    Metrics,
+    ThreadedServer,
+    caller_server_context,
+    peer_client_context,
+)
 from catkindrift.settings import Endpoint, EntrySettings
+from catkindrift.steering import CallerLimits
 from catkindrift.store import CallGate, GuardedPlatform, HttpPlatform
 from catkindrift.watching import PlatformWatcher, VmListCache
 
 _OPERATOR_THREADS = 8
+# Callers on poor links send their heads slowly, and keep connections.
+_CALLER_SILENCE_MS = 30_000
+# Each service has a limit of its own, which the core knows.
+_ANY_BODY_BYTES = sys.maxsize
 
 
 @final
@@ -61,15 +81,16 @@
     plans: PlanRunner = attrs.field(init=False)
     claims: ClaimStore = attrs.field(init=False)
     callers: HttpServer = attrs.field(init=False)
-    operators: HttpServer = attrs.field(init=False)
+    operators: ThreadedServer = attrs.field(init=False)
     peer_server: PeerServer = attrs.field(init=False)
     news: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
-    _lookups: LookupApp = attrs.field(init=False)
     _gate: CallGate = attrs.field(init=False)
     _vm_list: VmListCache = attrs.field(init=False)
     _observer: Observer = attrs.field(init=False)
     bridge: Bridge = attrs.field(init=False)
-    _upstreams: UpstreamClient = attrs.field(init=False, factory=UpstreamClient)
+    decisions: Decisions = attrs.field(init=False)
+    pool: ConnectionPool = attrs.field(init=False)
+    upstreams: UpstreamSender = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Wire all parts, those that others need first."""
@@ -81,7 +102,6 @@
     def post(self, event: Event) -> None:
         """Let the core decide on an event and carry out what follows."""
         self.runner.run(self.core.handle(event))
-        self._lookups.table = self.core.lookup_table()
 
     def _make_core(self) -> None:
         settings = self.settings
@@ -125,16 +145,19 @@
         secret = _read_secret(settings.peers.secret_file)
         identity = self.core.state.identity
         self.peers = PeerClient(secret, peer_client_context(settings.tls))
-        self.bridge = Bridge(asyncio.get_running_loop(), self.post)
+        self.bridge = Bridge(asyncio.get_running_loop())
+        self.decisions = Decisions(self.post)
+        self.pool = ConnectionPool(self.clock)
+        self.upstreams = UpstreamSender(self.clock, self.pool)
         self._vm_list = VmListCache(self.clock, self.post)
         self.runner = EffectRunner(
             identity.vm,
             self.clock,
             self.core.state.members,
-            self.bridge,
+            self.decisions,
             self.claims,
             self.peers,
-            self._upstreams,
+            self.upstreams,
             self.news.set,
             self.post,
         )
@@ -199,28 +222,32 @@
 
     def _caller_server(self, metrics: Metrics) -> HttpServer:
         settings = self.settings
-        callers, _, _ = settings.listen.endpoints
         scheme = 'https' if settings.tls.enabled else 'http'
         forwarder = Forwarder(
-            self.bridge,
+            self.decisions,
             self.clock,
-            self._upstreams,
+            self.upstreams,
             metrics,
         )
-        self._lookups = LookupApp(self.core.lookup_table(), scheme)
-        return HttpServer(
-            callers,
-            CallerApp(forwarder, self._lookups),
-            settings.limits.caller_threads,
+        limits = CallerLimits(
             settings.limits.max_header_bytes,
-            settings.tls,
+            _ANY_BODY_BYTES,
+            _CALLER_SILENCE_MS,
+            _CALLER_SILENCE_MS,
+        )
+        return HttpServer(
+            self.clock,
+            CallerApp(forwarder, LookupApp(self.core.lookup_table, scheme)),
+            lambda: limits,
+            refused_input,
+            caller_server_context(settings.tls),
         )
 
     def _operator_server(
         self,
         service: OperatorService,
         metrics: Metrics,
-    ) -> HttpServer:
+    ) -> ThreadedServer:
         settings = self.settings
         _, operators, _ = settings.listen.endpoints
         context = ApiContext(self.bridge, Operators(settings.operators))
@@ -230,7 +257,7 @@
             self._observer,
             metrics.registry,
         )
-        return HttpServer(
+        return ThreadedServer(
             operators,
             application,
             _OPERATOR_THREADS,
--- a/src/catkindrift/server/_effect_runner.py
+++ b/src/catkindrift/server/_effect_runner.py
@@ -2,13 +2,12 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from concurrent.futures import ThreadPoolExecutor
 from typing import Any, final
 
 import attrs
 from absl import logging
 
-from catkindrift.callers import UpstreamClient
+from catkindrift.callers import Decisions, UpstreamSender
 from catkindrift.claims import ClaimStore
 from catkindrift.clock import Clock
 from catkindrift.core import (
@@ -32,7 +31,6 @@
 from catkindrift.limits import Grant
 from catkindrift.peers import PEER_FAILURES, Members, PeerAddress, PeerClient
 from catkindrift.peers.protocol import peers_pb2
-from catkindrift.serving import Bridge
 
 
 @final
@@ -44,7 +42,7 @@
         vm: This entry VM.
         clock: Source of time.
         members: Addresses of other entry VMs.
-        bridge: Hands decisions to server threads.
+        decisions: Hands decisions to the requests that wait.
         claims: Claims in the platform.
         peers: Calls other entry VMs.
         upstreams: Probes upstreams.
@@ -55,17 +53,13 @@
     _vm: Vm
     _clock: Clock
     _members: Members
-    _bridge: Bridge
+    _decisions: Decisions
     _claims: ClaimStore
     _peers: PeerClient
-    _upstreams: UpstreamClient
+    _upstreams: UpstreamSender
     _publish: Callable[[], None]
     _post: Callable[[Event], None]
     _tasks: 'set[asyncio.Task[None]]' = attrs.field(init=False, factory=set)
-    _probes: ThreadPoolExecutor = attrs.field(
-        init=False,
-        factory=lambda: ThreadPoolExecutor(2, 'probe'),
-    )
     lent: dict[int, tuple[Grant, ...]] = attrs.field(init=False, factory=dict)
 
     def run(self, effects: list[Effect]) -> None:
@@ -77,12 +71,11 @@
         """Cancel the calls that are still open."""
         for task in self._tasks:
             task.cancel()
-        self._probes.shutdown(wait=False)
 
     def _run_one(self, effect: Effect) -> None:
         match effect:
             case Dispatch() | Refuse() | Replay():
-                self._bridge.decide(effect.request_id, effect)
+                self._decisions.decide(effect.request_id, effect)
             case TakeClaim():
                 self._spawn(self._take_claim(effect))
             case EndClaim():
@@ -134,12 +127,7 @@
         self._post(GrantsAnswered(effect.granter, effect.service, grants))
 
     async def _probe(self, upstream: Vm) -> None:
-        loop = asyncio.get_running_loop()
-        is_up = await loop.run_in_executor(
-            self._probes,
-            self._upstreams.is_up,
-            upstream,
-        )
+        is_up = await self._upstreams.is_up(upstream)
         self._post(UpstreamProbed(upstream.name, is_up))
 
 
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -18,6 +18,8 @@
 _IDLE_SECONDS = 0.1
 _CLAIM_RETRY_SECONDS = 1.0
 _IDLE_POLL_SECONDS = 0.05
+# Upstreams that close idle connections do so after some seconds.
+_PRUNE_SECONDS = 2.0
 _MILLISECONDS_PER_SECOND = 1000
 
 
@@ -74,6 +76,7 @@
             self._exchange_rounds(),
             self._publish_news(),
             self._retry_claims(),
+            self._close_old_connections(),
         ):
             task = asyncio.create_task(job)
             task.add_done_callback(_report_end)
@@ -87,6 +90,7 @@
         answer are served until its lifetime has passed.
         """
         self._parts.post(StopRequested())
+        self._parts.callers.drain()
         logging.info('%s: stopping, finishing requests', self.name)
         limit_ms = self._settings.limits.stop_timeout_ms
         until_ms = self._clock.now_ms() + limit_ms
@@ -98,30 +102,36 @@
     async def close(self) -> None:
         """End at once; requests in flight are cut off."""
         await self._end_tasks()
+        await self._close_callers()
         parts = self._parts
-        parts.bridge.close()
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(None, parts.callers.stop)
         await loop.run_in_executor(None, parts.operators.stop)
         parts.runner.close()
         parts.peers.close()
         parts.peer_server.close()
         parts.http_platform.close()
 
+    async def _close_callers(self) -> None:
+        self._parts.decisions.close()
+        # Lets requests that were refused just now be answered.
+        await asyncio.sleep(_IDLE_POLL_SECONDS)
+        self._parts.callers.close()
+        self._parts.pool.close()
+
     async def _end_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _listen(self) -> None:
-        _, _, peers = self._settings.listen.endpoints
+        callers, _, peers = self._settings.listen.endpoints
         await self._parts.peer_server.start(
             peers.host,
             peers.port,
             ssl=peer_server_context(self._settings.tls),
         )
         self._parts.operators.start()
-        self._parts.callers.start()
+        await self._parts.callers.start(callers.host, callers.port)
 
     async def _tick(self) -> None:
         while True:
@@ -148,6 +158,12 @@
             await asyncio.sleep(jittered(self._rng, _CLAIM_RETRY_SECONDS))
             await self._parts.claims.retry_pending()
 
+    async def _close_old_connections(self) -> None:
+        while True:
+            await asyncio.sleep(_PRUNE_SECONDS)
+            known = self.core.state.upstreams
+            self._parts.upstreams.prune(each.vm for each in known)
+
 
 def _report_end(task: 'asyncio.Task[Any]') -> None:
     """Log why periodic work ended, which it never should by itself."""
--- a/src/catkindrift/serving/__init__.py
+++ b/src/catkindrift/serving/__init__.py
@@ -1,18 +1,21 @@
 """What all servers of an entry VM share."""
 
 from catkindrift.serving._bridge import Bridge
-from catkindrift.serving._http_server import HttpServer
-from catkindrift.serving._incomplete_answer import IncompleteAnswerError
 from catkindrift.serving._metrics import Metrics
 from catkindrift.serving._problem import Problem, problem_of
-from catkindrift.serving._tls import peer_client_context, peer_server_context
+from catkindrift.serving._threaded_server import ThreadedServer
+from catkindrift.serving._tls import (
+    caller_server_context,
+    peer_client_context,
+    peer_server_context,
+)
 
 __all__ = [
     'Bridge',
-    'HttpServer',
-    'IncompleteAnswerError',
     'Metrics',
     'Problem',
+    'ThreadedServer',
+    'caller_server_context',
     'peer_client_context',
     'peer_server_context',
     'problem_of',
--- a/src/catkindrift/serving/_metrics.py
+++ b/src/catkindrift/serving/_metrics.py
@@ -28,7 +28,7 @@
 @final
 @attrs.define(eq=False)
 class Metrics:
-    """Histograms that server threads fill; all else is read from the core.
+    """Histograms of requests; all else is read from the core.
 
     Args:
         registry: Registry of this entry VM.
--- a/src/catkindrift/serving/_http_server.py
+++ b/src/catkindrift/serving/_threaded_server.py
@@ -1,4 +1,4 @@
-"""An HTTP server whose threads move bytes."""
+"""An HTTP server on threads, for operators and stand-ins."""
 
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, final
@@ -8,7 +8,6 @@
 from cheroot import wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
-from catkindrift.serving._incomplete_answer import IncompleteAnswerError
 from catkindrift.settings import Endpoint, TlsSettings
 
 _IDLE_TIMEOUT_SECONDS = 30
@@ -38,7 +37,7 @@
 
 @final
 @attrs.define(eq=False)
-class HttpServer:
+class ThreadedServer:
     """Serves a WSGI application on one address.
 
     Args:
@@ -112,9 +111,8 @@
     level: int = logging.INFO,
     traceback: bool = False,
 ) -> None:
-    """Log what the server library reports; broken answers are expected."""
-    is_expected = IncompleteAnswerError.__name__ in message
-    if is_expected or not traceback:
-        logging.debug('http server: %s (level %s)', message, level)
-    else:
+    """Log what the server library reports."""
+    if traceback:
         logging.error('http server: %s', message, exc_info=True)
+    else:
+        logging.debug('http server: %s (level %s)', message, level)
--- a/src/catkindrift/serving/_tls.py
+++ b/src/catkindrift/serving/_tls.py
@@ -1,10 +1,19 @@
-"""TLS contexts for the traffic between entry VMs."""
+"""TLS contexts for callers and for the traffic between entry VMs."""
 
 import ssl
 
 from catkindrift.settings import TlsSettings
 
 
+def caller_server_context(tls: TlsSettings) -> ssl.SSLContext | None:
+    """Return the context for callers' connections, nothing without TLS."""
+    if not tls.enabled:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    return context
+
+
 def peer_server_context(tls: TlsSettings) -> ssl.SSLContext | None:
     """Return the context of the listening side, nothing without TLS.
 
--- a/src/catkindrift/settings/_limits.py
+++ b/src/catkindrift/settings/_limits.py
@@ -11,9 +11,9 @@
     """Bounds of one entry VM.
 
     Args:
-        caller_threads: Threads that move bytes for callers.
-        reserved_threads: Threads that service requests never occupy, so
-            that look-ups are always answered.
+        caller_threads: Requests in the VM at a time; no threads any more, but
+            settings files that exist name it so.
+        reserved_threads: Part of them that service requests never take.
         lookup_lifetime_ms: How long callers may use a look-up answer.
         max_header_bytes: Largest accepted request header.
         stop_timeout_ms: Longest time a stop waits for requests in flight.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,16 @@
 """Shared fixtures and profiles."""
 
 import os
+import time
 
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 
+from catkindrift.domain import Vm, VmRole
 from tests.deployment import RunningDeployment
+from tests.raw_upstream import RawUpstream
+
+SETTLE_SECONDS = 10
 
 settings.register_profile(
     'ci',
@@ -33,3 +38,42 @@
     deployment = RunningDeployment()
     yield deployment
     deployment.stop()
+
+
+@pytest.fixture
+def serve(running):
+    """Put a raw upstream behind a service of its own."""
+    upstreams = []
+
+    def start(name, *answers, vm='', **options):
+        vm = vm or f'{name}-1'
+        upstream = RawUpstream(*answers, **options)
+        upstreams.append(upstream)
+        status, _ = running.operate(
+            'PUT',
+            f'/v1/services/{name}',
+            {'name': name, 'repeat': 'unsafe', 'deadline_ms': 3000},
+        )
+        assert status == 200
+        running.local.store.list_vm(
+            Vm(
+                vm,
+                'asturias-1',
+                VmRole.UPSTREAM,
+                '127.0.0.1',
+                upstream.port,
+                service=name,
+                slots=4,
+            ),
+        )
+        core = running.local.entry_vms['entry-asturias-1-1'].core
+        until = time.monotonic() + SETTLE_SECONDS
+        while time.monotonic() < until:
+            if core.state.upstreams.get(vm):
+                break
+            time.sleep(0.05)
+        return upstream, f'{running.callers_url()}/services/{name}/x'
+
+    yield start
+    for upstream in upstreams:
+        upstream.stop()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -73,7 +73,8 @@
         lines = ('GET /lookup HTTP/1.1', f'X: {"x" * 40_000}', '', '')
         request = '\r\n'.join(lines).encode()
         answer = send_raw(running.callers_url(), request)
-        assert answer.startswith(b'HTTP/1.1 413')
+        assert answer.startswith(b'HTTP/1.1 431')
+        assert b'send fewer or shorter ones' in answer
 
     @pytest.mark.parametrize('block', ['nonsense', '1.2.3', '10.0.0.0.0'])
     def test_lookup_of_no_address(self, running, block):
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,171 @@
+"""The data path of the product's own interface, byte by byte."""
+
+import hashlib
+import json
+import socket
+import time
+
+import pytest
+
+from tests.deployment import HTTP
+
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd'
+REFUSED = (
+    b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n'
+    b'Catkindrift-Outcome: not_run\r\nConnection: close\r\n\r\n'
+)
+NO_CONTENT = b'HTTP/1.1 204 No Content\r\n\r\n'
+
+
+@pytest.fixture
+def connect(running):
+    """Open connections to the first entry VM."""
+    opened = []
+
+    def start():
+        host, _, port = running.callers_url()[len('http://') :].partition(':')
+        connection = socket.create_connection((host, int(port)), timeout=10)
+        opened.append(connection)
+        return connection
+
+    yield start
+    for connection in opened:
+        connection.close()
+
+
+def receive_until(connection, end):
+    """Return bytes up to and with an end."""
+    received = b''
+    while not received.endswith(end):
+        piece = connection.recv(65_536)
+        assert piece, received
+        received += piece
+    return received
+
+
+def wait_until(holds, seconds=5):
+    """Wait until a condition holds."""
+    until = time.monotonic() + seconds
+    while not holds():
+        assert time.monotonic() < until
+        time.sleep(0.01)
+
+
+def request(path, method='GET', extra=''):
+    """Return the head of a request."""
+    return f'{method} {path} HTTP/1.1\r\nHost: x\r\n{extra}\r\n'.encode()
+
+
+def test_caller_who_leaves_cancels_the_work(connect, serve):
+    """The upstream's connection is closed while it still works."""
+    upstream, _ = serve('left', WHOLE, delay=1)
+    connection = connect()
+    connection.sendall(request('/services/left/x'))
+    wait_until(lambda: upstream.requests)
+    connection.close()
+    wait_until(lambda: upstream.abandoned == 1)
+
+
+def test_waiting_request_of_a_caller_who_left_is_withdrawn(
+    running, connect, serve
+):
+    """A request in the queue is forgotten when its caller leaves."""
+    upstream, _ = serve('queued', WHOLE, delay=0.6)
+    core = running.local.entry_vms['entry-asturias-1-1'].core
+    state = core.state.upstreams.get('queued-1')
+    callers = [connect() for _ in range(8)]
+    for connection in callers:
+        connection.sendall(request('/services/queued/x'))
+    wait_until(lambda: core.state.queues.get('queued'))
+    assert state.in_flight > 0
+    for connection in callers:
+        connection.close()
+    wait_until(lambda: not core.state.queues.get('queued'))
+    wait_until(lambda: not state.in_flight)
+    assert len(upstream.requests) < 8
+
+
+def test_requests_sent_ahead_are_answered_in_order(connect, serve):
+    """Two services answer at different speeds; the answers keep their order."""
+    serve('slow', WHOLE, delay=0.5)
+    serve('fast', WHOLE.replace(b'abcd', b'wxyz'))
+    connection = connect()
+    connection.sendall(
+        request('/services/slow/x') + request('/services/fast/x')
+    )
+    received = receive_until(connection, b'wxyz')
+    assert received.index(b'abcd') < received.index(b'wxyz')
+
+
+def test_target_is_passed_on_as_it_came(connect, serve):
+    """Escapes in the path and the query stay as the caller wrote them."""
+    upstream, _ = serve('escaped', WHOLE)
+    connection = connect()
+    connection.sendall(request('/services/escaped/a%2Fb?c=%20d'))
+    receive_until(connection, b'abcd')
+    assert upstream.requests[0].startswith(b'GET /a%2Fb?c=%20d HTTP/1.1\r\n')
+
+
+def test_body_is_invited_before_it_is_sent(connect):
+    """A caller who asks first is told to go on, and answered."""
+    connection = connect()
+    extra = 'Expect: 100-continue\r\nContent-Length: 5\r\n'
+    connection.sendall(request('/services/surveys/x', 'POST', extra))
+    assert receive_until(connection, b'\r\n\r\n') == (
+        b'HTTP/1.1 100 Continue\r\n\r\n'
+    )
+    connection.sendall(b'drone')
+    digest = hashlib.sha256(b'drone').hexdigest().encode()
+    received = receive_until(connection, b'}')
+    assert received.startswith(b'HTTP/1.1 200')
+    assert digest in received
+
+
+def test_refused_body_is_never_invited(connect):
+    """A body that is too large is refused before the caller sends it."""
+    connection = connect()
+    extra = 'Expect: 100-continue\r\nContent-Length: 5000000\r\n'
+    connection.sendall(request('/services/tariffs/x', 'POST', extra))
+    received = receive_until(connection, b'}')
+    assert received.startswith(b'HTTP/1.1 413')
+    assert b'Connection: close' in received
+
+
+def test_chunked_body_over_the_limit(running, serve):
+    """A body whose size shows only on the way is cut off and refused."""
+    upstream, url = serve('limited', WHOLE, delay=3)
+    piece = bytes(100_000)
+    answer = HTTP.request('POST', url, body=(piece for _ in range(15)))
+    assert answer.status == 413
+    assert json.loads(answer.data)['outcome'] == 'unknown'
+    assert upstream.connections == 1
+
+
+def test_small_upload_is_sent_again_after_a_refusal(running, serve):
+    """A streamed body that was kept goes to the next upstream whole."""
+    for _ in range(12):
+        url = f'{running.callers_url()}/services/tariffs/x'
+        assert HTTP.request('GET', url).status == 200
+    tried = [
+        serve('again', REFUSED, vm=vm, until=b'0\r\n\r\n')[0]
+        for vm in ('again-1', 'again-2')
+    ]
+    url = f'{running.callers_url()}/services/again/x'
+    answer = HTTP.request('POST', url, body=iter([b'abc', b'def']))
+    assert answer.status == 503
+    for upstream in tried:
+        assert [b'abc' in each for each in upstream.requests] == [True]
+        assert [b'def' in each for each in upstream.requests] == [True]
+
+
+def test_answer_without_body(connect, serve):
+    """A 204 has no framing headers, and the connection goes on."""
+    serve('empty', NO_CONTENT)
+    connection = connect()
+    connection.sendall(request('/services/empty/x', 'DELETE'))
+    received = receive_until(connection, b'\r\n\r\n')
+    assert received.startswith(b'HTTP/1.1 204')
+    assert b'Content-Length' not in received
+    assert b'Transfer-Encoding' not in received
+    connection.sendall(request('/lookup?block=10.21.0.0/24'))
+    assert b'cantabria-1' in receive_until(connection, b'}')
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -6,9 +6,7 @@
 import pytest
 import urllib3
 
-from catkindrift.domain import Vm, VmRole
 from tests.deployment import HTTP
-from tests.raw_upstream import RawUpstream
 
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd'
 SHORT = b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabcd'
@@ -18,45 +16,6 @@
     b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n'
     b'Catkindrift-Outcome: not_run\r\nConnection: close\r\n\r\n'
 )
-SETTLE_SECONDS = 10
-
-
-@pytest.fixture
-def serve(running):
-    """Put a raw upstream behind a service of its own."""
-    upstreams = []
-
-    def start(name, *answers, **options):
-        upstream = RawUpstream(*answers, **options)
-        upstreams.append(upstream)
-        status, _ = running.operate(
-            'PUT',
-            f'/v1/services/{name}',
-            {'name': name, 'repeat': 'unsafe', 'deadline_ms': 3000},
-        )
-        assert status == 200
-        running.local.store.list_vm(
-            Vm(
-                f'{name}-1',
-                'asturias-1',
-                VmRole.UPSTREAM,
-                '127.0.0.1',
-                upstream.port,
-                service=name,
-                slots=4,
-            ),
-        )
-        core = running.local.entry_vms['entry-asturias-1-1'].core
-        until = time.monotonic() + SETTLE_SECONDS
-        while time.monotonic() < until:
-            if core.state.upstreams.of_service(name):
-                break
-            time.sleep(0.05)
-        return upstream, f'{running.callers_url()}/services/{name}/x'
-
-    yield start
-    for upstream in upstreams:
-        upstream.stop()
 
 
 class TestWholeAnswers:
