Read on after a large body that nobody read

Cause: a body of more than 256 KiB pauses the caller's connection until it is taken. When it had come whole and its request was refused, nobody took it and nothing resumed the connection: the caller's next request on it was never read. Seen in test_callers.py (chunked body over the limit, then another request of the same kept connection; two of four runs), traced by printing the paused connections: no request in the queue, one pause named 'body'.

Ruled out: the core (nothing pending, queues empty), a lost wake-up of the queue.

Change: a body that has come whole resumes its connection, and no longer decides about it.

Before: test_connection_goes_on_after_an_upload_that_nobody_read fails on the platform's gateway, 5 s without an answer.

Conclusion: uploads refused by us no longer leave dead connections.

--- a/src/catkindrift/http1/_request_body.py
+++ b/src/catkindrift/http1/_request_body.py
@@ -72,8 +72,13 @@
         self._changed.set()
 
     def finish(self) -> None:
-        """Note that the whole body has arrived."""
+        """Note that the whole body has arrived.
+
+        What is read next belongs to the next request, so this body no longer
+        holds the caller up.
+        """
         self.is_complete = True
+        self._resume()
         self._changed.set()
 
     def discard(self) -> None:
@@ -81,14 +86,14 @@
         self.can_replay = False
         self._parts.clear()
         self._unread = 0
-        self._source.set_paused(_PAUSE_REASON, is_paused=False)
+        self._resume()
 
     async def read_whole(self, most_bytes: int) -> bytes | None:
         """Return the whole body, or nothing if it is larger."""
         self._invite()
         while not self.is_complete and self.received <= most_bytes:
             self._unread = 0
-            self._source.set_paused(_PAUSE_REASON, is_paused=False)
+            self._resume()
             self._changed.clear()
             await self._changed.wait()
         return self.wholly_kept if self.received <= most_bytes else None
@@ -105,6 +110,9 @@
         self._taken(index, len(part))
         return part
 
+    def _resume(self) -> None:
+        self._source.set_paused(_PAUSE_REASON, is_paused=False)
+
     def _invite(self) -> None:
         if self.awaits_invitation and not self.received:
             self._source.invite_body()
@@ -112,8 +120,8 @@
 
     def _taken(self, index: int, size: int) -> None:
         self._unread = max(0, self._unread - size)
-        if self._unread < _AHEAD_BYTES:
-            self._source.set_paused(_PAUSE_REASON, is_paused=False)
+        if self._unread < _AHEAD_BYTES and not self.is_complete:
+            self._resume()
         if not self.can_replay:
             gone = index + 1 - self._first_part
             self._parts = self._parts[gone:]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,6 +7,7 @@
 from tests.platform_deployment import (
     SAFE,
     UNSAFE,
+    UPLOAD,
     ask,
     deployed,
     eventually,
@@ -535,3 +536,26 @@
             await eventually(lambda: len(ends) == 2, seconds=2)
 
     run(scenario())
+
+
+def test_connection_goes_on_after_an_upload_that_nobody_read(tmp_path):
+    """A large body that came whole with its refusal holds up nothing."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=0) as deployment:
+            await deployment.configure(2, (UPLOAD,), max_body_bytes=1_000_000)
+            facts = deployment.gateways[0]._parts.facts
+            await eventually(lambda: facts.configuration.version == 2)
+            reader, writer = await asyncio.open_connection(
+                *deployment.address()
+            )
+            for _ in range(2):
+                body = bytes(400_000)
+                extra = f'Content-Length: {len(body)}\r\n'
+                writer.write(head('/upload/x', 'POST', extra=extra) + body)
+                async with asyncio.timeout(5):
+                    status, _, _ = await read_answer(reader)
+                assert status == 503
+            writer.close()
+
+    run(scenario())
