Deliver a failure that is there at the time limit, give up one that is not

Cause: a safe request whose first upstream failed (500) and whose second stayed silent got 504 at its time limit, although an answer was at hand. And a failure of more than 128 KiB was kept as such an answer while it was still arriving; when another upstream answered, nothing gave it up, and its upstream went on. Both found by reading.

Ruled out: delivering a long failure late (it would hold its upstream's slot and a connection for as long as the other attempt takes).

Change: the time limit delivers what is kept; only whole answers are kept, others are given up and count as 502.

Before: test_answer_that_is_there_is_delivered_at_the_time_limit gets 504, test_long_failure_is_given_up_when_another_upstream_is_tried waits in vain. After: both pass.

Conclusion: no answer that is ready is withheld.

--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -136,6 +136,8 @@
             async with asyncio.timeout(left_ms / _MILLISECONDS_PER_SECOND):
                 return await self._serve(pending)
         except TimeoutError:
+            if pending.fallback:
+                return pending.fallback
             if pending.may_have_run:
                 return Answer(HTTPStatus.GATEWAY_TIMEOUT)
             return self._refusal(
@@ -246,9 +248,10 @@
     """Return the answer if no other attempt may follow."""
     match outcome:
         case Answered(answer, is_failure):
-            pending.fallback = answer
-            may_follow = is_failure and pending.may_repeat
-            return None if may_follow else answer
+            if not is_failure or not pending.may_repeat:
+                return answer
+            pending.fallback = _kept(answer)
+            return None
         case Unknown():
             pending.fallback = Answer(HTTPStatus.BAD_GATEWAY)
             return None if pending.may_repeat else pending.fallback
@@ -256,6 +259,17 @@
             return None
 
 
+def _kept(answer: Answer) -> Answer:
+    """Return an answer that can be passed on later.
+
+    One that has not come whole would keep its upstream at work meanwhile.
+    """
+    if answer.rest is None:
+        return answer
+    answer.close()
+    return Answer(HTTPStatus.BAD_GATEWAY)
+
+
 def _name_of(outcome: AttemptOutcome) -> str:
     match outcome:
         case Answered(answer):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -559,3 +559,64 @@
             writer.close()
 
     run(scenario())
+
+
+def server_error(upstream, attempt):
+    return upstream.ok(attempt, b'broken').replace(
+        b'200 OK', b'500 Internal Server Error'
+    )
+
+
+def test_answer_that_is_there_is_delivered_at_the_time_limit(tmp_path):
+    """A failure of the first upstream is told if the second stays silent."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for attempt in range(12):
+                await ask(
+                    deployment.address(), head('/safe/x', attempt=f'w{attempt}')
+                )
+
+            def fail_and_silence_others(upstream, attempt):
+                for other in deployment.upstreams:
+                    other.delay_s = 5
+                return server_error(upstream, attempt)
+
+            for upstream in deployment.upstreams:
+                upstream.script = [fail_and_silence_others]
+            status, _, body = await ask(
+                deployment.address(), head('/safe/x', deadline=700)
+            )
+            assert (status, body) == (500, b'broken')
+            last = [each[1][b'attempt-id'] for each in arrivals(deployment)]
+            assert last.count(b'a1') == 2
+
+    run(scenario())
+
+
+def test_long_failure_is_given_up_when_another_upstream_is_tried(tmp_path):
+    """A failure that is still arriving does not keep its upstream at work."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            for attempt in range(12):
+                await ask(
+                    deployment.address(), head('/safe/x', attempt=f'w{attempt}')
+                )
+            ends = []
+
+            def begin_long_failure(upstream, attempt):
+                for other in deployment.upstreams:
+                    other.script = []
+                upstream.on_lost = ends.append
+                whole = upstream.ok(attempt, b'x' * 400_000)
+                whole = whole.replace(b'200 OK', b'500 Broken')
+                return whole[:300_000]
+
+            for upstream in deployment.upstreams:
+                upstream.script = [begin_long_failure]
+            status, _, body = await ask(deployment.address(), head('/safe/x'))
+            assert (status, body) == (200, b'hello')
+            await eventually(lambda: ends, seconds=2)
+
+    run(scenario())
