Never cut an answer of the store that is arriving

A configuration of more than 1,100 routes takes longer than 250 ms on a busy 5 Mbit/s link; peers were ahead, so the answer was cut and asked for again, for ever.

Ruled out: the store (it acknowledged and answered), heartbeats (they told of the newer revision within 0.3 s), decoding (version 11 took 0.1 s where it arrived).

Change: each part of an answer that arrives counts as sound; the time that must pass in silence doubles with each cut, to 2 s, until an answer comes. A call is limited by the silence between parts, not by its whole length. What an answer takes to arrive shortens the pause for more news after it.

Three tests of test_store_watch.py fail on the code before: slow parts, an answer longer than a call's limit, the pause after a slow answer.

Conclusion: the rule for silent watches no longer fights slow links.

--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -28,8 +28,14 @@
 _STARTING_PAUSE_S = 1.8
 # Calls fail for this long before the store counts as having been away.
 _AWAY_MS = 1200
-# Peers are ahead for this long before a waiting watch counts as silent.
+# Peers are ahead for this long, and no part of an answer has come, before a
+# waiting watch counts as silent. Doubled each time: a busy link may need longer
+# for its first part than a dead connection deserves.
 _BEHIND_MS = 250
+_LONGEST_BEHIND_MS = 2000
+# A change may be in force this much later for each second that answers take to
+# arrive: half of it for the answer that runs, half for the next.
+_ARRIVALS_IN_PAUSE = 2
 
 
 @final
@@ -64,6 +70,8 @@
     _first_failed_ms: int = attrs.field(init=False, default=0)
     _last_failed_ms: int = attrs.field(init=False, default=0)
     _behind_since_ms: int | None = attrs.field(init=False, default=None)
+    _behind_limit_ms: int = attrs.field(init=False, default=_BEHIND_MS)
+    _first_part_ms: int | None = attrs.field(init=False, default=None)
     _waiting: asyncio.Task[StorePage] | None = attrs.field(
         init=False, default=None
     )
@@ -94,8 +102,10 @@
             self._behind_since_ms = None
         elif self._behind_since_ms is None:
             self._behind_since_ms = now_ms
-        elif now_ms - self._behind_since_ms > _BEHIND_MS:
+        elif now_ms - self._behind_since_ms > self._behind_limit_ms:
             self._behind_since_ms = now_ms
+            doubled_ms = self._behind_limit_ms * 2
+            self._behind_limit_ms = min(doubled_ms, _LONGEST_BEHIND_MS)
             logging.info('watch of %s was silent; asking anew', self.kind)
             self._cut_short()
 
@@ -105,6 +115,13 @@
             self._cut_short()
         self._is_sentinel = is_sentinel
 
+    def _note_part(self) -> None:
+        """Note that an answer is arriving, so the watch is not silent."""
+        now_ms = self._clock.now_ms()
+        self._behind_since_ms = now_ms
+        if self._first_part_ms is None:
+            self._first_part_ms = now_ms
+
     def _cut_short(self) -> None:
         if self._waiting:
             self._waiting.cancel()
@@ -126,10 +143,14 @@
         return True
 
     async def _pause_for_more(self) -> None:
-        age_ms = self._clock.now_ms() - self._started_ms
+        now_ms = self._clock.now_ms()
         pause = _NEWS_PAUSE_S
-        if age_ms < _STARTING_MS:
+        if now_ms - self._started_ms < _STARTING_MS:
             pause = _STARTING_PAUSE_S
+        if self._first_part_ms is not None:
+            arrival_ms = now_ms - self._first_part_ms
+            spent_ms = arrival_ms * _ARRIVALS_IN_PAUSE
+            pause = max(pause - spent_ms / _MILLISECONDS_PER_SECOND, 0)
         await asyncio.sleep(jittered(self._rng, pause, _NEWS_SPREAD))
 
     async def _list(self) -> None:
@@ -154,10 +175,15 @@
         if self._is_sentinel:
             wait_ms = settings.sentinel_wait_ms
         limit_ms = wait_ms + settings.call_timeout_ms
+        self._first_part_ms = None
         loop = asyncio.get_running_loop()
         self._waiting = loop.create_task(
             self._client.watch(
-                self.kind, self._revision, wait_ms, self._seconds(limit_ms)
+                self.kind,
+                self._revision,
+                wait_ms,
+                self._seconds(limit_ms),
+                self._note_part,
             ),
         )
         await asyncio.wait({self._waiting})
@@ -181,6 +207,7 @@
             if self._last_failed_ms - self._first_failed_ms > _AWAY_MS:
                 self._on_return(self._last_failed_ms)
         self._failures = 0
+        self._behind_limit_ms = _BEHIND_MS
 
     def _note_newest(
         self,
--- a/src/catkindrift/platform/_store_client.py
+++ b/src/catkindrift/platform/_store_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 from typing import Any, final
 from urllib.parse import quote
@@ -29,6 +29,13 @@
 _MOST_ANSWER_BYTES = 2_097_152
 # A connect takes a round trip; behind a cut it would wait for long.
 _CONNECT_TIMEOUT_S = 0.8
+# Silence in the middle of an answer; a large one takes longer on a slow link,
+# but never stops for that long.
+_PART_TIMEOUT_S = 1.0
+
+
+def _ignore() -> None:
+    """Take no note of parts."""
 
 
 @final
@@ -60,7 +67,7 @@
         Args:
             kind: Kind of the objects.
             after: Name of the last object of the page before, or nothing.
-            timeout_s: Time limit of the call.
+            timeout_s: Longest wait for the first part of the answer.
 
         Raises:
             PlatformUnavailableError: There was no usable answer.
@@ -82,15 +89,23 @@
         revision: int,
         wait_ms: int,
         timeout_s: float,
+        on_part: Callable[[], None],
     ) -> StorePage:
         """Return changes after `revision`, waiting up to `wait_ms` for one.
 
+        Args:
+            kind: Kind of the objects.
+            revision: Newest revision that is known.
+            wait_ms: Longest wait of the store for a change.
+            timeout_s: Longest wait for the first part of the answer.
+            on_part: Called for each part of the answer that arrives.
+
         Raises:
             HistoryGoneError: The store has dropped that history.
             PlatformUnavailableError: There was no usable answer.
         """
         path = f'/objects/{kind}?watch={revision}&wait_ms={wait_ms}'
-        status, answer = await self._call(_READ, path, None, timeout_s)
+        status, answer = await self._call(_READ, path, None, timeout_s, on_part)
         if status == HTTPStatus.GONE:
             raise HistoryGoneError(f'history of {kind} is gone; list it again')
         changes = [_change(each) for each in answer.get('events', ())]
@@ -126,41 +141,41 @@
         path: str,
         document: Any,
         timeout_s: float,
+        on_part: Callable[[], None] = _ignore,
     ) -> tuple[int, dict[str, Any]]:
         self.calls_made[method] = self.calls_made.get(method, 0) + 1
+        request = _encoded(self._address, method, path, document)
         try:
-            async with asyncio.timeout(timeout_s):
-                status, content = await self._exchange(method, path, document)
+            status, content = await self._exchange(request, timeout_s, on_part)
         except OSError as broken:
+            # A time-out is an OSError too.
             raise _lost(method) from broken
-        except TimeoutError as late:
-            raise _lost(method) from late
         return _checked(method, status, content)
 
     async def _exchange(
         self,
-        method: str,
-        path: str,
-        document: Any,
+        request: bytes,
+        timeout_s: float,
+        on_part: Callable[[], None],
     ) -> tuple[int, bytes]:
-        body = b'' if document is None else msgspec.json.encode(document)
-        head = encode_head(
-            f'{method} {path} HTTP/1.1'.encode(),
-            [
-                (b'Host', f'{self._host}:{self._port}'.encode()),
-                (b'Content-Type', b'application/json'),
-                (b'Content-Length', b'%d' % len(body)),
-            ],
-        )
         async with self._connection() as connection:
             receiver = ResponseReceiver(_is_own, connection.resume_reading)
             connection.start(receiver)
-            connection.write(head + body)
-            await receiver.wait_for(_MOST_ANSWER_BYTES)
+            connection.write(request)
+            limit_s = timeout_s
+            while not _is_over(receiver):
+                async with asyncio.timeout(limit_s):
+                    await receiver.wait_for(receiver.buffered + 1)
+                on_part()
+                limit_s = _PART_TIMEOUT_S
         if receiver.head is None or not receiver.is_complete:
             raise ConnectionResetError('the store broke off')
         return receiver.head.status, receiver.take()
 
+    @property
+    def _address(self) -> str:
+        return f'{self._host}:{self._port}'
+
     @contextlib.asynccontextmanager
     async def _connection(self) -> AsyncIterator[ClientConnection]:
         connection = self._take_idle() or await self._connect()
@@ -190,6 +205,23 @@
         return connection
 
 
+def _is_over(receiver: ResponseReceiver) -> bool:
+    return receiver.has_ended or receiver.buffered > _MOST_ANSWER_BYTES
+
+
+def _encoded(address: str, method: str, path: str, document: Any) -> bytes:
+    body = b'' if document is None else msgspec.json.encode(document)
+    head = encode_head(
+        f'{method} {path} HTTP/1.1'.encode(),
+        [
+            (b'Host', address.encode()),
+            (b'Content-Type', b'application/json'),
+            (b'Content-Length', b'%d' % len(body)),
+        ],
+    )
+    return head + body
+
+
 def _is_own(_head: object) -> bool:
     return True
 
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -17,13 +17,15 @@
     """Objects by kind and name, one revision counter, pages and watches.
 
     Faults are fields: `is_down` refuses calls, `is_silent` answers none,
-    `lost_writes` counts writes that take effect and are not answered.
+    `lost_writes` counts writes that take effect and are not answered, and
+    `part_pause_s` is the pause between the parts of a watch's answer.
     """
 
     page_size: int = 50
     is_down: bool = False
     is_silent: bool = False
     lost_writes: int = 0
+    part_pause_s: float = 0
     revision: int = 1
     oldest: int = 0
     calls: list = attrs.field(factory=list)
@@ -108,13 +110,17 @@
                 )
         if since < self.oldest:
             return _json(HTTPStatus.GONE, {})
-        return _json(
+        answer = _json(
             HTTPStatus.OK,
             {
                 'events': self._since(kind, since),
                 'current_rev': self.revision,
             },
         )
+        if self.part_pause_s:
+            parts = SlowParts(answer.body, self.part_pause_s)
+            return Answer(HTTPStatus.OK, length=len(answer.body), rest=parts)
+        return answer
 
     def _since(self, kind, since):
         return [
@@ -138,5 +144,29 @@
         return _json(HTTPStatus.OK, self._objects[kind, name])
 
 
+@attrs.define(eq=False)
+class SlowParts:
+    """Yields an answer in ten parts, as a slow link delivers it."""
+
+    content: bytes
+    pause_s: float
+    sent: int = 0
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        if self.sent >= len(self.content):
+            raise StopAsyncIteration
+        await asyncio.sleep(self.pause_s)
+        size = -(-len(self.content) // 10)
+        part = self.content[self.sent : self.sent + size]
+        self.sent += size
+        return part
+
+    def close(self):
+        self.sent = len(self.content)
+
+
 def _json(status, document):
     return Answer(status, [], json.dumps(document).encode())
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -1,13 +1,17 @@
 """Following a kind of objects through faults of the store."""
 
 import asyncio
+import contextlib
 
-from catkindrift.clock import ManualClock
+import attrs
+
+from catkindrift.clock import ManualClock, SystemClock
 from catkindrift.errors import HistoryGoneError, PlatformUnavailableError
 from catkindrift.gateway._store_watch import StoreWatch
-from catkindrift.platform import StoreObject, StorePage
+from catkindrift.platform import StoreClient, StoreObject, StorePage
 from catkindrift.settings import GatewayPlatformSettings
-from tests.platform_deployment import eventually
+from tests.platform_deployment import eventually, free_port
+from tests.platform_store import PlatformStore
 
 SETTINGS = GatewayPlatformSettings('127.0.0.1:1')
 
@@ -25,8 +29,9 @@
         self.listed += 1
         return _play(self.lists.pop(0))
 
-    async def watch(self, kind, revision, wait_ms, timeout_s):
+    async def watch(self, kind, revision, wait_ms, timeout_s, on_part):
         self.waits.append((revision, wait_ms))
+        self.on_part = on_part
         if not self.watches:
             await asyncio.sleep(3600)
         return _play(self.watches.pop(0))
@@ -46,8 +51,8 @@
 class Seen:
     """Takes what a watch reports."""
 
-    def __init__(self, client):
-        self.clock = ManualClock(100_000)
+    def __init__(self, client, clock=None, settings=SETTINGS):
+        self.clock = clock or ManualClock(100_000)
         self.client = client
         self.lists = []
         self.changes = []
@@ -57,7 +62,7 @@
             self.clock,
             client,
             'servers',
-            SETTINGS,
+            settings,
             self.lists.append,
             self.note_change,
             self.note_return,
@@ -237,3 +242,67 @@
         assert len(client.waits) == 2
 
     follow(client, check)
+
+
+def follow_store(store_fields, check, settings=SETTINGS):
+    """Run a watch of a real stand-in store until `check` has passed."""
+
+    async def scenario():
+        store = PlatformStore(**store_fields)
+        port = free_port()
+        await store.start(port)
+        client = StoreClient('127.0.0.1', port)
+        seen = Seen(client, SystemClock(), settings)
+        task = asyncio.create_task(seen.watch.run())
+        await eventually(lambda: seen.lists)
+        with contextlib.ExitStack() as stack:
+            stack.callback(store.close)
+            stack.callback(task.cancel)
+            await check(store, seen)
+
+    asyncio.run(scenario())
+
+
+def test_answer_that_arrives_slowly_is_not_cut_short():
+    """Peers that are ahead do not end the answer that brings their news."""
+
+    async def check(store, seen):
+        await store.put('servers', 'b', {'x': 'y' * 1000})
+        async with asyncio.timeout(3):
+            while not seen.changes:
+                seen.watch.peer_is_at(store.revision)
+                await asyncio.sleep(0.02)
+        assert [each.name for each in seen.changes] == ['b']
+
+    follow_store({'part_pause_s': 0.06}, check)
+
+
+def test_long_answer_may_take_longer_than_a_call():
+    """Only silence ends a call, not the size of what is on its way."""
+
+    async def check(store, seen):
+        await store.put('servers', 'b', {'x': 'y' * 1000})
+        await eventually(lambda: seen.changes, seconds=6)
+        watches = [call for call in store.calls if 'watch' in call[2]]
+        assert len(watches) <= 2
+
+    settings = attrs.evolve(SETTINGS, watch_wait_ms=100, call_timeout_ms=500)
+    follow_store({'part_pause_s': 0.1}, check, settings)
+
+
+def test_slow_answers_shorten_the_pause_for_more(monkeypatch):
+    """What an answer takes to arrive is taken off the pause after it."""
+    pauses = []
+
+    def remember(_rng, pause, _spread=0):
+        pauses.append(pause)
+        return 0
+
+    monkeypatch.setattr('catkindrift.gateway._store_watch.jittered', remember)
+
+    async def check(store, seen):
+        await store.put('servers', 'b', {'x': 'y' * 1000})
+        await eventually(lambda: pauses)
+        assert 0 <= pauses[0] < 1
+
+    follow_store({'part_pause_s': 0.06}, check)
