Lend slots to other zones only when the neighbours know

Change: a question from another zone makes the lender keep slots; its record says so at once; who keeps to its share there is everyone in the zone; the slots are lent to the questions that follow, when each neighbour has answered a record that shows them, less what neighbours still use.

--- a/src/catkindrift/core/_lender.py
+++ b/src/catkindrift/core/_lender.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from catkindrift.core._effects import LendGrants
+from catkindrift.core._effects import LendGrants, PublishRecord
 from catkindrift.core._events import GrantAsked
 from catkindrift.core._invariants import Invariant
 from catkindrift.core._slots import Slots
@@ -38,10 +38,12 @@
         """Lend what can be spared, which may be nothing."""
         is_near = asked.holder_zone == self._state.identity.zone
         left = min(asked.slots, self._spare(asked.service, is_near=is_near))
+        if not is_near:
+            self._keep(asked.service, left)
         grants: list[Grant] = []
         life_ms = _NEAR_LIFE_MS if is_near else _FAR_LIFE_MS
         for upstream in self._emptiest_first(asked.service):
-            lent = min(self._free(upstream, is_near=is_near), left)
+            lent = min(self._lendable(upstream, is_near=is_near), left)
             if lent < 1:
                 continue
             left -= lent
@@ -62,6 +64,30 @@
             )
         self._state.emit(LendGrants(asked.ask_id, tuple(grants)))
 
+    def _keep(self, service: str, wanted: int) -> None:
+        """Keep slots for the questions to come, and tell the neighbours.
+
+        What neighbours have not heard yet is lent when they have.
+        """
+        for upstream in self._emptiest_first(service):
+            free = min(self._free(upstream, is_near=False), wanted)
+            if free < 1:
+                continue
+            wanted -= free
+            name = upstream.vm.name
+            slots = self._state.ledger.lent_far(name) + free
+            if self._state.offers.keep(name, slots):
+                self._state.emit(PublishRecord())
+
+    def _lendable(self, upstream: UpstreamState, *, is_near: bool) -> int:
+        free = self._free(upstream, is_near=is_near)
+        if is_near:
+            return free
+        name = upstream.vm.name
+        lent = self._state.ledger.lent_far(name)
+        heard = self._slots.kept.confirmed(name) - lent
+        return max(min(free, heard), 0)
+
     def _spare(self, service: str, *, is_near: bool) -> int:
         if self._state.is_stopping and not is_near:
             return 0
@@ -93,5 +119,12 @@
         if not is_near:
             own = min(own, self._slots.owned_by_list(upstream))
         own = upstream.usable_slots(own)
-        lent = self._state.ledger.lent(upstream.vm.name)
-        return max(own - lent - upstream.in_flight, 0)
+        name = upstream.vm.name
+        lent = self._state.ledger.lent(name)
+        free = own - lent - upstream.in_flight
+        if not is_near:
+            free -= self._slots.kept.overused(
+                upstream.vm,
+                self._slots.owned(upstream),
+            )
+        return max(free, 0)
--- a/src/catkindrift/core/_membership.py
+++ b/src/catkindrift/core/_membership.py
@@ -31,6 +31,8 @@
     is_stopping: bool
     leaving: tuple[str, ...]
     confirmed_crashes: int
+    kept: tuple[tuple[str, int], ...]
+    kept_by_others: frozenset[str]
 
 
 @final
@@ -86,6 +88,8 @@
     def see_record(self, seen: RecordSeen) -> None:
         """Take over a record of another entry VM."""
         record = seen.record
+        if seen.is_first_hand:
+            self._state.offers.heard(record.vm.name, seen.asked_ms)
         known = self._state.members.record(record.vm.name)
         if not self._state.members.merge(record):
             return
@@ -156,6 +160,9 @@
                 if upstream.is_leaving(now_ms)
             ),
             state.suspects.confirmed,
+            self._slots.kept.all_kept(),
+            # Who keeps slots has to hear how many of them are in use.
+            frozenset(self._slots.kept.kept_by_others),
         )
 
     def _confirm(self, confirmed_ms: int | None) -> None:
@@ -187,12 +194,11 @@
         return tuple(rooms)
 
     def _loads(self) -> tuple[UpstreamLoad, ...]:
-        lent_far = self._state.ledger.lent_far
         loads = [
             UpstreamLoad(
                 upstream.vm.name,
                 upstream.in_flight,
-                lent_far(upstream.vm.name),
+                self._slots.kept.kept(upstream.vm.name),
             )
             for upstream in self._state.upstreams
         ]
--- a/src/catkindrift/core/_slots.py
+++ b/src/catkindrift/core/_slots.py
@@ -1,11 +1,11 @@
 """Slots that this entry VM may use, and those that it may lend."""
 
-from collections import Counter
 from collections.abc import Iterator
 from typing import final
 
 import attrs
 
+from catkindrift.core._kept_slots import KeptSlots
 from catkindrift.core._state import CoreState
 from catkindrift.limits import HolderLoad, slot_share
 from catkindrift.routing import (
@@ -27,12 +27,16 @@
 
     _state: CoreState
     _zone_vms: frozenset[str] = attrs.field(init=False, default=frozenset())
-    _zone_loads: Counter[str] = attrs.field(init=False, factory=Counter)
+    kept: KeptSlots = attrs.field(init=False)
     _shares: dict[tuple[str, int], int] = attrs.field(
         init=False,
         factory=dict,
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Start without neighbours."""
+        self.kept = KeptSlots(self._state)
+
     def refresh(self) -> None:
         """Look again at who is alive in the zone."""
         identity = self._state.identity
@@ -42,12 +46,7 @@
             self._zone_vms = zone_vms
             self._shares = {}
         self._state.ledger.settle(self._load_of)
-        self._zone_loads = Counter()
-        for record in self._state.members.alive_records():
-            if record.vm.zone == identity.zone:
-                for load in record.loads:
-                    taken = load.in_flight + load.reserved
-                    self._zone_loads[load.upstream] += taken
+        self.kept.refresh()
 
     def owned(self, upstream: UpstreamState) -> int:
         """Return the slots of an upstream that this VM owns."""
@@ -88,6 +87,8 @@
         """Return the slots that this VM may use now, lent ones aside."""
         name = upstream.vm.name
         own = self.owned(upstream) - self._state.ledger.lent(name)
+        if self.kept.kept(name):
+            own -= self.kept.overused(upstream.vm, self.owned(upstream))
         return max(own, 0) + self._state.book.slots(name)
 
     def accepts_work(self, upstream: UpstreamState) -> bool:
@@ -166,8 +167,9 @@
         vm = upstream.vm
         if vm.zone != self._state.identity.zone:
             return 0
-        others = self._zone_loads.get(vm.name, 0)
-        others += self._state.ledger.lent_far(vm.name)
+        if not self.kept.is_shared(vm.name):
+            return 0
+        others = self.kept.used_by_others(vm.name)
         return max(vm.slots - slots - others, 0)
 
     def _load_of(self, holder: str, upstream: str) -> HolderLoad | None:
--- a/src/catkindrift/core/_state.py
+++ b/src/catkindrift/core/_state.py
@@ -15,7 +15,7 @@
 from catkindrift.core._invariants import Invariants
 from catkindrift.core._pending import Pending
 from catkindrift.domain import Configuration
-from catkindrift.limits import FairQueue, GrantBook, GrantLedger
+from catkindrift.limits import FairQueue, GrantBook, GrantLedger, OfferBook
 from catkindrift.peers import Members
 from catkindrift.retries import RetryBudget, Suspects
 from catkindrift.routing import UpstreamTable
@@ -56,6 +56,7 @@
     members: Members = attrs.field(init=False)
     book: GrantBook = attrs.field(init=False)
     ledger: GrantLedger = attrs.field(init=False)
+    offers: OfferBook = attrs.field(init=False)
     suspects: Suspects = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -66,6 +67,7 @@
         self.members = Members(self.clock, name, incarnation)
         self.book = GrantBook(self.clock)
         self.ledger = GrantLedger(self.clock, name, incarnation)
+        self.offers = OfferBook(self.clock)
         self.suspects = Suspects(self.clock)
 
     @property
--- a/src/catkindrift/exchange/_peer_exchange.py
+++ b/src/catkindrift/exchange/_peer_exchange.py
@@ -78,17 +78,21 @@
         await self._exchange_all(self._addresses(self._peers()))
 
     async def _exchange_all(self, targets: Iterable[PeerAddress]) -> None:
+        asked_ms = self._clock.now_ms()
         request = self._request()
         await asyncio.gather(
-            *(self._exchange_with(target, request) for target in targets),
+            *(
+                self._exchange_with(target, request, asked_ms)
+                for target in targets
+            ),
         )
 
     async def _exchange_with(
         self,
         target: PeerAddress,
         request: peers_pb2.ExchangeRequest,
+        asked_ms: int,
     ) -> None:
-        asked_ms = self._clock.now_ms()
         try:
             reply = await self._client.exchange(target, request)
         except PEER_FAILURES:
--- a/src/catkindrift/limits/__init__.py
+++ b/src/catkindrift/limits/__init__.py
@@ -6,6 +6,7 @@
 from catkindrift.limits._grant_book import GrantBook
 from catkindrift.limits._grant_ledger import GrantLedger, HolderLoad
 from catkindrift.limits._jitter import jittered
+from catkindrift.limits._offer_book import OfferBook
 from catkindrift.limits._sliding_window import WINDOW_MS, SlidingWindow
 from catkindrift.limits._slot_shares import slot_share
 from catkindrift.limits._token_bucket import TokenBucket
@@ -18,6 +19,7 @@
     'GrantBook',
     'GrantLedger',
     'HolderLoad',
+    'OfferBook',
     'SlidingWindow',
     'TokenBucket',
     'jittered',
--- a/src/catkindrift/peers/_record.py
+++ b/src/catkindrift/peers/_record.py
@@ -34,7 +34,7 @@
     Args:
         upstream: The upstream.
         in_flight: Attempts that have not ended.
-        reserved: Slots that the entry VM has lent to other zones.
+        reserved: Slots that it keeps for other zones, or has lent to them.
     """
 
     upstream: str
