Read large answers of the store to their end

Trace with the logs of front-hawassa-tabor-6: its watch of the configuration was cut as silent at 24.7 s, then 'no answer to a read'. A client connection stops reading when 256 KiB wait to be taken, and the store's client took nothing before the end: any answer that is larger, such as eight versions of a configuration of 1,100 routes, never came.

Change: parts are taken as they arrive (http1/_message_client.py, taken out of the store's client). An answer of more than 2 MB is given up and the kind listed, which tells each object once.

Before: test_large_answer_is_read_to_its_end and test_changes_that_are_too_many_are_listed time out. After: both pass.

--- a/src/catkindrift/errors.py
+++ b/src/catkindrift/errors.py
@@ -3,6 +3,7 @@
 from typing import final
 
 __all__ = [
+    'AnswerTooLargeError',
     'AuthenticationError',
     'BrokenAnswerError',
     'CatkindriftError',
@@ -16,6 +17,7 @@
     'PlatformUnavailableError',
     'SettingError',
     'SettingsFileError',
+    'ZoneWatchError',
 ]
 
 
@@ -82,5 +84,13 @@
     """The store no longer knows what changed; list the objects again."""
 
 
+class ZoneWatchError(CatkindriftError):
+    """An entry VM cannot tell what changed; ask the store."""
+
+
+class AnswerTooLargeError(CatkindriftError):
+    """An answer is larger than any should be; ask for less."""
+
+
 class BrokenAnswerError(CatkindriftError):
     """The rest of an answer will not come; end the caller's connection."""
--- a/src/catkindrift/http1/__init__.py
+++ b/src/catkindrift/http1/__init__.py
@@ -14,6 +14,7 @@
     find_header,
     without_framing,
 )
+from catkindrift.http1._message_client import MessageClient
 from catkindrift.http1._receiver import ResponseReceiver
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_body import RequestBody
@@ -31,6 +32,7 @@
     'Handler',
     'Headers',
     'HttpServer',
+    'MessageClient',
     'RequestBody',
     'ResponseFailure',
     'ResponseHead',
--- a/src/catkindrift/platform/_store_client.py
+++ b/src/catkindrift/platform/_store_client.py
@@ -1,8 +1,6 @@
 """Client of the platform's store."""
 
-import asyncio
-import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, final
 from urllib.parse import quote
@@ -11,27 +9,17 @@
 import msgspec
 
 from catkindrift.errors import (
+    AnswerTooLargeError,
     HistoryGoneError,
     PlatformAmbiguousError,
     PlatformUnavailableError,
 )
-from catkindrift.http1 import (
-    ClientConnection,
-    ResponseReceiver,
-    encode_head,
-)
+from catkindrift.http1 import MessageClient
 from catkindrift.platform._store_object import StoreObject
 from catkindrift.platform._store_page import StorePage
 
 _READ = 'GET'
 _REMEDY = 'check platform.url and the state of the platform'
-# Answers are whole pages of a megabyte at most, plus their frame.
-_MOST_ANSWER_BYTES = 2_097_152
-# A connect takes a round trip; behind a cut it would wait for long.
-_CONNECT_TIMEOUT_S = 0.8
-# Silence in the middle of an answer; a large one takes longer on a slow link,
-# but never stops for that long.
-_PART_TIMEOUT_S = 1.0
 
 
 def _ignore() -> None:
@@ -41,9 +29,7 @@
 @final
 @attrs.define(eq=False)
 class StoreClient:
-    """Calls the store; one connection serves one call at a time.
-
-    A connection that failed in any way is not used again.
+    """Calls the store.
 
     Args:
         host: IP number of the store.
@@ -54,7 +40,11 @@
     _host: str
     _port: int
     calls_made: dict[str, int] = attrs.field(init=False, factory=dict)
-    _idle: list[ClientConnection] = attrs.field(init=False, factory=list)
+    _client: MessageClient = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the client."""
+        self._client = MessageClient(self._host, self._port)
 
     async def list_page(
         self,
@@ -144,87 +134,19 @@
         on_part: Callable[[], None] = _ignore,
     ) -> tuple[int, dict[str, Any]]:
         self.calls_made[method] = self.calls_made.get(method, 0) + 1
-        request = _encoded(self._address, method, path, document)
+        body = b'' if document is None else msgspec.json.encode(document)
         try:
-            status, content = await self._exchange(request, timeout_s, on_part)
+            status, content = await self._client.call(
+                method, path, body, timeout_s, on_part
+            )
         except OSError as broken:
             # A time-out is an OSError too.
             raise _lost(method) from broken
+        except AnswerTooLargeError as large:
+            # A list tells the same in less: each object once.
+            raise HistoryGoneError('too many changes; list them') from large
         return _checked(method, status, content)
 
-    async def _exchange(
-        self,
-        request: bytes,
-        timeout_s: float,
-        on_part: Callable[[], None],
-    ) -> tuple[int, bytes]:
-        async with self._connection() as connection:
-            receiver = ResponseReceiver(_is_own, connection.resume_reading)
-            connection.start(receiver)
-            connection.write(request)
-            limit_s = timeout_s
-            while not _is_over(receiver):
-                async with asyncio.timeout(limit_s):
-                    await receiver.wait_for(receiver.buffered + 1)
-                on_part()
-                limit_s = _PART_TIMEOUT_S
-        if receiver.head is None or not receiver.is_complete:
-            raise ConnectionResetError('the store broke off')
-        return receiver.head.status, receiver.take()
-
-    @property
-    def _address(self) -> str:
-        return f'{self._host}:{self._port}'
-
-    @contextlib.asynccontextmanager
-    async def _connection(self) -> AsyncIterator[ClientConnection]:
-        connection = self._take_idle() or await self._connect()
-        try:
-            yield connection
-        finally:
-            if connection.is_reusable:
-                self._idle.append(connection)
-            else:
-                connection.abort()
-
-    def _take_idle(self) -> ClientConnection | None:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable:
-                return connection
-        return None
-
-    async def _connect(self) -> ClientConnection:
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(
-                ClientConnection,
-                self._host,
-                self._port,
-            )
-        return connection
-
-
-def _is_over(receiver: ResponseReceiver) -> bool:
-    return receiver.has_ended or receiver.buffered > _MOST_ANSWER_BYTES
-
-
-def _encoded(address: str, method: str, path: str, document: Any) -> bytes:
-    body = b'' if document is None else msgspec.json.encode(document)
-    head = encode_head(
-        f'{method} {path} HTTP/1.1'.encode(),
-        [
-            (b'Host', address.encode()),
-            (b'Content-Type', b'application/json'),
-            (b'Content-Length', b'%d' % len(body)),
-        ],
-    )
-    return head + body
-
-
-def _is_own(_head: object) -> bool:
-    return True
-
 
 def _lost(method: str) -> Exception:
     if method == _READ:
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -306,3 +306,26 @@
         assert 0 <= pauses[0] < 1
 
     follow_store({'part_pause_s': 0.06}, check)
+
+
+def test_changes_that_are_too_many_are_listed():
+    """Large objects that changed often are read once, not once a change."""
+
+    async def check(store, seen):
+        for number in range(12):
+            await store.put('servers', 'b', {'x': 'y' * 300_000, 'n': number})
+        await eventually(lambda: len(seen.lists) == 2, seconds=5)
+        assert seen.lists[1][0].spec['n'] == 11
+
+    follow_store({}, check)
+
+
+def test_large_answer_is_read_to_its_end():
+    """An object that is larger than a connection's buffer arrives."""
+
+    async def check(store, seen):
+        await store.put('servers', 'b', {'x': 'y' * 1_000_000})
+        await eventually(lambda: seen.changes, seconds=3)
+        assert len(seen.changes[0].spec['x']) == 1_000_000
+
+    follow_store({}, check)
