Name an address for peers that is in use, and end after a failed start

The start then closed a server for peers that had never started, so 'Server is not started' hid the address and its remedy: a fault of the product. The fixture did not stop the deployment whose set-up had failed; the thread of its loop kept the process from ending. 'cannot schedule new futures after shutdown' is that loop going on while the interpreter ended, not a cause.

Change: CannotListenError names address and remedy for all three addresses, from one place; PeerListener may be closed whether it has started or not; a demonstration that cannot start is stopped; ports of tests and demonstrations lie below that range, each given once a process; fixtures stop what they started.

Before: test_address_in_use[peers] fails with 'Server is not started'. After: it and TestStart pass; 'callers' and 'operators' passed before too.

--- a/src/catkindrift/cli/_processes.py
+++ b/src/catkindrift/cli/_processes.py
@@ -1,6 +1,7 @@
 """Commands that run processes of the system."""
 
 import asyncio
+import contextlib
 import signal
 import sys
 from pathlib import Path
@@ -86,13 +87,15 @@
 async def _demonstrate(deployment: Deployment, seconds: float) -> None:
     local = LocalDeployment(deployment)
     stop = _stop_signal()
-    await local.start()
-    _print_addresses(local)
-    try:
-        await asyncio.wait_for(stop.wait(), seconds or None)
-    except TimeoutError:
-        write_line('time is up')
-    await local.stop()
+    async with contextlib.AsyncExitStack() as stack:
+        # Also after a start that failed half-way: its threads would stay.
+        stack.push_async_callback(local.stop)
+        await local.start()
+        _print_addresses(local)
+        try:
+            await asyncio.wait_for(stop.wait(), seconds or None)
+        except TimeoutError:
+            write_line('time is up')
     write_line('stopped')
 
 
--- a/src/catkindrift/demo/_ports.py
+++ b/src/catkindrift/demo/_ports.py
@@ -1,25 +1,46 @@
 """Free TCP ports on loopback."""
 
+import itertools
+import os
 import socket
+from collections.abc import Iterator
 
 LOOPBACK = '127.0.0.1'
+# Below the ports that Linux gives to outgoing connections (32768 and up): one
+# of those could take a port between its choice and its use.
+_FIRST_PORT = 10_000
+_END_PORT = 32_000
+# Ports between the first choices of processes that start one after the other.
+_PORTS_APART = 97
+
+
+def _numbers() -> Iterator[int]:
+    """Yield each port once, from a place that differs between processes."""
+    count = _END_PORT - _FIRST_PORT
+    start = os.getpid() * _PORTS_APART % count
+    return itertools.chain(
+        range(_FIRST_PORT + start, _END_PORT),
+        range(_FIRST_PORT, _FIRST_PORT + start),
+    )
+
+
+_unused = _numbers()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now.
+    """Return ports that nothing listens on now, each once in a process.
 
     Args:
         count: Number of ports.
     """
-    sockets = [_bound_socket() for _ in range(count)]
-    ports = [int(bound.getsockname()[1]) for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
-
-
-def _bound_socket() -> socket.socket:
-    bound = socket.socket()
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((LOOPBACK, 0))
-    return bound
+    return list(itertools.islice(filter(_is_free, _unused), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as bound:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            bound.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
--- a/src/catkindrift/errors.py
+++ b/src/catkindrift/errors.py
@@ -6,6 +6,7 @@
     'AnswerTooLargeError',
     'AuthenticationError',
     'BrokenAnswerError',
+    'CannotListenError',
     'CatkindriftError',
     'ConflictError',
     'ForbiddenError',
@@ -48,6 +49,23 @@
     """A settings file cannot be read, or is not TOML."""
 
 
+class CannotListenError(CatkindriftError, OSError):
+    """An address is in use or cannot be bound.
+
+    Args:
+        host: IP number.
+        port: Port.
+        failure: What the operating system said.
+    """
+
+    def __init__(self, host: str, port: int, failure: OSError) -> None:
+        """Name the address and the remedy."""
+        super().__init__(
+            f'cannot listen on {host}:{port} ({failure}); stop the other'
+            ' process or change the address',
+        )
+
+
 class NotFoundError(CatkindriftError):
     """The named object does not exist."""
 
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -8,6 +8,7 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.errors import CannotListenError
 from catkindrift.http1._answer import Answer
 from catkindrift.http1._answer_queue import Handler, RefusalAnswer
 from catkindrift.http1._server_connection import ServerConnection
@@ -50,7 +51,7 @@
         """Listen.
 
         Raises:
-            OSError: The address is in use or cannot be listened on.
+            CannotListenError: The address is in use or cannot be bound.
         """
         loop = asyncio.get_running_loop()
         try:
@@ -62,10 +63,7 @@
                 ssl=self._tls,
             )
         except OSError as failure:
-            raise OSError(
-                f'cannot listen on {host}:{port} ({failure}); stop the other'
-                ' process or change the address',
-            ) from failure
+            raise CannotListenError(host, port, failure) from failure
         self._sweep()
 
     def drain(self) -> None:
--- a/src/catkindrift/server/_composition.py
+++ b/src/catkindrift/server/_composition.py
@@ -2,20 +2,16 @@
 
 import asyncio
 import random
-import sys
 from pathlib import Path
 from typing import final
 
 import attrs
-from grpclib.server import Server as PeerServer
 
 from catkindrift.callers import (
-    CallerApp,
     Decisions,
     Forwarder,
     LookupApp,
     UpstreamSender,
-    refused_input,
 )
 from catkindrift.claims import ClaimStore
 from catkindrift.clock import Clock
@@ -30,30 +26,27 @@
     Operators,
     OperatorService,
     PlanRunner,
-    operator_application,
 )
 from catkindrift.peers import PeerAddress, PeerClient, PeersService
 from catkindrift.plans import ConfigurationStore, PlanExecutor
 from catkindrift.server._core_collector import CoreCollector
 from catkindrift.server._effect_runner import EffectRunner
+from catkindrift.server._listeners import (
+    caller_server,
+    operator_server,
+    peer_listener,
+)
+from catkindrift.server._peer_listener import PeerListener
 from catkindrift.serving import (
     Bridge,
     Metrics,
     ThreadedServer,
-    caller_server_context,
     peer_client_context,
 )
 from catkindrift.settings import Endpoint, EntrySettings
-from catkindrift.steering import CallerLimits
 from catkindrift.store import CallGate, GuardedPlatform, HttpPlatform
 from catkindrift.watching import PlatformWatcher, VmListCache
 
-_OPERATOR_THREADS = 8
-# Callers on poor links send their heads slowly, and keep connections.
-_CALLER_SILENCE_MS = 30_000
-# Each service has a limit of its own, which the core knows.
-_ANY_BODY_BYTES = sys.maxsize
-
 
 @final
 @attrs.define(eq=False)
@@ -82,7 +75,7 @@
     claims: ClaimStore = attrs.field(init=False)
     callers: HttpServer = attrs.field(init=False)
     operators: ThreadedServer = attrs.field(init=False)
-    peer_server: PeerServer = attrs.field(init=False)
+    peer_listener: PeerListener = attrs.field(init=False)
     news: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
     _gate: CallGate = attrs.field(init=False)
     _vm_list: VmListCache = attrs.field(init=False)
@@ -177,7 +170,10 @@
             self.post,
             self._take_lent,
         )
-        self.peer_server = PeerServer([PeersService(answers, secret)])
+        self.peer_listener = peer_listener(
+            settings,
+            PeersService(answers, secret),
+        )
 
     def _take_lent(self, ask_id: int) -> tuple[Grant, ...]:
         return self.runner.lent.pop(ask_id, ())
@@ -211,58 +207,19 @@
                 self.bridge.call,
             ),
         )
-        self.callers = self._caller_server(metrics)
-        service = OperatorService(
-            store,
-            self._observer,
-            self.clock,
-            self.post,
-        )
-        self.operators = self._operator_server(service, metrics)
-
-    def _caller_server(self, metrics: Metrics) -> HttpServer:
-        settings = self.settings
         scheme = 'https' if settings.tls.enabled else 'http'
-        forwarder = Forwarder(
-            self.decisions,
-            self.clock,
-            self.upstreams,
-            metrics,
-        )
-        limits = CallerLimits(
-            settings.limits.max_header_bytes,
-            _ANY_BODY_BYTES,
-            _CALLER_SILENCE_MS,
-            _CALLER_SILENCE_MS,
-        )
-        return HttpServer(
+        self.callers = caller_server(
+            settings,
             self.clock,
-            CallerApp(forwarder, LookupApp(self.core.lookup_table, scheme)),
-            lambda: limits,
-            refused_input,
-            caller_server_context(settings.tls),
+            Forwarder(self.decisions, self.clock, self.upstreams, metrics),
+            LookupApp(self.core.lookup_table, scheme),
         )
-
-    def _operator_server(
-        self,
-        service: OperatorService,
-        metrics: Metrics,
-    ) -> ThreadedServer:
-        settings = self.settings
-        _, operators, _ = settings.listen.endpoints
-        context = ApiContext(self.bridge, Operators(settings.operators))
-        application = operator_application(
-            context,
-            service,
+        self.operators = operator_server(
+            settings,
+            ApiContext(self.bridge, Operators(settings.operators)),
+            OperatorService(store, self._observer, self.clock, self.post),
             self._observer,
-            metrics.registry,
-        )
-        return ThreadedServer(
-            operators,
-            application,
-            _OPERATOR_THREADS,
-            settings.limits.max_header_bytes,
-            settings.tls,
+            metrics,
         )
 
 
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -9,9 +9,9 @@
 
 from catkindrift.clock import Clock, SystemClock
 from catkindrift.core import EntryCore, StopRequested, Ticked
+from catkindrift.errors import CannotListenError
 from catkindrift.limits import jittered
 from catkindrift.server._composition import Composition
-from catkindrift.serving import peer_server_context
 from catkindrift.settings import EntrySettings
 
 _TICK_SECONDS = 0.02
@@ -58,12 +58,12 @@
         """Listen, learn the configuration, and serve.
 
         Raises:
-            OSError: An address is in use.
+            CannotListenError: An address is in use or cannot be bound.
         """
         parts = self._parts
         try:
             await self._listen()
-        except OSError:
+        except CannotListenError:
             await self.close()
             raise
         await parts.watcher.load_once()
@@ -108,7 +108,7 @@
         await loop.run_in_executor(None, parts.operators.stop)
         parts.runner.close()
         parts.peers.close()
-        parts.peer_server.close()
+        parts.peer_listener.close()
         parts.http_platform.close()
 
     async def _close_callers(self) -> None:
@@ -124,12 +124,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _listen(self) -> None:
-        callers, _, peers = self._settings.listen.endpoints
-        await self._parts.peer_server.start(
-            peers.host,
-            peers.port,
-            ssl=peer_server_context(self._settings.tls),
-        )
+        callers, _, _ = self._settings.listen.endpoints
+        await self._parts.peer_listener.start()
         self._parts.operators.start()
         await self._parts.callers.start(callers.host, callers.port)
 
--- a/src/catkindrift/serving/_threaded_server.py
+++ b/src/catkindrift/serving/_threaded_server.py
@@ -8,6 +8,7 @@
 from cheroot import wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
+from catkindrift.errors import CannotListenError
 from catkindrift.settings import Endpoint, TlsSettings
 
 _IDLE_TIMEOUT_SECONDS = 30
@@ -88,14 +89,16 @@
         """Listen, and serve in the background.
 
         Raises:
-            OSError: The address is in use or cannot be bound.
+            CannotListenError: The address is in use or cannot be bound.
         """
         try:
             self._server.prepare()
         except OSError as failure:
-            raise OSError(
-                f'cannot listen on {self._endpoint.host}:{self._endpoint.port}'
-                f' ({failure}); stop the other process or change the address',
+            endpoint = self._endpoint
+            raise CannotListenError(
+                endpoint.host,
+                endpoint.port,
+                failure,
             ) from failure
         self._running = self._runner.submit(self._server.serve)
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,6 +1,7 @@
 """A deployment on loopback that tests use from outside."""
 
 import asyncio
+import contextlib
 import json
 import threading
 import time
@@ -22,7 +23,11 @@
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
         self._thread.start()
-        self.run(self.local.start())
+        with contextlib.ExitStack() as stack:
+            # A loop that nobody stops would keep the tests from ending.
+            stack.callback(self.stop)
+            self.run(self.local.start())
+            stack.pop_all()
 
     def submit(self, coroutine):
         """Start a coroutine on the deployment's loop."""
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -4,12 +4,12 @@
 import contextlib
 import json
 import re
-import socket
 from pathlib import Path
 from types import MappingProxyType
 
 import attrs
 
+from catkindrift.demo import free_ports
 from catkindrift.gateway import Gateway
 from catkindrift.settings import GatewaySettings, load_settings
 from tests.platform_store import PlatformStore
@@ -27,9 +27,7 @@
 
 def free_port():
     """Return a port that is free on loopback."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    return free_ports(1)[0]
 
 
 def render(template, fields):
@@ -70,7 +68,7 @@
 
 def platform_fields(name, zone, store_port):
     """Return the fields that the platform fills in for one VM."""
-    ports = [free_port() for _ in range(5)]
+    ports = free_ports(5)
     return {
         'node_name': name,
         'zone': zone,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -2,14 +2,20 @@
 
 import json
 import socket
+import threading
 
 import pytest
 
 from catkindrift.cli import ExitCode, main
-from catkindrift.errors import AuthenticationError, ForbiddenError
+from catkindrift.demo import LOOPBACK, free_ports
+from catkindrift.errors import (
+    AuthenticationError,
+    CannotListenError,
+    ForbiddenError,
+)
 from catkindrift.operators import Operators
 from catkindrift.settings import OperatorRole, OperatorSettings
-from tests.deployment import HTTP
+from tests.deployment import HTTP, RunningDeployment
 
 VIEWER_DIGEST = (
     'd35ca5051b82ffc326a3b0b6574a9a3161dee16b9478a199ee39cd803ce5b799'
@@ -21,14 +27,25 @@
 region = "north"
 [listen]
 callers = "{callers}"
-operators = "127.0.0.1:0"
-peers = "127.0.0.1:0"
+operators = "{operators}"
+peers = "{peers}"
 [platform]
 url = "http://127.0.0.1:1"
 timeout_ms = 100
 """
 
 
+def listening(**addresses):
+    """Return settings with free ports, but for those given."""
+    kinds = ('callers', 'operators', 'peers')
+    ports = free_ports(len(kinds))
+    free = {
+        kind: f'{LOOPBACK}:{port}'
+        for kind, port in zip(kinds, ports, strict=True)
+    }
+    return SETTINGS.format(**{**free, **addresses})
+
+
 @pytest.fixture
 def settings_file(tmp_path):
     """Write a settings file and return its path."""
@@ -242,23 +259,42 @@
 
     def test_open_access_needs_tokens(self, settings_file, capsys):
         """Listening beyond loopback without tokens is refused."""
-        text = SETTINGS.format(callers='127.0.0.1:0').replace(
-            'operators = "127.0.0.1:0"',
-            'operators = "0.0.0.0:8001"',
-        )
+        text = listening(operators='0.0.0.0:8001')
         assert main(['check-settings', settings_file(text)]) == ExitCode.USAGE
         assert 'add an [[operators]] table' in capsys.readouterr().err
 
-    def test_address_in_use(self, settings_file, capsys):
+    @pytest.mark.parametrize('which', ['callers', 'operators', 'peers'])
+    def test_address_in_use(self, settings_file, capsys, which):
         """An address in use is named with the remedy."""
         with socket.create_server(('127.0.0.1', 0)) as taken:
-            callers = f'127.0.0.1:{taken.getsockname()[1]}'
-            path = settings_file(SETTINGS.format(callers=callers))
+            address = f'127.0.0.1:{taken.getsockname()[1]}'
+            path = settings_file(listening(**{which: address}))
             assert main(['entry', '--settings', path]) == ExitCode.UNREACHABLE
-        assert 'stop the other process' in capsys.readouterr().err
+        told = capsys.readouterr().err
+        assert 'stop the other process' in told
+        assert address in told
 
     @pytest.mark.parametrize('name', ['entry', 'agency', 'utility'])
     def test_examples(self, name):
         """The examples have no mistakes."""
         path = f'examples/{name}.toml'
         assert main(['check-settings', path]) == ExitCode.DONE
+
+
+class TestStart:
+    """A deployment that cannot start leaves nothing behind."""
+
+    def test_no_thread_stays(self, monkeypatch):
+        """The error is that of the address, and the process can end."""
+        before = set(threading.enumerate())
+        with socket.create_server((LOOPBACK, 0)) as taken:
+            port = taken.getsockname()[1]
+            monkeypatch.setattr(
+                'catkindrift.demo._deployment.free_ports',
+                lambda count: [*free_ports(count - 1), port],
+            )
+            with pytest.raises(CannotListenError, match=str(port)):
+                RunningDeployment()
+        left = set(threading.enumerate()) - before
+        # The loop's own pool ends with the process.
+        assert all('asyncio' in each.name for each in left)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,6 +1,7 @@
 """TLS for callers, operators and peers."""
 
 import asyncio
+import contextlib
 import json
 import ssl
 
@@ -32,7 +33,15 @@
 @pytest.fixture
 def secured(certificates):
     """Run a deployment with TLS where one VM has another secret."""
-    deployment = RunningDeployment()
+    with contextlib.ExitStack() as stack:
+        deployment = RunningDeployment()
+        stack.callback(deployment.stop)
+        secure(deployment, certificates)
+        yield deployment
+
+
+def secure(deployment, certificates):
+    """Restart all entry VMs with TLS, one of them with another secret."""
     settings = deployment.local.settings
     tls = TlsSettings(
         str(certificates / 'chain.pem'),
@@ -46,8 +55,6 @@
         deployment.run(deployment.local.stop_entry_vm(name))
     for name in settings:
         deployment.run(deployment.local.start_entry_vm(name))
-    yield deployment
-    deployment.stop()
 
 
 class TestTls:
