Say once how tests script the answers of all upstreams

Cause: test_gateway.py repeated the same two lines in nine tests. Change: PlatformDeployment.answer_with; no assertion changes. Before and after: its 33 tests pass. Conclusion: the tests read as one step a line.

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -184,6 +184,11 @@
         await self.store.put('servers', name, upstream.spec)
         return upstream
 
+    def answer_with(self, reply):
+        """Let each upstream give one scripted answer."""
+        for upstream in self.upstreams:
+            upstream.script = [reply]
+
     def settings(self, name, zone='ovd-a'):
         fields = platform_fields(name, zone, self.store_port)
         path = self.folder / f'{name}.toml'
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -144,8 +144,7 @@
 
     async def scenario():
         async with deployed(tmp_path) as deployment:
-            for upstream in deployment.upstreams:
-                upstream.script = [shed]
+            deployment.answer_with(shed)
             first = len(arrivals(deployment))
             status, headers, _ = await ask(
                 deployment.address(), head('/unsafe/x', 'POST')
@@ -166,8 +165,7 @@
 
     async def scenario():
         async with deployed(tmp_path) as deployment:
-            for upstream in deployment.upstreams:
-                upstream.script = [None]
+            deployment.answer_with(None)
             status, _, _ = await ask(
                 deployment.address(), head('/unsafe/x', 'POST')
             )
@@ -182,8 +180,7 @@
 
     async def scenario():
         async with deployed(tmp_path) as deployment:
-            for upstream in deployment.upstreams:
-                upstream.script = [None]
+            deployment.answer_with(None)
             deployment.upstreams[0].script.append(None)
             status, _, _ = await ask(deployment.address(), head('/safe/x'))
             assert len(arrivals(deployment)) == 2
@@ -208,8 +205,7 @@
 
     async def scenario():
         async with deployed(tmp_path) as deployment:
-            for upstream in deployment.upstreams:
-                upstream.script = [spoiled]
+            deployment.answer_with(spoiled)
             status, _, body = await ask(
                 deployment.address(), head('/unsafe/x', 'POST', deadline=400)
             )
@@ -260,11 +256,10 @@
 
     async def scenario():
         async with deployed(tmp_path) as deployment:
-            for upstream in deployment.upstreams:
-                upstream.script = [
-                    b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n'
-                    b'Server-Signature: s\r\nConnection: close\r\n\r\nwhole',
-                ]
+            deployment.answer_with(
+                b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n'
+                b'Server-Signature: s\r\nConnection: close\r\n\r\nwhole'
+            )
             status, headers, body = await ask(
                 deployment.address(), head('/safe/x')
             )
@@ -279,11 +274,10 @@
 
     async def scenario():
         async with deployed(tmp_path) as deployment:
-            for upstream in deployment.upstreams:
-                upstream.script = [
-                    b'HTTP/1.1 503 No\r\nAttempt-Id: a1\r\n'
-                    b'Content-Length: 0\r\n\r\n',
-                ]
+            deployment.answer_with(
+                b'HTTP/1.1 503 No\r\nAttempt-Id: a1\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
             status, _, _ = await ask(
                 deployment.address(), head('/unsafe/x', 'POST')
             )
@@ -433,8 +427,7 @@
     async def scenario():
         async with deployed(tmp_path, upstreams=4) as deployment:
             await deployment.add_gateway('front-2', 'gij-b')
-            for upstream in deployment.upstreams:
-                upstream.script = [crash]
+            deployment.answer_with(crash)
             for attempt in ('a1', 'a2', 'a3', 'a4'):
                 await ask(
                     deployment.address(),
@@ -583,8 +576,7 @@
                     other.delay_s = 5
                 return server_error(upstream, attempt)
 
-            for upstream in deployment.upstreams:
-                upstream.script = [fail_and_silence_others]
+            deployment.answer_with(fail_and_silence_others)
             status, _, body = await ask(
                 deployment.address(), head('/safe/x', deadline=700)
             )
@@ -614,8 +606,7 @@
                 whole = whole.replace(b'200 OK', b'500 Broken')
                 return whole[:300_000]
 
-            for upstream in deployment.upstreams:
-                upstream.script = [begin_long_failure]
+            deployment.answer_with(begin_long_failure)
             status, _, body = await ask(deployment.address(), head('/safe/x'))
             assert (status, body) == (200, b'hello')
             await eventually(lambda: ends, seconds=2)
