Tell the configuration of each 404 in the request log

Cause: a 404 left no line, and a version in force named no revision, so logs could not tell a VM that is behind from one whose version lacks the route or one that went back.

Change: refusals count and log no_route with the version in force; the line of a configuration bears its store revision.

Before: test_missing_route_tells_the_configuration fails (explain finds no line). After: it passes.

--- a/src/catkindrift/gateway/_facts.py
+++ b/src/catkindrift/gateway/_facts.py
@@ -107,7 +107,11 @@
         routes = {route.name for route in newer.routes}
         for gone in self._rotations.keys() - routes:
             self._rotations.pop(gone)
-        logging.info('configuration %08x is in force', newer.version)
+        logging.info(
+            'configuration %08x is in force, revision %d',
+            newer.version,
+            found.revision,
+        )
 
     def take_upstream(self, found: StoreObject) -> None:
         """Learn an upstream's entry or its removal."""
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -100,7 +100,7 @@
         host = request.header(b'host').decode('latin-1')
         route = configuration.find_route(host, request.path)
         if route is None:
-            return Answer(HTTPStatus.NOT_FOUND)
+            return self._refusals.no_route(request)
         key = object_key(request.headers) or self._spread_key()
         fingerprint = fingerprint_of(request, key)
         if self._crashes.is_quarantined(fingerprint):
--- a/src/catkindrift/gateway/_refusals.py
+++ b/src/catkindrift/gateway/_refusals.py
@@ -44,9 +44,22 @@
             wait_ms: When to come back; spread, so that callers do not return
                 together.
         """
+        self._note(request, reason, wait_ms)
+        advice = retry_after(jittered(self._rng, wait_ms))
+        return Answer(HTTPStatus.SERVICE_UNAVAILABLE, [advice])
+
+    def no_route(self, request: CallerRequest) -> Answer:
+        """Return the answer to a request that no route matches."""
+        self._note(request, 'no_route', 0)
+        return Answer(HTTPStatus.NOT_FOUND)
+
+    def _note(
+        self,
+        request: CallerRequest,
+        reason: str,
+        wait_ms: float,
+    ) -> None:
         self._metrics.refusals.labels(reason).inc()
         configuration = self._facts.configuration
         version = configuration.version if configuration else 0
         self._log.refused(request_id(request.headers), reason, wait_ms, version)
-        advice = retry_after(jittered(self._rng, wait_ms))
-        return Answer(HTTPStatus.SERVICE_UNAVAILABLE, [advice])
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -75,6 +75,22 @@
     assert [each['event'] for each in entries] == ['attempt_failed', 'ended']
 
 
+def test_missing_route_tells_the_configuration(tmp_path, capfd):
+    """A 404 for a new route shows whether its version was in force."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            await ask(deployment.address(), head('/none/x', attempt='req-2'))
+
+    asyncio.run(scenario())
+    log = tmp_path / 'front-1.log'
+    log.write_text(capfd.readouterr().out)
+    assert main(['explain', 'req-2', str(log)]) == 0
+    told = capfd.readouterr().out
+    assert 'refused: reason=no_route' in told
+    assert 'configuration=1' in told
+
+
 def test_unknown_request_and_missing_file_are_told(tmp_path, capsys):
     """Each has a message that names what to do."""
     log = tmp_path / 'front-1.log'
