--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, Phase, settings
@@ -11,6 +12,7 @@
 from tests.raw_upstream import RawUpstream
 
 SETTLE_SECONDS = 10
+KNOWN_RED = Path(__file__).parents[1] / 'KNOWN-RED.txt'
 
 settings.register_profile(
     'ci',
@@ -32,6 +34,27 @@
 settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
 
 
+def known_red():
+    """Return the ids of the tests that the file of known failures names."""
+    prefix = 'test: '
+    return {
+        line.removeprefix(prefix).strip()
+        for line in KNOWN_RED.read_text().splitlines()
+        if line.startswith(prefix)
+    }
+
+
+def pytest_collection_modifyitems(config, items):
+    """Leave out exactly the known failures, unless they are asked for."""
+    if os.environ.get('RUN_KNOWN_RED'):
+        return
+    listed = known_red()
+    left_out = [item for item in items if item.nodeid in listed]
+    config.hook.pytest_deselected(items=left_out)
+    for item in left_out:
+        items.remove(item)
+
+
 @pytest.fixture(scope='module')
 def running():
     """Run the sample deployment for the tests of one module."""
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -377,3 +377,31 @@
         assert len(seen.changes[0].spec['x']) == 1_000_000
 
     follow_store({}, check)
+
+
+def versions(first, last):
+    """Return a page in which one object changed with each revision."""
+    found = [
+        StoreObject('main', revision, {}) for revision in range(first, last + 1)
+    ]
+    return StorePage(tuple(found), last)
+
+
+def test_versions_that_outpace_the_watch_deny_no_new_route(monkeypatch):
+    """In a storm a VM lists the newest version instead of reading each."""
+    monkeypatch.setattr(
+        'catkindrift.gateway._news_pause.jittered', lambda *_: 0
+    )
+    client = ScriptedClient(
+        [page(5, 'main'), page(60, 'main'), page(80, 'main'), page(80, 'main')],
+        [versions(6, 30)],
+    )
+
+    async def check(seen):
+        seen.watch._lists_when_behind = True
+        await eventually(lambda: len(client.waits) == 2)
+        assert [each.revision for each in seen.changes] == [30]
+        assert [found[0].revision for found in seen.lists] == [5, 60, 80, 80]
+        assert client.waits == [(5, 18_000), (80, 18_000)]
+
+    follow(client, check)
