Read only the newest configuration while versions outpace the watch

Cause that remained: a watch answers with every version since the last call, and a VM read, decoded and put in force each of them. Its class: work that grows with the number of changes where only the last state counts.

Change: of a page, only the last change of each object is handed on. A kind of few large objects whose versions outpace the watch is listed, once a pause, until a list brings nothing new; then it is watched again. A VM that reads pages of a list does so in one place (whole_list), entry VMs' registration too.

--- a/src/catkindrift/gateway/_news_pause.py
+++ b/src/catkindrift/gateway/_news_pause.py
@@ -44,9 +44,13 @@
         """Note when the process started."""
         self._started_ms = self._clock.now_ms()
 
-    def asked(self) -> None:
-        """Note that an answer is awaited."""
-        self._first_part_ms = None
+    def asked(self, *, is_wait: bool) -> None:
+        """Note that an answer is awaited.
+
+        Args:
+            is_wait: Whether it comes with the next change, not at once.
+        """
+        self._first_part_ms = None if is_wait else self._clock.now_ms()
 
     def part_arrived(self) -> None:
         """Note that a part of the answer has come."""
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -9,6 +9,7 @@
 
 from catkindrift.errors import PlatformAmbiguousError, PlatformUnavailableError
 from catkindrift.gateway._heartbeats import Heartbeats
+from catkindrift.gateway._whole_list import whole_list
 from catkindrift.limits import jittered
 from catkindrift.platform import (
     ENTRY_VM_KIND,
@@ -73,16 +74,9 @@
         return True
 
     async def _find_others(self) -> None:
-        after = ''
-        has_more = True
-        while has_more:
-            page = await self._client.list_page(
-                ENTRY_VM_KIND, after, self._timeout_s
-            )
-            for each in page.objects:
-                self._heartbeats.introduce(decode_entry_vm(each))
-                after = each.name
-            has_more = page.has_more and bool(page.objects)
+        page = await whole_list(self._client, ENTRY_VM_KIND, self._timeout_s)
+        for each in page.objects:
+            self._heartbeats.introduce(decode_entry_vm(each))
 
     @property
     def _timeout_s(self) -> float:
--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -21,6 +21,7 @@
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._watch_silence import WatchSilence
 from catkindrift.gateway._watch_source import WatchSource
+from catkindrift.gateway._whole_list import whole_list
 from catkindrift.limits import jittered
 from catkindrift.platform import StoreClient, StoreObject, StorePage
 from catkindrift.settings import GatewayPlatformSettings
@@ -46,7 +47,8 @@
         on_return: Called before the news that follow an outage, with the
             time at which the store was found to be back.
         lists_when_behind: Whether a list is smaller than all changes that
-            were missed, as of a few large objects that change often.
+            were missed, as of a few large objects that change often. While
+            they change faster than they are asked for, they are listed too.
     """
 
     _clock: Clock
@@ -62,6 +64,7 @@
     log: ChangeLog = attrs.field(init=False, factory=ChangeLog)
     _revision: int = attrs.field(init=False, default=0)
     _is_listed: bool = attrs.field(init=False, default=False)
+    _is_outpaced: bool = attrs.field(init=False, default=False)
     _source: WatchSource = attrs.field(init=False)
     _silence: WatchSilence = attrs.field(init=False)
     _call_pause: CallPause = attrs.field(init=False, factory=CallPause)
@@ -152,10 +155,12 @@
         if page is None:
             return
         self._revision = max(self._revision, page.revision)
-        for each in page.objects:
+        for each in page.newest:
             self._on_change(each)
-        if page.objects:
-            self._note_newest(page.objects, page.revision)
+        self._note_newest(page)
+        if self._lists_when_behind and page.is_superseded:
+            self._is_outpaced = True
+            self._is_listed = False
         await self._hand_on(page)
 
     async def _hand_on(self, page: StorePage) -> None:
@@ -170,25 +175,27 @@
 
     async def _list(self) -> None:
         limit_ms = self._settings.call_timeout_ms
-        timeout_s = limit_ms / _MILLISECONDS_PER_SECOND
-        page = await self._client.list_page(self.kind, '', timeout_s)
-        found = list(page.objects)
-        # Changes made while further pages are read are watched from here.
-        revision = page.revision
-        while page.has_more and page.objects:
-            after = page.objects[-1].name
-            page = await self._client.list_page(self.kind, after, timeout_s)
-            found.extend(page.objects)
+        known = self.newest
+        self._pause.asked(is_wait=False)
+        page = await whole_list(
+            self._client,
+            self.kind,
+            limit_ms / _MILLISECONDS_PER_SECOND,
+        )
         self._answered()
-        self._is_listed = True
-        self._revision = max(self._revision, revision)
+        self._revision = max(self._revision, page.revision)
         self.log.restart(self._revision)
-        self._on_list(tuple(found))
-        self._note_newest(tuple(found), revision)
+        self._on_list(page.objects)
+        self._note_newest(page)
+        # Listed on as long as each list brings news.
+        self._is_outpaced = self._is_outpaced and self.newest > known
+        self._is_listed = not self._is_outpaced
+        if self._is_outpaced:
+            await asyncio.sleep(self._pause.seconds())
 
     async def _wait(self) -> StorePage | None:
         """Return changes, or nothing if the wait was cut short."""
-        self._pause.asked()
+        self._pause.asked(is_wait=True)
         loop = asyncio.get_running_loop()
         self._waiting = loop.create_task(
             self._source.ask(self._revision, self._note_part),
@@ -214,12 +221,9 @@
         if self._health.answered():
             self._on_return(self._clock.now_ms())
 
-    def _note_newest(
-        self,
-        found: tuple[StoreObject, ...],
-        revision: int,
-    ) -> None:
+    def _note_newest(self, page: StorePage) -> None:
         changed = [
-            revision if each.is_deleted else each.revision for each in found
+            page.revision if each.is_deleted else each.revision
+            for each in page.objects
         ]
         self.newest = max(self.newest, *changed, 0)
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -405,3 +405,22 @@
         assert client.waits == [(5, 18_000), (80, 18_000)]
 
     follow(client, check)
+
+
+def test_last_change_of_each_object_counts():
+    """What a later change of the same page replaces is not handed on."""
+    gone = StoreObject('a', 7, {}, is_deleted=True)
+    changes = (
+        StoreObject('a', 6, {}),
+        StoreObject('b', 6, {}),
+        gone,
+        StoreObject('c', 8, {}),
+    )
+    client = ScriptedClient([page(5)], [StorePage(changes, 8)])
+
+    async def check(seen):
+        await eventually(lambda: len(seen.changes) == 3)
+        assert [each.name for each in seen.changes] == ['b', 'a', 'c']
+        assert seen.changes[1] is gone
+
+    follow(client, check)
