Tell nothing of the store for a time in which a VM stood still

Change: a tick notices by a clock that counts suspension too (Clock.elapsed_ms) that the process stood still for over a second; what was known is forgotten, and peers are not believed for a second. Ruled out: trusting wall clocks, which jump.

Before: test_word_of_a_peer_is_not_taken_after_a_stall and test_frozen_vm_does_not_vouch_for_the_time cannot pass without the tick (breakage 'a VM that stood still tells nothing of that time'). After: they pass. Conclusion: only a process that ran can vouch.

--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -127,6 +127,7 @@
     async def _run_short_ticks(self) -> None:
         while True:
             self._parts.heartbeats.set_ready(is_ready=self.is_ready)
+            self._parts.watches.health.tick()
             self._parts.facts.drop_missing()
             await asyncio.sleep(_SHORT_TICK_SECONDS)
 
--- a/src/catkindrift/gateway/_store_health.py
+++ b/src/catkindrift/gateway/_store_health.py
@@ -17,6 +17,9 @@
 _LONGEST_GAP_MS = 3300
 # Peers that were answered so lately say that the store is up now.
 _LATELY_MS = 1500
+# A process that stood still for this long cannot tell how old the datagrams
+# are that it finds; within this time it has read them.
+_STALL_MS = 1000
 
 
 @final
@@ -41,12 +44,15 @@
     _last_failed_ms: int = attrs.field(init=False, default=0)
     _answered_ms: int = attrs.field(init=False)
     _peers_up_ms: int = attrs.field(init=False)
+    _ticked_ms: int = attrs.field(init=False)
+    _deaf_until_ms: int = attrs.field(init=False, default=0)
     _listeners: list[Callable[[], None]] = attrs.field(init=False, factory=list)
 
     def __attrs_post_init__(self) -> None:
         """Note when the process started."""
         self._answered_ms = self._clock.now_ms()
         self._peers_up_ms = self._answered_ms
+        self._ticked_ms = self._clock.elapsed_ms()
 
     @property
     def is_away(self) -> bool:
@@ -58,12 +64,24 @@
     @property
     def up_ages(self) -> TimeSpan | None:
         """Return when the store was surely up, as ages for other VMs."""
+        self.tick()
         return self.up.mirrored(self._clock.now_ms()) if self.up else None
 
     def on_return(self, listener: Callable[[], None]) -> None:
         """Call `listener` when the store seems to answer again."""
         self._listeners.append(listener)
 
+    def tick(self) -> None:
+        """Notice that the process stood still; called several times a second.
+
+        What is known then is older than it seems.
+        """
+        elapsed_ms = self._clock.elapsed_ms()
+        if elapsed_ms - self._ticked_ms > _STALL_MS:
+            self.up = None
+            self._deaf_until_ms = self._clock.now_ms() + _STALL_MS
+        self._ticked_ms = elapsed_ms
+
     def failed(self, reason: Exception) -> None:
         """Note a call that failed."""
         self._last_failed_ms = self._clock.now_ms()
@@ -73,6 +91,7 @@
 
     def answered(self) -> bool:
         """Note an answer, and return whether it ends an outage."""
+        self.tick()
         is_outage = self.is_away
         answered_ms = self._answered_ms
         self._answered_ms = self._clock.now_ms()
@@ -88,7 +107,10 @@
 
     def heard(self, up_ages: TimeSpan) -> None:
         """Learn from a peer when the store was surely up."""
+        self.tick()
         now_ms = self._clock.now_ms()
+        if now_ms < self._deaf_until_ms:
+            return
         told = up_ages.mirrored(now_ms)
         known = self.up or told
         if known.reaches(told, _AWAY_MS):
--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -254,6 +254,14 @@
         property(always(False)),
         'tests/test_store_watch.py::TestStoreHealth',
     ),
+    PlatformBreakage(
+        'DRAIN',
+        'a VM that stood still tells nothing of that time',
+        StoreHealth,
+        'tick',
+        always(None),
+        'tests/test_store_watch.py::TestStoreHealth',
+    ),
     PlatformBreakage(
         'DRAIN, CONFIG, EVAC',
         'one answer lets all watches ask at once',
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -314,6 +314,14 @@
     follow_store({'part_pause_s': 0.06}, check)
 
 
+def pass_time(clock, health, by_ms):
+    """Move time forward for a process that runs."""
+    until_ms = clock.now_ms() + by_ms
+    while clock.now_ms() < until_ms:
+        clock.advance(100)
+        health.tick()
+
+
 class TestStoreHealth:
     """One outage for all watches, from first failure to first answer."""
 
@@ -348,9 +356,9 @@
         assert health.up_ages is None
         for _ in range(4):
             health.answered()
-            clock.advance(3000)
+            pass_time(clock, health, 3000)
         assert health.up_ages == TimeSpan(12_000, 3000)
-        clock.advance(1000)
+        pass_time(clock, health, 1000)
         health.answered()
         assert health.up_ages == TimeSpan(0, 0)
 
@@ -360,7 +368,7 @@
         health = StoreHealth(clock)
         health.answered()
         for _ in range(2):
-            clock.advance(1300)
+            pass_time(clock, health, 1300)
             health.failed(PlatformUnavailableError('lost'))
         assert health.answered()
         assert not health.was_up(health.outage)
@@ -371,7 +379,7 @@
         health = StoreHealth(clock)
         health.answered()
         for _ in range(4):
-            clock.advance(3000)
+            pass_time(clock, health, 3000)
             health.failed(PlatformUnavailableError('lost'))
         assert health.answered()
         assert not health.was_up(health.outage)
@@ -386,7 +394,7 @@
         health = StoreHealth(clock)
         health.answered()
         for _ in range(4):
-            clock.advance(3000)
+            pass_time(clock, health, 3000)
             health.failed(PlatformUnavailableError('lost'))
         assert health.answered()
         for ages in (TimeSpan(60_000, 11_500), TimeSpan(2000, 0)):
@@ -399,12 +407,33 @@
         clock = ManualClock(100_000)
         health = StoreHealth(clock)
         health.answered()
-        clock.advance(2000)
+        pass_time(clock, health, 2000)
         health.heard(TimeSpan(0, 0))
-        clock.advance(1000)
+        pass_time(clock, health, 1000)
         health.answered()
         assert health.up_ages == TimeSpan(3000, 0)
 
+    def test_word_of_a_peer_is_not_taken_after_a_stall(self):
+        """It may have lain unread; how long, nobody knows."""
+        clock = ManualClock(100_000)
+        health = StoreHealth(clock)
+        health.answered()
+        clock.suspended_ms += 6000
+        health.heard(TimeSpan(90_000, 100))
+        assert health.up_ages is None
+        pass_time(clock, health, 1000)
+        health.heard(TimeSpan(5000, 100))
+        assert health.up_ages == TimeSpan(5000, 100)
+
+    def test_frozen_vm_does_not_vouch_for_the_time(self):
+        """It was answered before and after, not in between."""
+        clock = ManualClock(100_000)
+        health = StoreHealth(clock)
+        health.answered()
+        clock.advance(3000)
+        health.answered()
+        assert health.up_ages == TimeSpan(0, 0)
+
     def test_fresh_word_of_a_peer_says_that_it_is_back(self):
         """After a time without any; while there is some, it is no news."""
         clock = ManualClock(100_000)
@@ -412,12 +441,12 @@
         told = []
         health.on_return(lambda: told.append(clock.now_ms()))
         health.answered()
-        clock.advance(6000)
+        pass_time(clock, health, 6000)
         health.heard(TimeSpan(20_000, 4000))
         assert not told
         health.heard(TimeSpan(20_000, 300))
         assert len(told) == 1
-        clock.advance(500)
+        pass_time(clock, health, 500)
         health.heard(TimeSpan(20_000, 300))
         assert len(told) == 1
 
