Pass over offers of another protocol

What callers saw: a request with Upgrade (as of h2c) got 400, DENIED's class; with a body it was handed on before the body was read, and 400 was queued behind it.

Cause, found by the review and run on the parser: the HTTP library stops at such a head, and takes what follows for the other protocol, a body too. The stop counted as malformed input.

Change: what follows an offer without a body is parsed as the next request; an offer with a body is refused when its head is complete, before anything is sent on.

Before: both new tests of test_gateway.py fail (504 and 400). After: they pass. Ruled out: switching protocols, which no promise asks for. Conclusion: HTTP lets a server ignore the offer, and ours does.

--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -78,6 +78,10 @@
             return HTTPStatus.BAD_REQUEST
         if length and int(length) > limits.body_bytes:
             return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        has_body = bool(coding) or int(length or 0) > 0
+        if has_body and find_header(self._headers, b'upgrade'):
+            # The parser would take the body for the other protocol.
+            return HTTPStatus.BAD_REQUEST
         return self._check_target()
 
     def finish(self, method: bytes) -> CallerRequest:
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -58,10 +58,9 @@
         if self._has_refused:
             return
         self._collector.feeding(len(chunk))
-        try:
-            self._parser.feed_data(chunk)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
-            self._refuse(HTTPStatus.BAD_REQUEST)
+        rest = chunk
+        while rest:
+            rest = self._parse(rest)
         if self._collector.raw_bytes > self._limits().header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
@@ -113,6 +112,17 @@
             self._request.body.finish()
             self._request = None
 
+    def _parse(self, chunk: bytes) -> bytes:
+        """Parse bytes and return those behind an offer of another protocol."""
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade as offer:
+            # An offer may be passed over; the next request follows it.
+            return chunk[offer.args[0] :]
+        except httptools.HttpParserError:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+        return b''
+
     def _refuse(self, status: HTTPStatus) -> None:
         if not self._has_refused:
             self._has_refused = True
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -124,6 +124,39 @@
     run(scenario())
 
 
+OFFER = 'Connection: Upgrade\r\nUpgrade: h2c\r\n'
+
+
+def test_offer_of_another_protocol_denies_no_request(tmp_path):
+    """It is passed over; the request and the next one are answered."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            reader, writer = await asyncio.open_connection(
+                *deployment.address(),
+            )
+            writer.writelines([head('/safe/x', extra=OFFER), head('/safe/y')])
+            answers = [await read_answer(reader) for _ in range(2)]
+            assert [status for status, _, _ in answers] == [200, 200]
+            writer.close()
+
+    run(scenario())
+
+
+def test_offer_of_another_protocol_with_a_body_is_refused(tmp_path):
+    """Its body cannot be told from the other protocol; nothing is sent on."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            extra = f'{OFFER}Content-Length: 3\r\n'
+            request = [head('/unsafe/x', 'POST', extra=extra), b'abc']
+            status, _, _ = await ask(deployment.address(), b''.join(request))
+            assert status == 400
+            assert not arrivals(deployment)
+
+    run(scenario())
+
+
 def test_chunked_body_over_the_limit_is_refused(tmp_path):
     """A body whose length is not stated is measured as it comes."""
 
