Wait for the upstream's thread before its connections are counted

Cause: the kernel completes a connect before the upstream's thread has accepted it; 413 can come first. Reproduced 2 of 2 with a pause of 0.5 s before accept. Ruled out: a request that was never sent (the answer's outcome is 'unknown', which is said only after a connect).

Change: the test waits until the upstream has counted a connection, then asserts that there is one, as strictly as before. After: 2 of 2 with the same pause, and the file without it. Conclusion: a race of the test, not of the product.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -138,6 +138,8 @@
     answer = HTTP.request('POST', url, body=(piece for _ in range(15)))
     assert answer.status == 413
     assert json.loads(answer.data)['outcome'] == 'unknown'
+    # The refusal may come before the upstream's thread has run.
+    wait_until(lambda: upstream.connections)
     assert upstream.connections == 1
 
 
