--- a/benchmarks/heartbeats.py
+++ b/benchmarks/heartbeats.py
@@ -9,6 +9,7 @@
 from catkindrift.steering import Heartbeat, MemberFacts, Members
 
 ROUNDS = 20_000
+ANSWER_AGE_MS = 1400
 NANOSECONDS_PER_MICROSECOND = 1000
 REVISIONS = {'config': 1234, 'servers': 5678, 'evacuations': 91}
 
@@ -33,7 +34,8 @@
     known.learn(facts(index, 0) for index in range(members))
     encoder = msgspec.msgpack.Encoder()
     decoder = msgspec.msgpack.Decoder(Heartbeat)
-    heartbeat = Heartbeat(facts(0, 1), (facts(1, 1), facts(2, 1)), REVISIONS)
+    heard = (facts(1, 1), facts(2, 1))
+    heartbeat = Heartbeat(facts(0, 1), heard, REVISIONS, (), ANSWER_AGE_MS)
     datagram = encoder.encode(heartbeat)
     began = time.perf_counter_ns()
     for _ in range(ROUNDS):
