--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from catkindrift.clock import Clock
+from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._upstream_pool import UpstreamPool
 from catkindrift.http1 import CallerRequest
 from catkindrift.retries import Crash, Suspects
@@ -43,10 +44,12 @@
     Args:
         clock: Source of time.
         pool: Connections, to see whether an upstream still takes one.
+        metrics: Counts blame.
     """
 
     _clock: Clock
     _pool: UpstreamPool
+    _metrics: GatewayMetrics
     _suspects: Suspects = attrs.field(init=False)
     _running: dict[str, dict[int, str]] = attrs.field(init=False, factory=dict)
     _checks: dict[str, asyncio.Task[None]] = attrs.field(
@@ -75,6 +78,9 @@
 
     def answered(self, fingerprint: str) -> None:
         """Forget the suspicion against a request that was answered."""
+        if self._suspects.is_suspect(fingerprint):
+            logging.info('suspect %s was answered', fingerprint)
+            self._metrics.blame.labels('cleared').inc()
         self._suspects.cleared(fingerprint)
 
     def broke_off(self, upstream: Upstream) -> None:
@@ -84,6 +90,13 @@
         running = self._running.get(upstream.id, {}).values()
         blamed = self._suspects.crashed(running, upstream.id)
         if blamed:
+            self._metrics.blame.labels('blamed').inc(len(blamed))
+            logging.info(
+                'upstream %s broke off; requests running there: %s; blamed: %s',
+                upstream.id,
+                sorted(set(running)),
+                sorted(blamed),
+            )
             loop = asyncio.get_running_loop()
             check = loop.create_task(self._check(upstream, blamed))
             self._checks[upstream.id] = check
@@ -103,8 +116,11 @@
         if connection:
             self._pool.give_back(upstream, connection)
             self._suspects.dismiss(blamed, upstream.id)
+            self._metrics.blame.labels('dismissed').inc(len(blamed))
+            logging.info('upstream %s is up; blame dismissed', upstream.id)
             return
         self._suspects.confirm(blamed, upstream.id)
+        self._metrics.blame.labels('confirmed').inc(len(blamed))
         logging.warning(
             'upstream %s crashed while it ran %d requests of this entry VM',
             upstream.id,
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -16,6 +16,7 @@
     refusals: Counter = attrs.field(init=False)
     choices: Counter = attrs.field(init=False)
     failures: Counter = attrs.field(init=False)
+    blame: Counter = attrs.field(init=False)
     extra_attempts: Counter = attrs.field(init=False)
     connections_opened: Counter = attrs.field(init=False)
     store_calls: Gauge = attrs.field(init=False)
@@ -27,6 +28,11 @@
         self.refusals = self._counter('refusals', 'Refusals', 'reason')
         self.choices = self._counter('choices', 'Upstreams chosen', 'reason')
         self.failures = self._counter('failures', 'Failed attempts', 'kind')
+        self.blame = self._counter(
+            'crash_blame',
+            'Requests blamed for the end of an upstream',
+            'change',
+        )
         self.extra_attempts = self._counter(
             'extra_attempts',
             'Attempts beyond the first of a request',
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -91,7 +91,7 @@
         self.log = RequestLog(clock, vm.name, BoundedOutput(clock))
         self.distances = ZoneDistances(vm.zone, self.regions)
         self.pool = UpstreamPool(clock, self.distances, self.metrics)
-        self.crashes = CrashWatch(clock, self.pool)
+        self.crashes = CrashWatch(clock, self.pool, self.metrics)
         self._wire_facts()
         self._wire_data_path()
 
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -14,6 +14,8 @@
         id: What it is called in the store.
         service: Service that it belongs to.
         zone: Availability zone.
+        ends_at: Part of a target; a request for it ends the process.
+        has_ended: Whether such a request has come.
     """
 
     id: str
@@ -28,13 +30,12 @@
     connections: int = 0
     on_lost: Callable = attrs.field(default=lambda _id: None)
     host: str = '127.0.0.1'
+    ends_at: bytes = b''
+    has_ended: bool = False
+    port: int = 0
     _server: asyncio.Server | None = None
     _writers: set = attrs.field(factory=set)
 
-    @property
-    def port(self):
-        return self._server.sockets[0].getsockname()[1]
-
     @property
     def spec(self):
         return {
@@ -52,14 +53,29 @@
             },
         }
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, self.host, 0)
+    async def start(self, port=0):
+        self._server = await asyncio.start_server(self._serve, self.host, port)
+        self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self):
         self._server.close()
         for writer in self._writers:
             writer.close()
 
+    def end(self):
+        """End like a process that is killed."""
+        self.has_ended = True
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def restart(self, name):
+        """Start again at the same address, as another incarnation."""
+        self.end()
+        self.id = name
+        self.has_ended = False
+        await self.start(self.port)
+
     def ok(self, attempt, body=b'hello', extra=b''):
         """Return the bytes of a whole, signed answer."""
         return (
@@ -68,6 +84,12 @@
             % (attempt, extra, len(body), body)
         )
 
+    def _health(self):
+        return (
+            b'HTTP/1.1 200 OK\r\nInstance-Id: %b\r\nContent-Length: 0\r\n\r\n'
+            % self.id.encode()
+        )
+
     async def _serve(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
@@ -90,6 +112,9 @@
             line.lower().split(b': ', 1) for line in lines[1:] if line
         )
         body = await _read_body(reader, headers)
+        if lines[0].startswith(b'GET /health '):
+            writer.write(self._health())
+            return
         self.requests.append((lines[0], headers, body))
         attempt = headers.get(b'attempt-id', b'')
         if headers.get(b'expected-instance') != self.id.encode():
@@ -97,6 +122,9 @@
                 b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n'
             )
             return
+        if self.ends_at and self.ends_at in lines[0]:
+            self.end()
+            return
         closed = asyncio.create_task(reader.read(1))
         done, _ = await asyncio.wait({closed}, timeout=self.delay_s)
         if done:
