--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,222 @@
+"""Requests that end the upstreams which run them, and those beside them."""
+
+import asyncio
+from types import MappingProxyType
+
+import pytest
+
+from tests.platform_deployment import SAFE, ask, deployed, eventually
+from tests.platform_upstream import shed
+
+UPSTREAMS = 9
+REPEATS = 8
+# The brief: a request that crashes upstreams takes down two at most.
+MOST_ENDED = 2
+POISON = '/unsafe/poison'
+
+
+def run(test):
+    """Run a test on a loop of its own."""
+    return asyncio.run(test)
+
+
+def request(path, method='POST', attempt='a', body=b'', **how):
+    """Return a whole request; `key`, `is_chunked` and `extra` may be given."""
+    lines = [f'{method} {path} HTTP/1.1', 'Host: quotes.example']
+    lines.append(f'Attempt-Id: {attempt}')
+    lines.append('Deadline-Remaining: 1500')
+    if how.get('key'):
+        lines.append(f'Cookie: Affinity-Key={how["key"]}')
+    lines.extend(how.get('extra', ()))
+    if how.get('is_chunked'):
+        lines.append('Transfer-Encoding: chunked')
+        body = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
+    elif method == 'POST':
+        lines.append(f'Content-Length: {len(body)}')
+    head = '\r\n'.join([*lines, '', ''])
+    return head.encode() + body
+
+
+def crash_at(deployment, target=b'/poison'):
+    """Let each upstream end when it gets a request for `target`."""
+    for upstream in deployment.upstreams:
+        upstream.ends_at = target
+
+
+def ended(deployment):
+    """Return how many upstreams have ended."""
+    return sum(upstream.has_ended for upstream in deployment.upstreams)
+
+
+async def settled(deployment):
+    """Wait until it is known which upstreams have ended."""
+    await eventually(
+        lambda: (
+            not any(
+                gateway._parts.crashes._checks
+                for gateway in deployment.gateways
+            )
+        )
+    )
+
+
+async def send(deployment, *requests):
+    """Send requests one after the other and return their statuses."""
+    statuses = []
+    for each in requests:
+        status, _, _ = await ask(deployment.address(), each)
+        statuses.append(status)
+        await settled(deployment)
+    return statuses
+
+
+def repeats(**how):
+    """Return a request and its repeats, each with another object's key."""
+    return [
+        request(POISON, attempt=f'a{number}', key=number + 1, **how)
+        for number in range(REPEATS)
+    ]
+
+
+def varied(vary):
+    """Return a request and its repeats with what varies between them."""
+    return [
+        request(POISON, attempt=f'a{number}', body=b'b', **vary(number))
+        for number in range(REPEATS)
+    ]
+
+
+VARIED = MappingProxyType(
+    {
+        'same key': varied(lambda _: {'key': 17}),
+        'no key': varied(lambda _: {}),
+        'other keys': varied(lambda number: {'key': number + 1}),
+        'other headers': varied(lambda number: {'extra': [f'X-Try: {number}']}),
+        'other framing': varied(lambda number: {'is_chunked': number % 2}),
+    }
+)
+
+
+@pytest.mark.parametrize('sent', VARIED.values(), ids=VARIED)
+def test_repeats_of_a_crashing_request_reach_two_upstreams(tmp_path, sent):
+    """A repeat is known by path, caller and body, whatever else differs."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            crash_at(deployment)
+            statuses = await send(deployment, *sent)
+            assert ended(deployment) == MOST_ENDED
+            assert statuses == [502, 502, 503, 503, 503, 503, 503, 503]
+
+    run(scenario())
+
+
+def test_crashing_request_is_not_tried_a_third_time(tmp_path):
+    """Our own further tries of a safe request count like its caller's."""
+
+    async def scenario():
+        routes = [{**SAFE, 'max_attempts': 6}]
+        async with deployed(
+            tmp_path, routes=routes, upstreams=UPSTREAMS
+        ) as deployment:
+            crash_at(deployment)
+            statuses = await send(
+                deployment,
+                request('/safe/poison', 'GET'),
+                request('/safe/poison', 'GET', 'a2'),
+            )
+            assert statuses == [502, 503]
+            assert ended(deployment) == MOST_ENDED
+
+    run(scenario())
+
+
+def test_other_body_at_the_path_of_a_crashing_request_is_served(tmp_path):
+    """A body of the same length is not the same body."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            crash_at(deployment)
+            poison = request(POISON, body=b'bad', key=17)
+            assert await send(deployment, poison, poison) == [502, 502]
+            crash_at(deployment, b'')
+            statuses = await send(
+                deployment,
+                request(POISON, body=b'fit', key=17),
+                poison,
+            )
+            assert statuses == [200, 503]
+
+    run(scenario())
+
+
+def test_refusal_by_a_full_upstream_takes_no_blame_back(tmp_path):
+    """A request that was not run has not shown that it ends no upstream."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            for poison in repeats():
+                crash_at(deployment)
+                await send(deployment, poison)
+                crash_at(deployment, b'')
+                deployment.answer_with(shed)
+                await send(deployment, poison)
+                for upstream in deployment.upstreams:
+                    upstream.script = []
+            assert ended(deployment) == MOST_ENDED
+
+    run(scenario())
+
+
+def test_upstream_that_is_back_at_once_has_crashed(tmp_path):
+    """A new incarnation at the address shows that the old one has ended."""
+    restarts = []
+
+    def restart(upstream, _attempt):
+        restarts.append(upstream.id)
+        upstream.id = f'{upstream.id}-again'
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            deployment.answer_with(restart)
+            await send(deployment, *repeats())
+            assert len(restarts) == MOST_ENDED
+
+    run(scenario())
+
+
+def test_upstream_that_ends_amid_its_answer_has_crashed(tmp_path):
+    """A part of an answer does not show that the upstream lives."""
+
+    def begin(upstream, attempt):
+        asyncio.get_running_loop().call_later(0.05, upstream.end)
+        return upstream.ok(attempt)[:-1]
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            deployment.answer_with(begin)
+            await send(deployment, *repeats())
+            assert ended(deployment) == MOST_ENDED
+
+    run(scenario())
+
+
+def test_request_beside_a_crashing_one_is_served(tmp_path):
+    """Two suspects do not meet on an upstream again."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            crash_at(deployment)
+            for upstream in deployment.upstreams:
+                upstream.delay_s = 0.2
+            for _ in range(3):
+                beside = asyncio.create_task(
+                    ask(deployment.address(), request('/unsafe/x', key=17))
+                )
+                await asyncio.sleep(0.1)
+                await send(deployment, request(POISON, key=17))
+                status, _, _ = await beside
+            assert ended(deployment) == MOST_ENDED
+            assert status == 200
+
+    run(scenario())
