Recognise repeats by caller, target and body

Callers saw: a request that ended upstreams was sent on again whenever it came without Affinity-Key, with another key or method, or in chunks; and another body of the same length was refused for ten minutes. Cause: the fingerprint held the key of placement (a counter where there is none), the method, and the length in place of the body. Ruled out: lost or late news (one VM alone shows it). Change: the fingerprint is a digest of caller, target and the first 64 KiB of the body, which is waited for before the first send; where no upstream has room, the request is refused without asking for its body. One function in retries/ makes it.

--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -4,13 +4,11 @@
 from typing import final
 
 import attrs
-import xxhash
 from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._upstream_pool import UpstreamPool
-from catkindrift.http1 import CallerRequest
 from catkindrift.retries import Crash, Suspects
 from catkindrift.steering import Upstream
 
@@ -18,21 +16,6 @@
 _MOST_TOLD = 8
 
 
-def fingerprint_of(request: CallerRequest, key: str) -> str:
-    """Return what a caller's repetition of a request has in common with it.
-
-    The body's length stands for the body, which has not arrived yet.
-    """
-    parts = (
-        request.method,
-        request.target,
-        request.caller.encode(),
-        key.encode(),
-        str(request.body.length).encode(),
-    )
-    return xxhash.xxh3_64_hexdigest(b'\n'.join(parts))
-
-
 @final
 @attrs.define(eq=False)
 class CrashWatch:
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -15,7 +15,7 @@
     AttemptOutcome,
     NotRun,
 )
-from catkindrift.gateway._crash_watch import CrashWatch, fingerprint_of
+from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._facts import Facts
 from catkindrift.gateway._final_answer import final_answer
 from catkindrift.gateway._metrics import GatewayMetrics
@@ -27,6 +27,7 @@
 from catkindrift.gateway._request_log import RequestLog
 from catkindrift.http1 import Answer, CallerRequest
 from catkindrift.platform import object_key, request_id
+from catkindrift.retries import BODY_PREFIX_BYTES, request_fingerprint
 from catkindrift.steering import (
     ColdPace,
     NotPlaced,
@@ -102,13 +103,6 @@
         if route is None:
             return self._refusals.no_route(request)
         key = object_key(request.headers) or self._spread_key()
-        fingerprint = fingerprint_of(request, key)
-        if self._crashes.is_quarantined(fingerprint):
-            return self._refusals.refuse(
-                request,
-                'quarantined',
-                _QUARANTINED_RETRY_MS,
-            )
         service = self._facts.rotation(route).next_service()
         pending = PendingRequest(
             request=request,
@@ -116,7 +110,6 @@
             service=service,
             attempt=request_id(request.headers),
             key=key,
-            fingerprint=fingerprint,
             deadline_ms=request.arrived_ms + answer_limit_ms(route, request),
             is_urgent=configuration.is_most_urgent(route, service),
         )
@@ -143,6 +136,9 @@
             )
 
     async def _serve(self, pending: PendingRequest) -> Answer:
+        refusal = await self._identify(pending)
+        if refusal:
+            return refusal
         connect_failures = 0
         final: Answer | None = None
         while final is None and connect_failures <= _MOST_CONNECT_FAILURES:
@@ -154,6 +150,29 @@
             final = final_answer(pending, outcome)
         return final or self._without_upstream(pending, 'connect')
 
+    async def _identify(self, pending: PendingRequest) -> Answer | None:
+        """Set the fingerprint, or return the answer if nothing can be sent.
+
+        The body is waited for only if there is an upstream for it.
+        """
+        request = pending.request
+        if not request.body.is_empty:
+            choice = self._choose(pending)
+            if isinstance(choice, Answer):
+                return choice
+        pending.fingerprint = request_fingerprint(
+            request.caller,
+            request.target,
+            await request.body.read_prefix(BODY_PREFIX_BYTES),
+        )
+        if self._crashes.is_quarantined(pending.fingerprint):
+            return self._refusals.refuse(
+                request,
+                'quarantined',
+                _QUARANTINED_RETRY_MS,
+            )
+        return None
+
     def _choose(self, pending: PendingRequest) -> Placed | Answer:
         """Return the next upstream, or the answer if there is none."""
         now_ms = self._clock.now_ms()
--- a/src/catkindrift/gateway/_pending_request.py
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -36,9 +36,9 @@
         service: Service that runs it.
         attempt: Id that the caller gave it.
         key: The object that it is about.
-        fingerprint: What a repetition by its caller has in common with it.
         deadline_ms: When its final answer is due.
         is_urgent: Whether no other route to the service is more urgent.
+        fingerprint: What its repeats have in common with it.
         may_have_run: Whether some upstream may have started it.
         had_to_wait: Whether all slots seemed taken when it was sent last.
         has_failed: Whether an attempt did not go smoothly.
@@ -53,9 +53,9 @@
     service: str
     attempt: str
     key: str
-    fingerprint: str
     deadline_ms: int
     is_urgent: bool
+    fingerprint: str = ''
     may_have_run: bool = False
     had_to_wait: bool = False
     has_failed: bool = False
--- a/src/catkindrift/http1/_request_body.py
+++ b/src/catkindrift/http1/_request_body.py
@@ -88,6 +88,17 @@
         self._unread = 0
         self._resume()
 
+    async def read_prefix(self, size: int) -> bytes:
+        """Return the first `size` bytes, or all of a shorter body.
+
+        To be called before any part is taken.
+        """
+        self._invite()
+        while not self.is_complete and self.received < size:
+            self._changed.clear()
+            await self._changed.wait()
+        return b''.join(self._parts)[:size]
+
     async def read_whole(self, most_bytes: int) -> bytes | None:
         """Return the whole body, or nothing if it is larger."""
         self._invite()
--- a/src/catkindrift/retries/__init__.py
+++ b/src/catkindrift/retries/__init__.py
@@ -13,9 +13,14 @@
 )
 from catkindrift.retries._budget import RetryBudget
 from catkindrift.retries._decision import Outcome, RetryRule
+from catkindrift.retries._fingerprint import (
+    BODY_PREFIX_BYTES,
+    request_fingerprint,
+)
 from catkindrift.retries._suspects import Cleared, Crash, Suspects
 
 __all__ = [
+    'BODY_PREFIX_BYTES',
     'Answered',
     'AttemptResult',
     'BodyTooLarge',
@@ -31,4 +36,5 @@
     'RetryBudget',
     'RetryRule',
     'Suspects',
+    'request_fingerprint',
 ]
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from catkindrift.retries import request_fingerprint
 from tests.platform_deployment import SAFE, ask, deployed, eventually
 from tests.platform_upstream import shed
 
@@ -13,6 +14,8 @@
 # The brief: a request that crashes upstreams takes down two at most.
 MOST_ENDED = 2
 POISON = '/unsafe/poison'
+# Larger than what tells bodies apart, and than one read of a socket.
+BODY = b'body' * 20_000
 
 
 def run(test):
@@ -31,7 +34,7 @@
     if how.get('is_chunked'):
         lines.append('Transfer-Encoding: chunked')
         body = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
-    elif method == 'POST':
+    elif method != 'GET':
         lines.append(f'Content-Length: {len(body)}')
     head = '\r\n'.join([*lines, '', ''])
     return head.encode() + body
@@ -81,7 +84,7 @@
 def varied(vary):
     """Return a request and its repeats with what varies between them."""
     return [
-        request(POISON, attempt=f'a{number}', body=b'b', **vary(number))
+        request(POISON, attempt=f'a{number}', body=BODY, **vary(number))
         for number in range(REPEATS)
     ]
 
@@ -92,6 +95,9 @@
         'no key': varied(lambda _: {}),
         'other keys': varied(lambda number: {'key': number + 1}),
         'other headers': varied(lambda number: {'extra': [f'X-Try: {number}']}),
+        'other method': varied(
+            lambda number: {'method': ('POST', 'PUT')[number % 2]}
+        ),
         'other framing': varied(lambda number: {'is_chunked': number % 2}),
     }
 )
@@ -111,6 +117,14 @@
     run(scenario())
 
 
+def test_callers_do_not_share_blame():
+    """The same request of another caller is another request."""
+    own = request_fingerprint('10.0.0.1', b'/x', b'body')
+    assert own == request_fingerprint('10.0.0.1', b'/x', b'body')
+    assert own != request_fingerprint('10.0.0.2', b'/x', b'body')
+    assert own != request_fingerprint('10.0.0.1', b'/x?page=2', b'body')
+
+
 def test_crashing_request_is_not_tried_a_third_time(tmp_path):
     """Our own further tries of a safe request count like its caller's."""
 
