Ask before each send whether a request is quarantined

Callers saw: one GET with several attempts ended an upstream with each of them. Cause: quarantine was asked for once, when the request arrived; neither before a further try nor after the wait for a connection. Change: asked with each choice of an upstream, and once more after a connect. Before: a GET with six attempts ended more than two upstreams; a request whose news came during its connect was sent (200).

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -10,7 +10,11 @@
 import attrs
 
 from catkindrift.clock import Clock
-from catkindrift.gateway._attempt_outcome import Answered, AttemptOutcome
+from catkindrift.gateway._attempt_outcome import (
+    Answered,
+    AttemptOutcome,
+    NotRun,
+)
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._pending_request import PendingRequest
 from catkindrift.gateway._running_attempt import RunningAttempt
@@ -89,6 +93,9 @@
             connection = await self._pool.connect(upstream)
         if connection is None:
             return self._observer.not_connected(state)
+        if self._crashes.is_quarantined(pending.fingerprint):
+            self._pool.give_back(upstream, connection)
+            return NotRun(has_arrived=False)
         exchange = Exchange(
             pending.request,
             connection,
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -165,16 +165,16 @@
             request.target,
             await request.body.read_prefix(BODY_PREFIX_BYTES),
         )
-        if self._crashes.is_quarantined(pending.fingerprint):
-            return self._refusals.refuse(
-                request,
-                'quarantined',
-                _QUARANTINED_RETRY_MS,
-            )
         return None
 
     def _choose(self, pending: PendingRequest) -> Placed | Answer:
         """Return the next upstream, or the answer if there is none."""
+        if self._crashes.is_quarantined(pending.fingerprint):
+            return self._without_upstream(
+                pending,
+                'quarantined',
+                _QUARANTINED_RETRY_MS,
+            )
         now_ms = self._clock.now_ms()
         choice = self._placement.choose(pending.placement(now_ms))
         if isinstance(choice, NotPlaced):
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from catkindrift.retries import request_fingerprint
+from catkindrift.http1 import ConnectionPool
+from catkindrift.retries import Crash, request_fingerprint
 from tests.platform_deployment import SAFE, ask, deployed, eventually
 from tests.platform_upstream import shed
 
@@ -145,6 +146,32 @@
     run(scenario())
 
 
+def test_news_that_comes_during_a_connect_keep_a_request_back(tmp_path):
+    """What is quarantined is not sent, however far it has got."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            parts = deployment.gateways[0]._parts
+            fingerprint = request_fingerprint('127.0.0.1', POISON.encode(), b'')
+            crashes = [Crash(fingerprint, name, 0) for name in ('x', 'y')]
+            connecting = parts.pool._kept.connect
+
+            async def connect_slowly(*where):
+                parts.crashes.learn(tuple(crashes))
+                return await connecting(*where)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(
+                    ConnectionPool,
+                    'connect',
+                    lambda _, *where: connect_slowly(*where),
+                )
+                assert await send(deployment, request(POISON)) == [503]
+            assert not any(each.requests for each in deployment.upstreams)
+
+    run(scenario())
+
+
 def test_other_body_at_the_path_of_a_crashing_request_is_served(tmp_path):
     """A body of the same length is not the same body."""
 
