Clear a suspect only by a whole answer to a run

Callers saw: a crashing request that met a full upstream in between was sent on without end. Cause: any response head cleared it, also one that states that the request was not run (full, misdirected), and the head of an answer that was then cut. Change: only a whole answer from an upstream that ran the request clears it.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -131,9 +131,8 @@
         if head is None or receiver.failure:
             return self._broken(attempt, receiver.failure)
         self._observer.saw_head(state, head)
-        self._crashes.answered(attempt.pending.fingerprint)
         if says_not_run(head):
-            self._end(attempt, is_whole=not is_misdirected(head))
+            self._release(attempt, is_whole=not is_misdirected(head))
             return self._observer.refused(state, head)
         if not attempt.pending.may_pass_on(head):
             attempt.abort()
@@ -176,6 +175,12 @@
         )
 
     def _end(self, attempt: RunningAttempt, is_whole: bool) -> None:
+        """Learn from the end of a response to a request that has run."""
+        if is_whole:
+            self._crashes.answered(attempt.pending.fingerprint)
+        self._release(attempt, is_whole=is_whole)
+
+    def _release(self, attempt: RunningAttempt, *, is_whole: bool) -> None:
         """Keep the connection of a whole response, or close it."""
         if is_whole:
             connection = attempt.exchange.connection
