Ask an upstream that broke off who it is before requests are blamed

Callers saw: a crashing request was sent on where its upstream was back at once, or ended amid its answer; and requests were blamed that had not been sent, or whose upstream was merely cut off. Cause: a connection that was taken counted as a sign of life, though a successor at the address takes them too; every failed connect, a time-out too, counted as an end; cut answers counted for nothing; what waited for a connection counted as running. Change: a health check for the expected incarnation, on a new connection. A refused connect, a 421 or another id show the end; an answer or silence on an open connection shows life; what shows neither is asked again three times within two seconds, and then blames nobody. Cut answers are examined too, also late in a long one. Requests count as running once they are written. What breaks off after the end is known blames nobody more. Ruled out: asking the store's list, which lags by three heartbeats.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -37,6 +37,8 @@
 )
 from catkindrift.steering import UpstreamState
 
+# What a response looks like when its upstream ends.
+_BREAKS = frozenset((ResponseFailure.CLOSED, ResponseFailure.TRUNCATED))
 # Answers up to this size are passed on only when they are whole, so that a
 # cut or malformed one can still be replaced.
 _HOLD_BYTES = 131_072
@@ -78,14 +80,14 @@
         state.sent(token, pending.key, now_ms)
         with contextlib.ExitStack() as stack:
             stack.callback(state.ended, token)
-            self._crashes.started(state.upstream, token, pending.fingerprint)
             stack.callback(self._crashes.ended, state.upstream, token)
-            return await self._send_counted(pending, state)
+            return await self._send_counted(pending, state, token)
 
     async def _send_counted(
         self,
         pending: PendingRequest,
         state: UpstreamState,
+        token: int,
     ) -> AttemptOutcome:
         upstream = state.upstream
         connection = self._pool.take(upstream)
@@ -102,6 +104,7 @@
             pending.is_answer,
         )
         now_ms = self._clock.now_ms()
+        self._crashes.started(upstream, token, pending.fingerprint)
         try:
             return await self._exchange(
                 RunningAttempt(pending, state, exchange, now_ms),
@@ -151,8 +154,7 @@
     ) -> AttemptOutcome:
         attempt.abort()
         seen = failure or ResponseFailure.CLOSED
-        if seen is ResponseFailure.CLOSED:
-            self._crashes.broke_off(attempt.state.upstream)
+        self._note_break(attempt, seen)
         return self._observer.failed(attempt.state, seen)
 
     def _answer(self, attempt: RunningAttempt, head: ResponseHead) -> Answer:
@@ -178,8 +180,20 @@
         """Learn from the end of a response to a request that has run."""
         if is_whole:
             self._crashes.answered(attempt.pending.fingerprint)
+        self._note_break(attempt, attempt.exchange.receiver.failure)
         self._release(attempt, is_whole=is_whole)
 
+    def _note_break(
+        self,
+        attempt: RunningAttempt,
+        failure: ResponseFailure | None,
+    ) -> None:
+        if failure in _BREAKS:
+            self._crashes.broke_off(
+                attempt.state.upstream,
+                attempt.pending.fingerprint,
+            )
+
     def _release(self, attempt: RunningAttempt, *, is_whole: bool) -> None:
         """Keep the connection of a whole response, or close it."""
         if is_whole:
--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -8,12 +8,14 @@
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._metrics import GatewayMetrics
-from catkindrift.gateway._upstream_pool import UpstreamPool
+from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
 from catkindrift.retries import Crash, Suspects
 from catkindrift.steering import Upstream
 
 # Newest crashes that a heartbeat tells of; older ones were told before.
 _MOST_TOLD = 8
+# Pauses before further checks of an upstream that cannot be reached.
+_CHECK_PAUSES_SECONDS = (0.1, 0.4, 1.5)
 
 
 @final
@@ -21,20 +23,21 @@
 class CrashWatch:
     """Blames requests for crashes, and tells crashes from lost answers.
 
-    An upstream that breaks off and takes no new connection has crashed. One
-    that takes a connection has lost an answer, and nobody is blamed.
+    An upstream that breaks off is asked whether it is still there. If it is
+    not, what it ran is blamed; if it is, or cannot be reached, nothing is.
 
     Args:
         clock: Source of time.
-        pool: Connections, to see whether an upstream still takes one.
+        check: Asks upstreams.
         metrics: Counts blame.
     """
 
     _clock: Clock
-    _pool: UpstreamPool
+    _check: UpstreamCheck
     _metrics: GatewayMetrics
     _suspects: Suspects = attrs.field(init=False)
     _running: dict[str, dict[int, str]] = attrs.field(init=False, factory=dict)
+    _ended: set[str] = attrs.field(init=False, factory=set)
     _checks: dict[str, asyncio.Task[None]] = attrs.field(
         init=False,
         factory=dict,
@@ -66,23 +69,27 @@
             self._metrics.blame.labels('cleared').inc()
         self._suspects.cleared(fingerprint)
 
-    def broke_off(self, upstream: Upstream) -> None:
-        """Blame what ran, until it is known whether the upstream is up."""
-        if upstream.id in self._checks:
+    def broke_off(self, upstream: Upstream, fingerprint: str) -> None:
+        """Blame what ran, until it is known whether the upstream is up.
+
+        Args:
+            upstream: The upstream.
+            fingerprint: The request whose response broke off.
+        """
+        if upstream.id in self._checks or upstream.id in self._ended:
             return
-        running = self._running.get(upstream.id, {}).values()
+        running = {fingerprint, *self._running.get(upstream.id, {}).values()}
         blamed = self._suspects.crashed(running, upstream.id)
-        if blamed:
-            self._metrics.blame.labels('blamed').inc(len(blamed))
-            logging.info(
-                'upstream %s broke off; requests running there: %s; blamed: %s',
-                upstream.id,
-                sorted(set(running)),
-                sorted(blamed),
-            )
-            loop = asyncio.get_running_loop()
-            check = loop.create_task(self._check(upstream, blamed))
-            self._checks[upstream.id] = check
+        self._metrics.blame.labels('blamed').inc(len(blamed))
+        logging.info(
+            'upstream %s broke off; requests running there: %s; blamed: %s',
+            upstream.id,
+            sorted(running),
+            sorted(blamed),
+        )
+        loop = asyncio.get_running_loop()
+        check = loop.create_task(self._settle(upstream, blamed))
+        self._checks[upstream.id] = check
 
     def told(self) -> tuple[Crash, ...]:
         """Return the newest crashes, for other entry VMs."""
@@ -93,23 +100,44 @@
         """Take over crashes that another entry VM has seen."""
         self._suspects.merge(crashes)
 
-    async def _check(self, upstream: Upstream, blamed: frozenset[str]) -> None:
-        connection = await self._pool.connect(upstream)
+    def forget_all_but(self, known_ids: frozenset[str]) -> None:
+        """Forget which upstreams have ended when they are listed no longer."""
+        self._ended &= known_ids
+
+    async def _settle(
+        self,
+        upstream: Upstream,
+        blamed: frozenset[str],
+    ) -> None:
+        liveness = await self._look(upstream)
         self._checks.pop(upstream.id, None)
-        if connection:
-            self._pool.give_back(upstream, connection)
-            self._suspects.dismiss(blamed, upstream.id)
-            self._metrics.blame.labels('dismissed').inc(len(blamed))
-            logging.info('upstream %s is up; blame dismissed', upstream.id)
+        if liveness is Liveness.ENDED:
+            self._ended.add(upstream.id)
+            self._suspects.confirm(blamed, upstream.id)
+            self._metrics.blame.labels('confirmed').inc(len(blamed))
+            logging.warning(
+                'upstream %s crashed while it ran %d blamed requests',
+                upstream.id,
+                len(blamed),
+            )
             return
-        self._suspects.confirm(blamed, upstream.id)
-        self._metrics.blame.labels('confirmed').inc(len(blamed))
-        logging.warning(
-            'upstream %s crashed while it ran %d requests of this entry VM',
+        self._suspects.dismiss(blamed, upstream.id)
+        self._metrics.blame.labels('dismissed').inc(len(blamed))
+        logging.info(
+            'blame for upstream %s is dismissed: %s',
             upstream.id,
-            len(blamed),
+            liveness.value,
         )
 
+    async def _look(self, upstream: Upstream) -> Liveness:
+        liveness = await self._check.look(upstream)
+        for pause_s in _CHECK_PAUSES_SECONDS:
+            if liveness is not Liveness.UNKNOWN:
+                break
+            await asyncio.sleep(pause_s)
+            liveness = await self._check.look(upstream)
+        return liveness
+
 
 def _age(crash: Crash) -> int:
     return crash.age_ms
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -121,6 +121,7 @@
             self._parts.log.tell_left_out()
             self._show_store_calls()
             self._parts.pool.prune(self._parts.facts.registry.ids)
+            self._parts.crashes.forget_all_but(self._parts.facts.registry.ids)
             await asyncio.sleep(_TICK_SECONDS)
             self._parts.watches.choose_duties()
 
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -23,6 +23,7 @@
 from catkindrift.gateway._steering_tick import SteeringTick
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._store_watches import StoreWatches
+from catkindrift.gateway._upstream_check import UpstreamCheck
 from catkindrift.gateway._upstream_observer import UpstreamObserver
 from catkindrift.gateway._upstream_pool import UpstreamPool
 from catkindrift.gateway._zone_page import ZonePage
@@ -91,7 +92,8 @@
         self.log = RequestLog(clock, vm.name, BoundedOutput(clock))
         self.distances = ZoneDistances(vm.zone, self.regions)
         self.pool = UpstreamPool(clock, self.distances, self.metrics)
-        self.crashes = CrashWatch(clock, self.pool, self.metrics)
+        check = UpstreamCheck(self.pool, self._health_path)
+        self.crashes = CrashWatch(clock, check, self.metrics)
         self._wire_facts()
         self._wire_data_path()
 
@@ -188,6 +190,10 @@
         self.watches.heard(heartbeat)
         self.crashes.learn(heartbeat.crashes)
 
+    def _health_path(self, service: str) -> str:
+        rules = self.facts.rules.get(service)
+        return rules.health_path if rules else ''
+
     def _caller_limits(self) -> CallerLimits:
         return self.facts.limits
 
--- /dev/null
+++ b/src/catkindrift/gateway/_upstream_check.py
@@ -0,0 +1,99 @@
+"""Whether an upstream that broke off has ended."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from catkindrift.gateway._upstream_pool import UpstreamPool
+from catkindrift.http1 import (
+    ClientConnection,
+    ResponseHead,
+    ResponseReceiver,
+    encode_head,
+)
+from catkindrift.platform import health_headers, is_other_upstream
+from catkindrift.steering import Upstream
+
+# Longest wait for an answer; a full upstream lets health checks wait too.
+_ANSWER_SECONDS = 1.0
+# Most of an answer that is read so that its connection can be kept.
+_ANSWER_BYTES = 65_536
+
+
+@final
+class Liveness(enum.Enum):
+    """What a check has shown."""
+
+    ENDED = 'ended'
+    ALIVE = 'alive'
+    UNKNOWN = 'unknown'
+
+
+@final
+@attrs.define(eq=False)
+class UpstreamCheck:
+    """Asks an upstream whether it is still the same incarnation.
+
+    A connection alone proves nothing: a process that ends may still take one,
+    and its successor soon takes them at the same address.
+
+    Args:
+        pool: Connections.
+        health_path: Returns the path of a service's health checks, empty for
+            an unknown service.
+    """
+
+    _pool: UpstreamPool
+    _health_path: Callable[[str], str]
+
+    async def look(self, upstream: Upstream) -> Liveness:
+        """Return what one health check shows."""
+        try:
+            connection = await self._pool.open(upstream)
+        except ConnectionRefusedError:
+            return Liveness.ENDED
+        except OSError:
+            return Liveness.UNKNOWN
+        return await self._ask(upstream, connection)
+
+    async def _ask(
+        self,
+        upstream: Upstream,
+        connection: ClientConnection,
+    ) -> Liveness:
+        receiver = ResponseReceiver(_is_own, connection.resume_reading)
+        path = self._health_path(upstream.service)
+        if not path:
+            self._pool.give_back(upstream, connection)
+            return Liveness.UNKNOWN
+        connection.start(receiver)
+        connection.write(
+            encode_head(
+                f'GET {path} HTTP/1.1'.encode(),
+                health_headers(upstream.host, upstream.port, upstream.id),
+            ),
+        )
+        try:
+            async with asyncio.timeout(_ANSWER_SECONDS):
+                await receiver.wait_for(_ANSWER_BYTES)
+        except TimeoutError:
+            # An upstream that starts answers at once; this one has a queue.
+            connection.abort()
+            return Liveness.ALIVE
+        self._pool.give_back(upstream, connection)
+        return _judge(receiver.head, upstream)
+
+
+def _judge(head: ResponseHead | None, upstream: Upstream) -> Liveness:
+    if head is None:
+        return Liveness.UNKNOWN
+    if is_other_upstream(head, upstream.id):
+        return Liveness.ENDED
+    return Liveness.ALIVE
+
+
+def _is_own(_head: ResponseHead) -> bool:
+    return True
--- a/src/catkindrift/gateway/_upstream_pool.py
+++ b/src/catkindrift/gateway/_upstream_pool.py
@@ -40,6 +40,17 @@
 
     async def connect(self, upstream: Upstream) -> ClientConnection | None:
         """Return a new connection, or nothing if the upstream takes none."""
+        try:
+            return await self.open(upstream)
+        except OSError:
+            return None
+
+    async def open(self, upstream: Upstream) -> ClientConnection:
+        """Return a new connection.
+
+        Raises:
+            OSError: The upstream takes none, or did not in time.
+        """
         began_ms = self._clock.now_ms()
         expected_ms = self._distances.round_trip_ms(upstream.zone)
         limit_ms = expected_ms * _CONNECT_ROUND_TRIPS + _CONNECT_EXTRA_MS
@@ -51,7 +62,7 @@
             )
         except OSError:
             self._metrics.connections_opened.labels('failed').inc()
-            return None
+            raise
         self._metrics.connections_opened.labels('opened').inc()
         took_ms = self._clock.now_ms() - began_ms
         self._distances.learn(upstream.zone, took_ms)
--- a/src/catkindrift/platform/_headers.py
+++ b/src/catkindrift/platform/_headers.py
@@ -12,6 +12,8 @@
 SIGNATURE: Final = b'server-signature'
 # Makes any other upstream at the address answer 421.
 EXPECTED_UPSTREAM: Final = b'expected-instance'
+# Names the upstream that answers a health check.
+UPSTREAM_ID: Final = b'instance-id'
 # Running and waiting requests and slots of the upstream that answers.
 LOAD: Final = b'server-load'
 # States that the upstream did not start the request.
--- a/src/catkindrift/platform/_request_messages.py
+++ b/src/catkindrift/platform/_request_messages.py
@@ -57,6 +57,14 @@
     return kept
 
 
+def health_headers(host: str, port: int, upstream_id: str) -> Headers:
+    """Return the headers of a health check that is meant for one upstream."""
+    return [
+        (b'Host', f'{host}:{port}'.encode()),
+        (EXPECTED_UPSTREAM.title(), upstream_id.encode(_ENCODING)),
+    ]
+
+
 def retry_after(wait_ms: float) -> tuple[bytes, bytes]:
     """Return the header that tells a caller when to come back."""
     return (RETRY_AFTER, b'%.3f' % (wait_ms / _MILLISECONDS_PER_SECOND))
--- a/src/catkindrift/platform/_response_messages.py
+++ b/src/catkindrift/platform/_response_messages.py
@@ -1,7 +1,13 @@
 """Reads what upstreams put into their responses."""
 
 from catkindrift.http1 import ResponseHead, find_header
-from catkindrift.platform._headers import COLD_LEFT, LOAD, NOT_RUN, SIGNATURE
+from catkindrift.platform._headers import (
+    COLD_LEFT,
+    LOAD,
+    NOT_RUN,
+    SIGNATURE,
+    UPSTREAM_ID,
+)
 from catkindrift.platform._request_messages import request_id
 from catkindrift.steering import LoadReport
 
@@ -31,6 +37,12 @@
     return head.status == _MISDIRECTED
 
 
+def is_other_upstream(head: ResponseHead, upstream_id: str) -> bool:
+    """Return whether a health check was answered by another upstream."""
+    stated = find_header(head.headers, UPSTREAM_ID).decode('latin-1')
+    return is_misdirected(head) or stated not in {'', upstream_id}
+
+
 def load_report(head: ResponseHead) -> LoadReport | None:
     """Return the load that an upstream states, if it does."""
     parts = find_header(head.headers, LOAD).split(b',')
--- /dev/null
+++ b/tests/test_crash_watch.py
@@ -0,0 +1,101 @@
+"""Blame for crashes, with scripted checks of upstreams."""
+
+import asyncio
+
+import attrs
+
+from catkindrift.clock import ManualClock
+from catkindrift.gateway._crash_watch import CrashWatch
+from catkindrift.gateway._metrics import GatewayMetrics
+from catkindrift.gateway._upstream_check import Liveness
+from catkindrift.steering import Upstream
+from tests.platform_deployment import eventually
+
+
+@attrs.define(eq=False)
+class ScriptedCheck:
+    """Answers with the liveness that was set."""
+
+    liveness: Liveness = Liveness.ENDED
+    looks: int = 0
+
+    async def look(self, _upstream):
+        self.looks += 1
+        return self.liveness
+
+
+def upstream(name):
+    return Upstream(
+        id=name,
+        service='tariffs',
+        host='127.0.0.1',
+        port=1,
+        zone='ovd-a',
+        region='asturias',
+        slots=4,
+        is_draining=False,
+        cold_left_ms=0,
+        revision=1,
+    )
+
+
+U1 = upstream('u1')
+
+
+@attrs.define(eq=False)
+class Watched:
+    """A watch with its clock and checks."""
+
+    clock: ManualClock = attrs.field(factory=ManualClock)
+    check: ScriptedCheck = attrs.field(factory=ScriptedCheck)
+    watch: CrashWatch = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.watch = CrashWatch(self.clock, self.check, GatewayMetrics())
+
+    def blamed(self):
+        """Return which requests other entry VMs hear of."""
+        return sorted(crash.fingerprint for crash in self.watch.told())
+
+    async def crash(self, at, fingerprint):
+        """Let an upstream end under a request."""
+        self.watch.broke_off(at, fingerprint)
+        await self.settled()
+
+    async def settled(self):
+        await eventually(lambda: not self.watch._checks)
+
+
+def run(test):
+    """Run a test on a loop of its own."""
+    return asyncio.run(test)
+
+
+def test_upstream_out_of_reach_is_no_evidence():
+    """A cut between zones breaks connections, and ends no upstream."""
+
+    async def scenario():
+        watched = Watched()
+        watched.check.liveness = Liveness.UNKNOWN
+        await watched.crash(U1, 'plain')
+        assert watched.check.looks > 1
+        assert not watched.blamed()
+        assert not watched.watch.is_quarantined('plain')
+
+    run(scenario())
+
+
+def test_later_break_offs_of_an_ended_upstream_blame_nobody():
+    """All that ran there is known at the first of them."""
+
+    async def scenario():
+        watched = Watched()
+        watched.watch._suspects.crashed(['poison'], 'u0')
+        for token, each in enumerate(('poison', 'beside')):
+            watched.watch.started(U1, token, each)
+        await watched.crash(U1, 'poison')
+        watched.watch.ended(U1, 0)
+        await watched.crash(U1, 'beside')
+        assert watched.blamed() == ['poison']
+
+    run(scenario())
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -242,6 +242,40 @@
     run(scenario())
 
 
+def test_request_without_a_connection_is_not_blamed(tmp_path):
+    """Only what an upstream was sent can have ended it."""
+
+    def crash(upstream, _attempt):
+        upstream.end()
+
+    connect = ConnectionPool.connect
+    connecting = []
+
+    async def first_waits(pool, *where):
+        connecting.append(where)
+        if len(connecting) == 1:
+            await asyncio.sleep(3600)
+        return await connect(pool, *where)
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=1) as deployment:
+            deployment.answer_with(crash)
+            deployment.upstreams[0].delay_s = 0.2
+            poison = asyncio.create_task(send(deployment, request(POISON)))
+            await eventually(lambda: deployment.upstreams[0].requests)
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(ConnectionPool, 'connect', first_waits)
+                beside = asyncio.create_task(
+                    ask(deployment.address(), request('/unsafe/x'))
+                )
+                await eventually(lambda: connecting)
+                assert await poison == [502]
+            assert len(deployment.gateways[0]._parts.crashes.told()) == 1
+            beside.cancel()
+
+    run(scenario())
+
+
 def test_request_beside_a_crashing_one_is_served(tmp_path):
     """Two suspects do not meet on an upstream again."""
 
