Keep the blame of requests whose callers left before the crash

Callers saw (by reading; the stand-in bench of tests/test_crash_watch.py): a crashing request whose caller leaves at once was never blamed, and those beside it were. Cause: a request stopped counting as running when its caller left, though its upstream may run on and end under it. Change: such requests count for one second more; an upstream that then takes no connection is examined. What runs where is a class of its own. After: test_caller_who_left_before_the_crash_keeps_its_blame, test_refused_connect_alone_blames_nobody. Conclusion: one more way of losing evidence is closed; an upstream that ends under such a request and is not asked for anything within the second is still missed.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -80,7 +80,8 @@
         state.sent(token, pending.key, now_ms)
         with contextlib.ExitStack() as stack:
             stack.callback(state.ended, token)
-            stack.callback(self._crashes.ended, state.upstream, token)
+            running = self._crashes.running
+            stack.callback(running.ended, state.upstream.id, token)
             return await self._send_counted(pending, state, token)
 
     async def _send_counted(
@@ -94,6 +95,7 @@
         if connection is None:
             connection = await self._pool.connect(upstream)
         if connection is None:
+            self._crashes.not_connected(upstream)
             return self._observer.not_connected(state)
         if self._crashes.is_quarantined(pending.fingerprint):
             self._pool.give_back(upstream, connection)
@@ -104,13 +106,15 @@
             pending.is_answer,
         )
         now_ms = self._clock.now_ms()
-        self._crashes.started(upstream, token, pending.fingerprint)
+        running = self._crashes.running
+        running.started(upstream.id, token, pending.fingerprint)
         try:
             return await self._exchange(
                 RunningAttempt(pending, state, exchange, now_ms),
             )
         except BaseException:
             connection.abort()
+            running.left(upstream.id, pending.fingerprint)
             raise
 
     async def _exchange(self, attempt: RunningAttempt) -> AttemptOutcome:
--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -8,6 +8,7 @@
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._metrics import GatewayMetrics
+from catkindrift.gateway._running_requests import RunningRequests
 from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
 from catkindrift.retries import Crash, Suspects
 from catkindrift.steering import Upstream
@@ -35,8 +36,8 @@
     _clock: Clock
     _check: UpstreamCheck
     _metrics: GatewayMetrics
+    running: RunningRequests = attrs.field(init=False)
     _suspects: Suspects = attrs.field(init=False)
-    _running: dict[str, dict[int, str]] = attrs.field(init=False, factory=dict)
     _ended: set[str] = attrs.field(init=False, factory=set)
     _checks: dict[str, asyncio.Task[None]] = attrs.field(
         init=False,
@@ -45,22 +46,18 @@
 
     def __attrs_post_init__(self) -> None:
         """Start without suspects."""
+        self.running = RunningRequests(self._clock)
         self._suspects = Suspects(self._clock)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request has crashed enough upstreams."""
         return self._suspects.is_quarantined(fingerprint)
 
-    def started(self, upstream: Upstream, token: int, fingerprint: str) -> None:
-        """Note that an upstream may run a request."""
-        self._running.setdefault(upstream.id, {})[token] = fingerprint
-
-    def ended(self, upstream: Upstream, token: int) -> None:
-        """Note that an upstream runs a request no longer."""
-        running = self._running.get(upstream.id, {})
-        running.pop(token, None)
-        if not running:
-            self._running.pop(upstream.id, None)
+    def not_connected(self, upstream: Upstream) -> None:
+        """Examine an upstream that takes no connection after requests left."""
+        left = self.running.left_at(upstream.id)
+        if left:
+            self._examine(upstream, left)
 
     def answered(self, fingerprint: str) -> None:
         """Forget the suspicion against a request that was answered."""
@@ -76,20 +73,8 @@
             upstream: The upstream.
             fingerprint: The request whose response broke off.
         """
-        if upstream.id in self._checks or upstream.id in self._ended:
-            return
-        running = {fingerprint, *self._running.get(upstream.id, {}).values()}
-        blamed = self._suspects.crashed(running, upstream.id)
-        self._metrics.blame.labels('blamed').inc(len(blamed))
-        logging.info(
-            'upstream %s broke off; requests running there: %s; blamed: %s',
-            upstream.id,
-            sorted(running),
-            sorted(blamed),
-        )
-        loop = asyncio.get_running_loop()
-        check = loop.create_task(self._settle(upstream, blamed))
-        self._checks[upstream.id] = check
+        running = self.running.running_at(upstream.id)
+        self._examine(upstream, {fingerprint, *running})
 
     def told(self) -> tuple[Crash, ...]:
         """Return the newest crashes, for other entry VMs."""
@@ -103,6 +88,22 @@
     def forget_all_but(self, known_ids: frozenset[str]) -> None:
         """Forget which upstreams have ended when they are listed no longer."""
         self._ended &= known_ids
+        self.running.forget_all_but(known_ids)
+
+    def _examine(self, upstream: Upstream, running: set[str]) -> None:
+        if upstream.id in self._checks or upstream.id in self._ended:
+            return
+        blamed = self._suspects.crashed(running, upstream.id)
+        self._metrics.blame.labels('blamed').inc(len(blamed))
+        logging.info(
+            'upstream %s broke off; requests running there: %s; blamed: %s',
+            upstream.id,
+            sorted(running),
+            sorted(blamed),
+        )
+        loop = asyncio.get_running_loop()
+        check = loop.create_task(self._settle(upstream, blamed))
+        self._checks[upstream.id] = check
 
     async def _settle(
         self,
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -92,10 +92,38 @@
         watched = Watched()
         watched.watch._suspects.crashed(['poison'], 'u0')
         for token, each in enumerate(('poison', 'beside')):
-            watched.watch.started(U1, token, each)
+            watched.watch.running.started('u1', token, each)
         await watched.crash(U1, 'poison')
-        watched.watch.ended(U1, 0)
+        watched.watch.running.ended('u1', 0)
         await watched.crash(U1, 'beside')
         assert watched.blamed() == ['poison']
 
     run(scenario())
+
+
+def test_caller_who_left_before_the_crash_keeps_its_blame():
+    """An upstream may end under a request that nobody waits for."""
+
+    async def scenario():
+        watched = Watched()
+        watched.watch.running.left('u1', 'poison')
+        watched.clock.advance(500)
+        watched.watch.not_connected(U1)
+        await watched.settled()
+        assert watched.blamed() == ['poison']
+
+    run(scenario())
+
+
+def test_refused_connect_alone_blames_nobody():
+    """A request that was not sent ends nothing."""
+
+    async def scenario():
+        watched = Watched()
+        watched.watch.not_connected(U1)
+        watched.watch.running.left('u1', 'slow')
+        watched.clock.advance(10_000)
+        watched.watch.not_connected(U1)
+        assert not watched.check.looks
+
+    run(scenario())
