Tell of crashes at once, of all in turn, and of answers to suspects

Callers saw: the third repeat, half a second after the second, still reached an upstream; a VM that had just started or been away did not refuse what the others did. Cause: a crash waited for the next heartbeat; each heartbeat told of the eight newest crashes only, so that in a mass of others a quarantine was never told again; answers to suspects were not told at all, so that blame lived on in other VMs. Change: a confirmed crash is told to all at once. Heartbeats tell of suspects that were answered, as our own interface does. The mass and the newcomer are shown by tests/test_crash_watch.py only.

--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -1,20 +1,20 @@
 """Requests that crash the upstreams which run them."""
 
 import asyncio
+from collections.abc import Callable
 from typing import final
 
 import attrs
 from absl import logging
 
 from catkindrift.clock import Clock
+from catkindrift.gateway._crash_news import MOST_TOLD, CrashNews
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._running_requests import RunningRequests
 from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
-from catkindrift.retries import Crash, Suspects
+from catkindrift.retries import Cleared, Crash, Suspects
 from catkindrift.steering import Upstream
 
-# Newest crashes that a heartbeat tells of; older ones were told before.
-_MOST_TOLD = 8
 # Pauses before further checks of an upstream that cannot be reached.
 _CHECK_PAUSES_SECONDS = (0.1, 0.4, 1.5)
 
@@ -31,13 +31,16 @@
         clock: Source of time.
         check: Asks upstreams.
         metrics: Counts blame.
+        on_news: Called when other entry VMs have to hear of a crash.
     """
 
     _clock: Clock
     _check: UpstreamCheck
     _metrics: GatewayMetrics
+    _on_news: Callable[[], None]
     running: RunningRequests = attrs.field(init=False)
     _suspects: Suspects = attrs.field(init=False)
+    _news: CrashNews = attrs.field(init=False)
     _ended: set[str] = attrs.field(init=False, factory=set)
     _checks: dict[str, asyncio.Task[None]] = attrs.field(
         init=False,
@@ -48,6 +51,7 @@
         """Start without suspects."""
         self.running = RunningRequests(self._clock)
         self._suspects = Suspects(self._clock)
+        self._news = CrashNews(self._suspects)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request has crashed enough upstreams."""
@@ -77,13 +81,21 @@
         self._examine(upstream, {fingerprint, *running})
 
     def told(self) -> tuple[Crash, ...]:
-        """Return the newest crashes, for other entry VMs."""
-        newest = sorted(self._suspects.crashes(), key=_age)
-        return tuple(newest[:_MOST_TOLD])
+        """Return crashes for the next heartbeat."""
+        return self._news.take()
 
-    def learn(self, crashes: tuple[Crash, ...]) -> None:
-        """Take over crashes that another entry VM has seen."""
-        self._suspects.merge(crashes)
+    def told_cleared(self) -> tuple[Cleared, ...]:
+        """Return the newest answers to suspects, for the next heartbeat."""
+        cleared = sorted(self._suspects.cleared_fingerprints(), key=_age)
+        return tuple(cleared[:MOST_TOLD])
+
+    def learn(
+        self,
+        crashes: tuple[Crash, ...],
+        cleared: tuple[Cleared, ...] = (),
+    ) -> None:
+        """Take over what another entry VM has seen."""
+        self._suspects.merge(crashes, cleared)
 
     def forget_all_but(self, known_ids: frozenset[str]) -> None:
         """Forget which upstreams have ended when they are listed no longer."""
@@ -116,6 +128,7 @@
             self._ended.add(upstream.id)
             self._suspects.confirm(blamed, upstream.id)
             self._metrics.blame.labels('confirmed').inc(len(blamed))
+            self._on_news()
             logging.warning(
                 'upstream %s crashed while it ran %d blamed requests',
                 upstream.id,
@@ -140,5 +153,5 @@
         return liveness
 
 
-def _age(crash: Crash) -> int:
-    return crash.age_ms
+def _age(cleared: Cleared) -> int:
+    return cleared.age_ms
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -11,8 +11,8 @@
 from absl import logging
 
 from catkindrift.clock import Clock
+from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._store_health import StoreHealth
-from catkindrift.retries import Crash
 from catkindrift.settings import Endpoint
 from catkindrift.steering import Heartbeat, MemberFacts, Members
 
@@ -38,7 +38,7 @@
         members: Entry VMs.
         own: Facts about this VM; the count is set here.
         revisions: Returns the store revisions that this VM knows.
-        crashes: Returns the crashes that this VM knows.
+        crashes: Tells of crashes that this VM knows.
         health: Whether the store answers this VM.
         on_heartbeat: Takes what another VM sent.
     """
@@ -47,7 +47,7 @@
     _members: Members
     _own: MemberFacts
     _revisions: Callable[[], dict[str, int]]
-    _crashes: Callable[[], tuple[Crash, ...]]
+    _crashes: CrashWatch
     _health: StoreHealth
     _on_heartbeat: Callable[[Heartbeat], None]
     _introductions: set[str] = attrs.field(init=False, factory=set)
@@ -126,8 +126,9 @@
             self._own,
             tuple(heard),
             self._revisions(),
-            self._crashes(),
+            self._crashes.told(),
             self._health.answer_age_ms,
+            self._crashes.told_cleared(),
         )
 
     def _receivers(self, *, is_for_all: bool) -> set[str]:
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -93,7 +93,12 @@
         self.distances = ZoneDistances(vm.zone, self.regions)
         self.pool = UpstreamPool(clock, self.distances, self.metrics)
         check = UpstreamCheck(self.pool, self._health_path)
-        self.crashes = CrashWatch(clock, check, self.metrics)
+        self.crashes = CrashWatch(
+            clock,
+            check,
+            self.metrics,
+            self._tell_all,
+        )
         self._wire_facts()
         self._wire_data_path()
 
@@ -125,7 +130,7 @@
             self.members,
             _own_facts(settings, clock),
             self.watches.revisions,
-            self.crashes.told,
+            self.crashes,
             health,
             self._heard,
         )
@@ -188,7 +193,10 @@
 
     def _heard(self, heartbeat: Heartbeat) -> None:
         self.watches.heard(heartbeat)
-        self.crashes.learn(heartbeat.crashes)
+        self.crashes.learn(heartbeat.crashes, heartbeat.cleared)
+
+    def _tell_all(self) -> None:
+        self.heartbeats.beat(is_for_all=True)
 
     def _health_path(self, service: str) -> str:
         rules = self.facts.rules.get(service)
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from catkindrift.retries import Crash
+from catkindrift.retries import Cleared, Crash
 
 
 @final
@@ -50,6 +50,7 @@
         revisions: Newest store revision known to the sender, by kind.
         answer_age_ms: Age of the newest answer of the platform's store to the
             sender itself; nothing if it had none.
+        cleared: Suspected requests that were answered lately.
     """
 
     sender: MemberFacts
@@ -57,3 +58,4 @@
     revisions: dict[str, int]
     crashes: tuple[Crash, ...] = ()
     answer_age_ms: int | None = None
+    cleared: tuple[Cleared, ...] = ()
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -48,10 +48,17 @@
 
     clock: ManualClock = attrs.field(factory=ManualClock)
     check: ScriptedCheck = attrs.field(factory=ScriptedCheck)
+    told_at_once: int = 0
     watch: CrashWatch = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self.watch = CrashWatch(self.clock, self.check, GatewayMetrics())
+        self.watch = CrashWatch(
+            self.clock, self.check, GatewayMetrics(), self.tell
+        )
+
+    def tell(self):
+        """Count what is told to all at once."""
+        self.told_at_once += 1
 
     def blamed(self):
         """Return which requests other entry VMs hear of."""
@@ -127,3 +134,50 @@
         assert not watched.check.looks
 
     run(scenario())
+
+
+def test_quarantine_reaches_a_new_vm_beside_a_mass_of_crashes():
+    """Heartbeats hold few crashes; none of them is left out for ever."""
+
+    async def scenario():
+        watched = Watched()
+        for name in ('u1', 'u2'):
+            await watched.crash(upstream(name), 'poison')
+        for number in range(60):
+            watched.clock.advance(100)
+            await watched.crash(upstream(f'v{number}'), f'beside-{number}')
+        newcomer = Watched()
+        for _ in range(20):
+            newcomer.watch.learn(watched.watch.told())
+        assert newcomer.watch.is_quarantined('poison')
+        assert len(newcomer.watch._suspects.crashes()) > 20
+
+    run(scenario())
+
+
+def test_crash_is_told_at_once():
+    """The next repeat may come to any VM before the next heartbeat."""
+
+    async def scenario():
+        watched = Watched()
+        await watched.crash(U1, 'poison')
+        assert watched.told_at_once == 1
+
+    run(scenario())
+
+
+def test_answer_elsewhere_takes_blame_back():
+    """A request that was answered by one VM is no suspect at another."""
+
+    async def scenario():
+        here, elsewhere = Watched(), Watched()
+        await here.crash(U1, 'innocent')
+        elsewhere.watch.learn(here.watch.told())
+        elsewhere.clock.advance(100)
+        elsewhere.watch.answered('innocent')
+        here.clock.advance(100)
+        here.watch.learn((), elsewhere.watch.told_cleared())
+        await here.crash(upstream('u2'), 'innocent')
+        assert not here.watch.is_quarantined('innocent')
+
+    run(scenario())
