Keep suspects apart on the platform's path

Callers saw: a request that twice ran beside a crashing one was refused for ten minutes; repeats that came together each ended an upstream. Cause: the platform's path placed suspects like all others, by their object's key, so that those of one object met again; our own interface keeps two suspects apart, and shares Suspects, which counts on it. Change: a suspect is placed by its fingerprint, never where this VM runs another suspect, and not twice at a time. Upstreams are divided among the entry VMs that are alive; each runs suspects on its own part while there is room, so that those of two VMs rarely meet. Requests count as assigned from the choice on, and as running once they are sent. Quarantine is asked for in the same place. Ruled out: refusing suspects that have no upstream of their own part; with as many VMs as upstreams a third of them would be turned away.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -81,6 +81,7 @@
         with contextlib.ExitStack() as stack:
             stack.callback(state.ended, token)
             running = self._crashes.running
+            running.assigned(state.upstream.id, token, pending.fingerprint)
             stack.callback(running.ended, state.upstream.id, token)
             return await self._send_counted(pending, state, token)
 
@@ -107,7 +108,7 @@
         )
         now_ms = self._clock.now_ms()
         running = self._crashes.running
-        running.started(upstream.id, token, pending.fingerprint)
+        running.sent(token)
         try:
             return await self._exchange(
                 RunningAttempt(pending, state, exchange, now_ms),
--- a/src/catkindrift/gateway/_crash_news.py
+++ b/src/catkindrift/gateway/_crash_news.py
@@ -1,14 +1,14 @@
 """Which crashes each heartbeat tells of."""
 
 import itertools
-from typing import Final, final
+from typing import final
 
 import attrs
 
-from catkindrift.retries import Crash, Suspects
+from catkindrift.retries import Cleared, Crash, Suspects
 
 # Crashes in one heartbeat; each takes about 70 bytes.
-MOST_TOLD: Final = 8
+_MOST_TOLD = 8
 # Of these, the newest ones, which no other VM may know yet.
 _NEWEST = 4
 
@@ -31,17 +31,22 @@
     def take(self) -> tuple[Crash, ...]:
         """Return what the next heartbeat tells."""
         by_age = sorted(self._suspects.crashes(), key=_age)
-        if len(by_age) <= MOST_TOLD:
+        if len(by_age) <= _MOST_TOLD:
             return tuple(by_age)
         rest = sorted(by_age[_NEWEST:], key=_identity)
         quarantined = list(filter(self._is_quarantined, rest))
         others = list(itertools.filterfalse(self._is_quarantined, rest))
         told = by_age[:_NEWEST]
-        told += self._in_turn(quarantined, MOST_TOLD - len(told) - 1)
-        told += self._in_turn(others, MOST_TOLD - len(told))
+        told += self._in_turn(quarantined, _MOST_TOLD - len(told) - 1)
+        told += self._in_turn(others, _MOST_TOLD - len(told))
         self._turn += 1
         return tuple(told)
 
+    def cleared(self) -> tuple[Cleared, ...]:
+        """Return the newest answers to suspects."""
+        by_age = sorted(self._suspects.cleared_fingerprints(), key=_age)
+        return tuple(by_age[:_MOST_TOLD])
+
     def _is_quarantined(self, crash: Crash) -> bool:
         return self._suspects.is_quarantined(crash.fingerprint)
 
@@ -52,8 +57,8 @@
         return (crashes + crashes)[start : start + count]
 
 
-def _age(crash: Crash) -> int:
-    return crash.age_ms
+def _age(report: Crash | Cleared) -> int:
+    return report.age_ms
 
 
 def _identity(crash: Crash) -> tuple[str, str]:
--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from catkindrift.clock import Clock
-from catkindrift.gateway._crash_news import MOST_TOLD, CrashNews
+from catkindrift.gateway._crash_news import CrashNews
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._running_requests import RunningRequests
 from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
@@ -39,8 +39,8 @@
     _metrics: GatewayMetrics
     _on_news: Callable[[], None]
     running: RunningRequests = attrs.field(init=False)
+    news: CrashNews = attrs.field(init=False)
     _suspects: Suspects = attrs.field(init=False)
-    _news: CrashNews = attrs.field(init=False)
     _ended: set[str] = attrs.field(init=False, factory=set)
     _checks: dict[str, asyncio.Task[None]] = attrs.field(
         init=False,
@@ -51,12 +51,16 @@
         """Start without suspects."""
         self.running = RunningRequests(self._clock)
         self._suspects = Suspects(self._clock)
-        self._news = CrashNews(self._suspects)
+        self.news = CrashNews(self._suspects)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request has crashed enough upstreams."""
         return self._suspects.is_quarantined(fingerprint)
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether an upstream has ended under the request."""
+        return self._suspects.is_suspect(fingerprint)
+
     def not_connected(self, upstream: Upstream) -> None:
         """Examine an upstream that takes no connection after requests left."""
         left = self.running.left_at(upstream.id)
@@ -82,12 +86,7 @@
 
     def told(self) -> tuple[Crash, ...]:
         """Return crashes for the next heartbeat."""
-        return self._news.take()
-
-    def told_cleared(self) -> tuple[Cleared, ...]:
-        """Return the newest answers to suspects, for the next heartbeat."""
-        cleared = sorted(self._suspects.cleared_fingerprints(), key=_age)
-        return tuple(cleared[:MOST_TOLD])
+        return self.news.take()
 
     def learn(
         self,
@@ -151,7 +150,3 @@
             await asyncio.sleep(pause_s)
             liveness = await self._check.look(upstream)
         return liveness
-
-
-def _age(cleared: Cleared) -> int:
-    return cleared.age_ms
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -15,7 +15,6 @@
     AttemptOutcome,
     NotRun,
 )
-from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._facts import Facts
 from catkindrift.gateway._final_answer import final_answer
 from catkindrift.gateway._metrics import GatewayMetrics
@@ -25,6 +24,7 @@
 )
 from catkindrift.gateway._refusals import Refusals
 from catkindrift.gateway._request_log import RequestLog
+from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.http1 import Answer, CallerRequest
 from catkindrift.platform import object_key, request_id
 from catkindrift.retries import BODY_PREFIX_BYTES, request_fingerprint
@@ -32,7 +32,6 @@
     ColdPace,
     NotPlaced,
     Placed,
-    Placement,
     SharedRetryBudget,
 )
 
@@ -43,9 +42,6 @@
 _UNREADY_RETRY_MS = 400.0
 # Advice after a refusal by upstreams: about one service time.
 _REFUSED_RETRY_MS = 150.0
-# A request that crashes upstreams will do so again; its caller's next try
-# may be another request.
-_QUARANTINED_RETRY_MS = 10_000.0
 # Connects that fail before a request is given up; they cost upstreams
 # nothing, but each takes time.
 _MOST_CONNECT_FAILURES = 4
@@ -59,11 +55,10 @@
     Args:
         clock: Source of time.
         facts: What is known.
-        placement: Chooses upstreams.
+        isolation: Chooses upstreams.
         sender: Makes attempts.
         budget: Extra attempts.
         pace: Cold upstreams.
-        crashes: Requests that crash upstreams.
         refusals: Refuses what cannot be served.
         metrics: Counts outcomes.
         log: Explains what did not go smoothly.
@@ -71,11 +66,10 @@
 
     _clock: Clock
     _facts: Facts
-    _placement: Placement
+    _isolation: SuspectIsolation
     _sender: AttemptSender
     _budget: SharedRetryBudget
     _pace: ColdPace
-    _crashes: CrashWatch
     _refusals: Refusals
     _metrics: GatewayMetrics
     _log: RequestLog
@@ -169,14 +163,11 @@
 
     def _choose(self, pending: PendingRequest) -> Placed | Answer:
         """Return the next upstream, or the answer if there is none."""
-        if self._crashes.is_quarantined(pending.fingerprint):
-            return self._without_upstream(
-                pending,
-                'quarantined',
-                _QUARANTINED_RETRY_MS,
-            )
         now_ms = self._clock.now_ms()
-        choice = self._placement.choose(pending.placement(now_ms))
+        choice = self._isolation.choose(
+            pending.placement(now_ms),
+            pending.fingerprint,
+        )
         if isinstance(choice, NotPlaced):
             reason = choice.reason.value
             return self._without_upstream(
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -128,7 +128,7 @@
             self._revisions(),
             self._crashes.told(),
             self._health.answer_age_ms,
-            self._crashes.told_cleared(),
+            self._crashes.news.cleared(),
         )
 
     def _receivers(self, *, is_for_all: bool) -> set[str]:
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -23,6 +23,7 @@
 from catkindrift.gateway._steering_tick import SteeringTick
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._store_watches import StoreWatches
+from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.gateway._upstream_check import UpstreamCheck
 from catkindrift.gateway._upstream_observer import UpstreamObserver
 from catkindrift.gateway._upstream_pool import UpstreamPool
@@ -154,7 +155,13 @@
         forwarder = Forwarder(
             clock,
             self.facts,
-            placement,
+            SuspectIsolation(
+                placement,
+                self.crashes,
+                self.facts.registry,
+                self.members,
+                self._settings.vm.name,
+            ),
             AttemptSender(
                 clock,
                 self.pool,
@@ -163,7 +170,6 @@
             ),
             self.budget,
             self.pace,
-            self.crashes,
             Refusals(self.facts, self.metrics, self.log),
             self.metrics,
             self.log,
--- a/src/catkindrift/gateway/_running_requests.py
+++ b/src/catkindrift/gateway/_running_requests.py
@@ -15,24 +15,33 @@
 class RunningRequests:
     """Fingerprints by the id of the upstream.
 
+    What was assigned to an upstream and waits for a connection cannot have
+    crashed it, but soon runs beside what is there.
+
     Args:
         clock: Source of time.
     """
 
     _clock: Clock
-    _running: dict[str, dict[int, str]] = attrs.field(init=False, factory=dict)
+    _assigned: dict[str, dict[int, str]] = attrs.field(init=False, factory=dict)
+    _sent: set[int] = attrs.field(init=False, factory=set)
     _left: dict[str, dict[str, int]] = attrs.field(init=False, factory=dict)
 
-    def started(self, upstream_id: str, token: int, fingerprint: str) -> None:
-        """Note that an upstream may run a request."""
-        self._running.setdefault(upstream_id, {})[token] = fingerprint
+    def assigned(self, upstream_id: str, token: int, fingerprint: str) -> None:
+        """Note that an upstream is about to be sent a request."""
+        self._assigned.setdefault(upstream_id, {})[token] = fingerprint
+
+    def sent(self, token: int) -> None:
+        """Note that the upstream may run the request from now on."""
+        self._sent.add(token)
 
     def ended(self, upstream_id: str, token: int) -> None:
         """Note that an upstream runs a request no longer."""
-        running = self._running.get(upstream_id, {})
-        running.pop(token, None)
-        if not running:
-            self._running.pop(upstream_id, None)
+        self._sent.discard(token)
+        assigned = self._assigned.get(upstream_id, {})
+        assigned.pop(token, None)
+        if not assigned:
+            self._assigned.pop(upstream_id, None)
 
     def left(self, upstream_id: str, fingerprint: str) -> None:
         """Note that nobody waits for a request that may run on."""
@@ -43,9 +52,26 @@
 
     def running_at(self, upstream_id: str) -> set[str]:
         """Return what an upstream may be running."""
-        running = self._running.get(upstream_id, {}).values()
+        assigned = self._assigned.get(upstream_id, {})
+        running = (assigned[token] for token in assigned.keys() & self._sent)
         return {*running, *self.left_at(upstream_id)}
 
+    def is_assigned(self, fingerprint: str) -> bool:
+        """Return whether a request runs, or soon will, at any upstream."""
+        return any(
+            fingerprint in assigned.values()
+            for assigned in self._assigned.values()
+        )
+
+    def upstreams(self) -> frozenset[str]:
+        """Return the upstreams that run anything, or soon will."""
+        return frozenset((*self._assigned, *self._left))
+
+    def assigned_at(self, upstream_id: str) -> set[str]:
+        """Return what runs, or soon will, at an upstream."""
+        assigned = self._assigned.get(upstream_id, {}).values()
+        return {*assigned, *self.left_at(upstream_id)}
+
     def left_at(self, upstream_id: str) -> set[str]:
         """Return the requests whose callers have lately left."""
         left = self._left.get(upstream_id, {})
--- /dev/null
+++ b/src/catkindrift/gateway/_suspect_isolation.py
@@ -0,0 +1,97 @@
+"""Placement of requests that may crash upstreams."""
+
+from typing import final
+
+import attrs
+import xxhash
+
+from catkindrift.gateway._crash_watch import CrashWatch
+from catkindrift.steering import (
+    Members,
+    NoRoomReason,
+    NotPlaced,
+    Placed,
+    Placement,
+    PlacementRequest,
+    UpstreamRegistry,
+)
+
+# A request that crashes upstreams will do so again; its caller's next try
+# may be another request.
+_QUARANTINED_RETRY_MS = 10_000.0
+# Until the other run of the same request is likely to have ended.
+_RUNNING_RETRY_MS = 400.0
+
+
+@final
+@attrs.define(eq=False)
+class SuspectIsolation:
+    """Keeps suspects apart, so that the next crash shows which one is guilty.
+
+    This VM runs no two suspects on one upstream, nor one suspect twice at a
+    time. Upstreams are divided among the entry VMs, and each runs its suspects
+    on its own part while it can, so that those of two VMs rarely meet.
+
+    Args:
+        placement: Chooses upstreams.
+        crashes: Knows suspects, and what runs where.
+        registry: All upstreams.
+        members: Entry VMs.
+        own_name: Name of this entry VM.
+    """
+
+    _placement: Placement
+    _crashes: CrashWatch
+    _registry: UpstreamRegistry
+    _members: Members
+    _own_name: str
+
+    def choose(
+        self,
+        request: PlacementRequest,
+        fingerprint: str,
+    ) -> Placed | NotPlaced:
+        """Return the best upstream, or why there is none."""
+        if not self._crashes.is_suspect(fingerprint):
+            return self._placement.choose(request)
+        if self._crashes.is_quarantined(fingerprint):
+            return NotPlaced(NoRoomReason.QUARANTINED, _QUARANTINED_RETRY_MS)
+        if self._crashes.running.is_assigned(fingerprint):
+            return NotPlaced(NoRoomReason.SUSPECT_RUNS, _RUNNING_RETRY_MS)
+        apart = attrs.evolve(
+            request,
+            key=fingerprint,
+            excluded=request.excluded | self._taken(),
+        )
+        in_own_part = attrs.evolve(
+            apart,
+            excluded=apart.excluded | self._parts_of_others(request.service),
+        )
+        choice = self._placement.choose(in_own_part)
+        if isinstance(choice, Placed):
+            return choice
+        return self._placement.choose(apart)
+
+    def _taken(self) -> frozenset[str]:
+        """Return the upstreams that run a suspect for this VM."""
+        running = self._crashes.running
+        is_suspect = self._crashes.is_suspect
+        return frozenset(
+            upstream_id
+            for upstream_id in running.upstreams()
+            if any(map(is_suspect, running.assigned_at(upstream_id)))
+        )
+
+    def _parts_of_others(self, service: str) -> frozenset[str]:
+        alive = [facts.name for facts in self._members.alive()]
+        names = sorted({self._own_name, *alive})
+        own_index = names.index(self._own_name)
+        return frozenset(
+            state.upstream.id
+            for state in self._registry.of_service(service)
+            if _digest(state.upstream.id) % len(names) != own_index
+        )
+
+
+def _digest(upstream_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(upstream_id.encode())
--- a/src/catkindrift/steering/_placement_result.py
+++ b/src/catkindrift/steering/_placement_result.py
@@ -24,6 +24,8 @@
     NO_UPSTREAM = 'no_upstream'
     ALL_FULL = 'all_full'
     TOO_LATE = 'too_late'
+    QUARANTINED = 'quarantined'
+    SUSPECT_RUNS = 'suspect_runs'
 
 
 @final
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -99,7 +99,8 @@
         watched = Watched()
         watched.watch._suspects.crashed(['poison'], 'u0')
         for token, each in enumerate(('poison', 'beside')):
-            watched.watch.running.started('u1', token, each)
+            watched.watch.running.assigned('u1', token, each)
+            watched.watch.running.sent(token)
         await watched.crash(U1, 'poison')
         watched.watch.running.ended('u1', 0)
         await watched.crash(U1, 'beside')
@@ -176,7 +177,7 @@
         elsewhere.clock.advance(100)
         elsewhere.watch.answered('innocent')
         here.clock.advance(100)
-        here.watch.learn((), elsewhere.watch.told_cleared())
+        here.watch.learn((), elsewhere.watch.news.cleared())
         await here.crash(upstream('u2'), 'innocent')
         assert not here.watch.is_quarantined('innocent')
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -74,6 +74,22 @@
     return statuses
 
 
+async def meet(deployment, beside, rounds=3):
+    """Send a request and a crashing one to the same upstream, repeatedly.
+
+    Return the last status of the request beside the crashing one.
+    """
+    crash_at(deployment)
+    for upstream in deployment.upstreams:
+        upstream.delay_s = 0.2
+    for _ in range(rounds):
+        other = asyncio.create_task(ask(beside, request('/unsafe/x', key=17)))
+        await asyncio.sleep(0.1)
+        await send(deployment, request(POISON, key=17))
+        status, _, _ = await other
+    return status
+
+
 def repeats(**how):
     """Return a request and its repeats, each with another object's key."""
     return [
@@ -276,22 +292,53 @@
     run(scenario())
 
 
-def test_request_beside_a_crashing_one_is_served(tmp_path):
-    """Two suspects do not meet on an upstream again."""
+def test_requests_of_two_vms_do_not_meet_under_suspicion(tmp_path):
+    """The VMs divide upstreams for suspects, whatever their keys say."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            await deployment.add_gateway('front-2', 'gij-b')
+            await eventually(
+                lambda: all(
+                    gateway._parts.members.alive()
+                    for gateway in deployment.gateways
+                )
+            )
+            other = deployment.address(index=1)
+            assert await meet(deployment, other) == 200
+            assert ended(deployment) == MOST_ENDED
+
+    run(scenario())
+
+
+def test_suspect_runs_once_at_a_time(tmp_path):
+    """Repeats that come together do not each end an upstream."""
 
     async def scenario():
         async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
             crash_at(deployment)
+            await send(deployment, request(POISON))
             for upstream in deployment.upstreams:
-                upstream.delay_s = 0.2
-            for _ in range(3):
-                beside = asyncio.create_task(
-                    ask(deployment.address(), request('/unsafe/x', key=17))
-                )
-                await asyncio.sleep(0.1)
-                await send(deployment, request(POISON, key=17))
-                status, _, _ = await beside
+                upstream.ends_at = b''
+                upstream.delay_s = 0.1
+                upstream.script = [lambda upstream, _attempt: upstream.end()]
+            answers = await asyncio.gather(
+                *(ask(deployment.address(), each) for each in repeats())
+            )
+            statuses = sorted(status for status, _, _ in answers)
+            assert statuses == [502, *[503 for _ in range(REPEATS - 1)]]
+            assert ended(deployment) == MOST_ENDED
+
+    run(scenario())
+
+
+def test_request_beside_a_crashing_one_is_served(tmp_path):
+    """Two suspects do not meet on an upstream again."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            own = deployment.address()
+            assert await meet(deployment, own) == 200
             assert ended(deployment) == MOST_ENDED
-            assert status == 200
 
     run(scenario())
