Blame the guilty request alone, also across entry VMs

Callers saw: their requests on an upstream that ended under another caller's became suspects, and could be refused for ten minutes after a second coincidence. Cause: each VM blames what it ran itself; nothing compared what several VMs report. Blame was final once an upstream had seemed to be gone, and the table of blame forgot the oldest entries first, quarantined requests among them. Change: a fingerprint whose crashes are all among those of one with more crashes ran beside it and is no suspect. An upstream that answers a request sent after its supposed end takes the blame back at that VM; its id names one start, so this cannot be its successor. Quarantined fingerprints are forgotten last. The table of strikes is a class of its own. Tests: tests/test_suspects.py. Before, by reading: no such comparison existed; the new operations cannot be asked of the old code. Ruled out: sorting out ties by age; ages from several VMs differ by their way, and a wrong choice frees the guilty one. Conclusion: of two requests with the same crashes both stay quarantined.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -139,6 +139,8 @@
         if head is None or receiver.failure:
             return self._broken(attempt, receiver.failure)
         self._observer.saw_head(state, head)
+        if not is_misdirected(head):
+            self._crashes.answers(state.upstream, attempt.began_ms)
         if says_not_run(head):
             self._release(attempt, is_whole=not is_misdirected(head))
             return self._observer.refused(state, head)
--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -74,6 +74,16 @@
             self._metrics.blame.labels('cleared').inc()
         self._suspects.cleared(fingerprint)
 
+    def answers(self, upstream: Upstream, since_ms: int) -> None:
+        """Take back blame for an upstream that has not ended after all.
+
+        Args:
+            upstream: The upstream.
+            since_ms: When it was sent the request that it has answered.
+        """
+        self._ended.discard(upstream.id)
+        self._suspects.is_up(upstream.id, since_ms)
+
     def broke_off(self, upstream: Upstream, fingerprint: str) -> None:
         """Blame what ran, until it is known whether the upstream is up.
 
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -6,12 +6,9 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.retries._strikes import Strikes
 
-_CRASHES_TO_QUARANTINE = 2
 _KEPT_MS = 600_000
-_MOST_KEPT = 10_000
-# Reports of one upstream that lie closer together are one crash.
-_SAME_CRASH_MS = 5000
 
 
 @final
@@ -44,21 +41,6 @@
     age_ms: int
 
 
-@final
-@attrs.define
-class _Strike:
-    """Crashes of one upstream under one fingerprint."""
-
-    first_ms: int
-    last_ms: int
-    is_confirmed: bool
-
-    @property
-    def crashes(self) -> int:
-        """Return one, or two when the upstream crashed again later."""
-        return 1 + (self.last_ms - self.first_ms > _SAME_CRASH_MS)
-
-
 @final
 @attrs.define
 class Suspects:
@@ -67,31 +49,31 @@
     Two crashes under one fingerprint put it into quarantine. A fingerprint
     with one crash is a suspect: it runs only where no other suspect runs, and
     when that upstream breaks off too, the suspect alone is blamed, not the
-    requests beside it.
+    requests beside it. What entry VMs blame without knowing of each other is
+    sorted out here: a fingerprint whose crashes are all among those of one
+    with more crashes merely ran beside it.
 
     Args:
         clock: Source of time.
     """
 
     _clock: Clock
-    _strikes: dict[str, dict[str, _Strike]] = attrs.field(
-        init=False,
-        factory=dict,
-    )
+    _strikes: Strikes = attrs.field(init=False, factory=Strikes)
     _cleared: dict[str, int] = attrs.field(init=False, factory=dict)
+    _up_ms: dict[str, int] = attrs.field(init=False, factory=dict)
     confirmed: int = attrs.field(init=False, default=0)
 
     def is_suspect(self, fingerprint: str) -> bool:
-        """Return whether a crash is known for the fingerprint."""
-        return bool(self._strikes.get(fingerprint))
+        """Return whether the fingerprint may be to blame for a crash."""
+        if not self._strikes.has(fingerprint):
+            return False
+        return not self._strikes.ran_beside_another(fingerprint)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request must not run again."""
-        strikes = self._strikes.get(fingerprint)
-        if not strikes:
+        if not self._strikes.are_enough(fingerprint):
             return False
-        crashes = sum(strike.crashes for strike in strikes.values())
-        return crashes >= _CRASHES_TO_QUARANTINE
+        return not self._strikes.ran_beside_another(fingerprint)
 
     def crashed(
         self,
@@ -120,25 +102,38 @@
 
     def confirm(self, fingerprints: Iterable[str], upstream: str) -> None:
         """Keep the blame: the upstream takes no connections any more."""
-        for strike in self._strikes_at(fingerprints, upstream):
-            strike.is_confirmed = True
-            self.confirmed += 1
+        for fingerprint in fingerprints:
+            strike = self._strikes.find(fingerprint, upstream)
+            if strike:
+                strike.is_confirmed = True
+                self.confirmed += 1
 
     def dismiss(self, fingerprints: Iterable[str], upstream: str) -> None:
         """Drop the blame: only a connection broke, the upstream goes on."""
         for fingerprint in fingerprints:
-            strikes = self._strikes.get(fingerprint, {})
-            strike = strikes.get(upstream)
-            if strike is not None and not strike.is_confirmed:
-                strikes.pop(upstream)
-            if not strikes:
-                self._strikes.pop(fingerprint, None)
+            strike = self._strikes.find(fingerprint, upstream)
+            if strike and not strike.is_confirmed:
+                self._strikes.drop(fingerprint, upstream)
 
     def cleared(self, fingerprint: str) -> None:
         """Forget a suspect that was answered, unless it is quarantined."""
         if self.is_suspect(fingerprint):
             self._clear(fingerprint, self._clock.now_ms())
 
+    def is_up(self, upstream: str, since_ms: int) -> None:
+        """Take back the blame for an upstream that answers.
+
+        Only for upstreams whose name changes with each start.
+
+        Args:
+            upstream: The upstream.
+            since_ms: When it was sent the request that it has answered.
+        """
+        for fingerprint, strike in self._strikes.at(upstream):
+            if strike.last_ms < since_ms:
+                self._up_ms[upstream] = since_ms
+                self._strikes.drop(fingerprint, upstream)
+
     def merge(
         self,
         crashes: Iterable[Crash],
@@ -164,8 +159,7 @@
         now_ms = self._clock.now_ms()
         return tuple(
             Crash(fingerprint, upstream, now_ms - seen_ms)
-            for fingerprint, strikes in self._strikes.items()
-            for upstream, seen_ms in _confirmed_times(strikes)
+            for fingerprint, upstream, seen_ms in self._strikes.confirmed()
         )
 
     def cleared_fingerprints(self) -> tuple[Cleared, ...]:
@@ -177,25 +171,15 @@
             if now_ms - answered_ms < _KEPT_MS
         )
 
-    def _strikes_at(
-        self,
-        fingerprints: Iterable[str],
-        upstream: str,
-    ) -> list[_Strike]:
-        return [
-            self._strikes[fingerprint][upstream]
-            for fingerprint in fingerprints
-            if upstream in self._strikes.get(fingerprint, {})
-        ]
-
     def _clear(self, fingerprint: str, answered_ms: int) -> None:
         if self.is_quarantined(fingerprint):
             return
         last_ms = self._cleared.get(fingerprint, answered_ms)
         self._cleared[fingerprint] = max(last_ms, answered_ms)
-        strikes = self._strikes.get(fingerprint, {})
-        if all(strike.last_ms <= answered_ms for strike in strikes.values()):
-            self._strikes.pop(fingerprint, None)
+        if not self._strikes.has(fingerprint):
+            return
+        if self._strikes.last_ms(fingerprint) <= answered_ms:
+            self._strikes.forget(fingerprint)
 
     def _record(
         self,
@@ -207,32 +191,19 @@
     ) -> None:
         if seen_ms <= self._cleared.get(fingerprint, seen_ms - 1):
             return
-        if len(self._strikes) >= _MOST_KEPT:
-            self._strikes.pop(next(iter(self._strikes)))
-        strikes = self._strikes.setdefault(fingerprint, {})
-        strike = strikes.setdefault(
+        if seen_ms <= self._up_ms.get(upstream, seen_ms - 1):
+            return
+        self._strikes.record(
+            fingerprint,
             upstream,
-            _Strike(seen_ms, seen_ms, is_confirmed),
+            seen_ms,
+            is_confirmed=is_confirmed,
         )
-        strike.first_ms = min(strike.first_ms, seen_ms)
-        strike.last_ms = max(strike.last_ms, seen_ms)
-        strike.is_confirmed = strike.is_confirmed or is_confirmed
 
     def _forget_old(self) -> None:
         oldest_ms = self._clock.now_ms() - _KEPT_MS
-        for fingerprint, strikes in list(self._strikes.items()):
-            if all(each.last_ms < oldest_ms for each in strikes.values()):
-                self._strikes.pop(fingerprint)
-        for fingerprint, answered_ms in list(self._cleared.items()):
-            if answered_ms < oldest_ms:
-                self._cleared.pop(fingerprint)
-
-
-def _confirmed_times(strikes: dict[str, _Strike]) -> list[tuple[str, int]]:
-    """Return upstream and time of each confirmed crash."""
-    return [
-        (upstream, seen_ms)
-        for upstream, strike in strikes.items()
-        if strike.is_confirmed
-        for seen_ms in sorted({strike.first_ms, strike.last_ms})
-    ]
+        self._strikes.forget_before(oldest_ms)
+        for times in (self._cleared, self._up_ms):
+            for key, seen_ms in tuple(times.items()):
+                if seen_ms < oldest_ms:
+                    times.pop(key)
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,85 @@
+"""Which fingerprints are blamed, from reports of several entry VMs."""
+
+import pytest
+
+from catkindrift.clock import ManualClock
+from catkindrift.retries import Cleared, Crash, Suspects, _strikes as limits
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1_000_000)
+
+
+@pytest.fixture
+def suspects(clock):
+    return Suspects(clock)
+
+
+def crash(suspects, fingerprint, *upstreams):
+    """Let another entry VM report crashes."""
+    suspects.merge([Crash(fingerprint, each, 10) for each in upstreams])
+
+
+def test_two_crashes_quarantine(suspects):
+    """One crash makes a suspect, two are enough."""
+    crash(suspects, 'poison', 'u1')
+    assert suspects.is_suspect('poison')
+    assert not suspects.is_quarantined('poison')
+    crash(suspects, 'poison', 'u2')
+    assert suspects.is_quarantined('poison')
+
+
+def test_what_ran_beside_a_crashing_request_is_no_suspect(suspects):
+    """VMs that do not know of each other's requests blame their own."""
+    crash(suspects, 'poison', 'u1', 'u2')
+    crash(suspects, 'beside', 'u2')
+    assert not suspects.is_suspect('beside')
+    crash(suspects, 'poison', 'u3')
+    crash(suspects, 'beside', 'u1')
+    assert not suspects.is_quarantined('beside')
+    assert suspects.is_quarantined('poison')
+
+
+def test_same_crashes_quarantine_both(suspects):
+    """Nobody can tell which of the two is guilty."""
+    for fingerprint in ('one', 'other'):
+        crash(suspects, fingerprint, 'u1', 'u2')
+    assert suspects.is_quarantined('one')
+    assert suspects.is_quarantined('other')
+
+
+def test_upstream_that_answers_has_not_crashed(suspects, clock):
+    """Blame is taken back, and does not return from other VMs."""
+    crash(suspects, 'plain', 'u1', 'u2')
+    clock.advance(100)
+    suspects.is_up('u1', clock.now_ms())
+    assert not suspects.is_quarantined('plain')
+    suspects.merge([Crash('plain', 'u1', 110)])
+    assert not suspects.is_quarantined('plain')
+
+
+def test_answer_to_an_earlier_request_shows_no_life(suspects, clock):
+    """It may have been on its way when the upstream ended."""
+    crash(suspects, 'poison', 'u1', 'u2')
+    suspects.is_up('u1', clock.now_ms() - 50)
+    assert suspects.is_quarantined('poison')
+
+
+def test_answer_clears_only_what_was_seen_before(suspects):
+    """A crash after the answer counts."""
+    crash(suspects, 'plain', 'u1')
+    suspects.merge([], [Cleared('plain', 5)])
+    assert not suspects.is_suspect('plain')
+    suspects.merge([Crash('plain', 'u2', 1)])
+    assert suspects.is_suspect('plain')
+
+
+def test_mass_of_crashes_displaces_no_quarantine(suspects, monkeypatch):
+    """What is known to crash upstreams is forgotten last."""
+    monkeypatch.setattr(limits, '_MOST_KEPT', 20)
+    crash(suspects, 'poison', 'u1', 'u2')
+    for number in range(100):
+        crash(suspects, f'beside-{number}', f'v{number}')
+    assert suspects.is_quarantined('poison')
+    assert len(suspects.crashes()) < 40
