Recognise repeats on our own interface as on the platform's path

Callers saw: the request of one caller refused for what the same request of another had crashed; a crashing request with another method, or in chunks, was a new one. Cause: the digest of method, path and body of small requests left the caller out, and of large ones took the length for the body; it served idempotency keys as well, which have to tell methods apart. A caller who waits to be asked for a large body is known by its length, so that a refusal saves the transfer.

--- a/src/catkindrift/callers/_service_request.py
+++ b/src/catkindrift/callers/_service_request.py
@@ -6,10 +6,11 @@
 import xxhash
 
 from catkindrift.callers._bad_request import BadRequestError
-from catkindrift.callers._held_body import read_body
+from catkindrift.callers._held_body import read_body, read_prefix
 from catkindrift.callers._problem_answer import bad_request
 from catkindrift.core import Request
 from catkindrift.http1 import CallerRequest
+from catkindrift.retries import BODY_PREFIX_BYTES, request_fingerprint
 
 # Bodies up to this size are part of what tells a request from others.
 _HELD_BODY_BYTES = 262_144
@@ -26,6 +27,7 @@
         target: Path and query below the service.
         message: Head and body.
         held_body: The whole body if it is small.
+        body_prefix: What tells the body from others.
         timeout_ms: Time limit that the caller set; 0 for none.
     """
 
@@ -33,6 +35,7 @@
     target: bytes
     message: CallerRequest
     held_body: bytes | None
+    body_prefix: bytes
     timeout_ms: int
 
     @property
@@ -66,14 +69,19 @@
             service=self.service,
             caller=self.caller,
             method=message.method.decode('latin-1'),
-            fingerprint=self._fingerprint(),
+            fingerprint=request_fingerprint(
+                self.caller,
+                f'{self.service} '.encode() + self.target,
+                self.body_prefix,
+            ),
             deadline_ms=deadline_ms,
             body_bytes=None if body.is_chunked else body.length,
             is_held=is_held,
             idempotency_key=key.decode('latin-1'),
+            content_digest=self._content_digest(),
         )
 
-    def _fingerprint(self) -> str:
+    def _content_digest(self) -> str:
         """Return the digest that tells this request from others."""
         digest = xxhash.xxh3_128(self.message.method)
         digest.update(f' {self.service}'.encode())
@@ -105,7 +113,21 @@
     held: bytes | None = None
     if not body.is_chunked and body.length <= _HELD_BODY_BYTES:
         held = await read_body(message, _HELD_BODY_BYTES)
-    return ServiceRequest(service, target, message, held, timeout_ms)
+    prefix = await _body_prefix(message, held)
+    return ServiceRequest(service, target, message, held, prefix, timeout_ms)
+
+
+async def _body_prefix(message: CallerRequest, held: bytes | None) -> bytes:
+    """Return the first part of the body.
+
+    A caller who waits to be asked for a large body has only stated its length.
+    """
+    body = message.body
+    if held is not None:
+        return held[:BODY_PREFIX_BYTES]
+    if body.awaits_invitation:
+        return str(body.length).encode()
+    return await read_prefix(message, BODY_PREFIX_BYTES)
 
 
 def _timeout_ms(message: CallerRequest) -> int:
--- a/src/catkindrift/core/_admission.py
+++ b/src/catkindrift/core/_admission.py
@@ -120,7 +120,7 @@
                 request.request_id,
                 name,
                 request.service,
-                request.fingerprint,
+                request.content_digest,
                 left_ms,
             ),
         )
--- a/src/catkindrift/core/_request.py
+++ b/src/catkindrift/core/_request.py
@@ -15,13 +15,14 @@
         service: Service that the caller named.
         caller: Digest of the caller's identity.
         method: HTTP method.
-        fingerprint: Digest of method, path and body; for bodies that are not
-            held in memory, of method, path, caller and length.
+        fingerprint: What its repeats by the same caller have in common with it.
         deadline_ms: Time by which the answer is wanted; 0 for the default of
             the service.
         body_bytes: Length of the body; nothing when it is not announced.
         is_held: The whole body is in memory.
         idempotency_key: Value of the Idempotency-Key header, may be empty.
+        content_digest: Digest of method, path and body; tells whether a key is
+            used again for another request.
     """
 
     request_id: int
@@ -33,3 +34,4 @@
     body_bytes: int | None = 0
     is_held: bool = True
     idempotency_key: str = ''
+    content_digest: str = ''
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -349,6 +349,7 @@
             'fingerprint': f'print-{request_id}',
         }
         values.update(fields)
+        values.setdefault('content_digest', values['fingerprint'])
         request = Request(request_id, service, **values)
         self.requests[request_id] = request
         self.post(name, RequestArrived(request))
