Keep waiting requests back once they are quarantined

Cause: quarantine was asked for on arrival and before a retry, not before the first dispatch; a suspect was kept from other suspects only. Change: asked before each dispatch, and at each tick for what waits; a suspect does not run twice at a time. Before: sent, and four at a time. After: refused as quarantined, and one. Conclusion: both interfaces now ask before each send.

--- a/src/catkindrift/core/_dispatcher.py
+++ b/src/catkindrift/core/_dispatcher.py
@@ -47,6 +47,9 @@
             reason: What to tell the caller when no upstream is left.
         """
         service = pending.service
+        if self._is_quarantined(pending):
+            self._answers.end_refused(pending, RefusalReason.QUARANTINED)
+            return
         if not self._selector.has_prospect(pending):
             self._answers.end_refused(pending, reason)
             return
@@ -115,6 +118,8 @@
     ) -> RefusalReason | None:
         if pending.deadline_ms <= now_ms:
             return RefusalReason.DEADLINE
+        if self._is_quarantined(pending):
+            return RefusalReason.QUARANTINED
         if not self._selector.has_prospect(pending):
             return RefusalReason.NO_UPSTREAM
         return None
@@ -129,12 +134,18 @@
     def _try_dispatch(self, pending: Pending) -> bool:
         if pending.deadline_ms <= self._state.clock.now_ms():
             return False
+        if self._is_quarantined(pending):
+            return False
         chosen = self._selector.select(pending)
         if chosen is None:
             return False
         self._dispatch(pending, chosen)
         return True
 
+    def _is_quarantined(self, pending: Pending) -> bool:
+        fingerprint = pending.request.fingerprint
+        return self._state.suspects.is_quarantined(fingerprint)
+
     def _dispatch(self, pending: Pending, chosen: Candidate) -> None:
         now_ms = self._state.clock.now_ms()
         upstream = chosen.upstream
--- a/src/catkindrift/core/_selector.py
+++ b/src/catkindrift/core/_selector.py
@@ -37,7 +37,7 @@
         """Return where to send a request now, if there is room."""
         candidates = list(self._slots.candidates(pending.request.service))
         if self._state.suspects.is_suspect(pending.request.fingerprint):
-            candidates = self._isolated(candidates)
+            candidates = self._isolated(pending, candidates)
         shifted = self._select_shifted(pending, candidates)
         return shifted or self._choose(pending, candidates)
 
@@ -113,14 +113,25 @@
             may_exceed_share=self._state.retry_budget.has_credit,
         )
 
-    def _isolated(self, candidates: list[Candidate]) -> list[Candidate]:
-        """Return the upstreams where a suspect would be the only one."""
-        taken = {
-            pending.upstream
-            for pending in self._state.pending.values()
-            if pending.is_running
-            and self._state.suspects.is_suspect(pending.request.fingerprint)
-        }
+    def _isolated(
+        self,
+        pending: Pending,
+        candidates: list[Candidate],
+    ) -> list[Candidate]:
+        """Return the upstreams where a suspect would be the only one.
+
+        There are none while the same request runs already.
+        """
+        running = [
+            other
+            for other in self._state.pending.values()
+            if other.is_running
+            and self._state.suspects.is_suspect(other.request.fingerprint)
+        ]
+        own = pending.request.fingerprint
+        if any(other.request.fingerprint == own for other in running):
+            return []
+        taken = {other.upstream for other in running}
         return [
             candidate
             for candidate in candidates
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,7 +16,7 @@
     ShiftIntent,
 )
 from catkindrift.plans import Planner, add_plan, confirm_plan
-from catkindrift.retries import Broken, BrokenReason, Outcome
+from catkindrift.retries import Broken, BrokenReason, Crash, Outcome
 from tests.fakes import Fleet
 
 NORTH = 'north-1-a'
@@ -281,6 +281,34 @@
         request_id = fleet.arrive(other, 'read', fingerprint='odd')
         assert fleet.answers[request_id].outcome is Outcome.NOT_RUN
 
+    def test_waiting_request_is_not_sent_once_it_is_quarantined(self):
+        """News that come while a request waits keep it back."""
+        fleet = Fleet()
+        suspects = fleet.vms[NORTH].core.state.suspects
+        while not fleet.vms[NORTH].core.state.queues.get('read'):
+            fleet.arrive(NORTH, 'read')
+        waiting = fleet.arrive(NORTH, 'read', fingerprint='poison')
+        crashes = [Crash('poison', name, 0) for name in ('one', 'other')]
+        suspects.merge(crashes)
+        for attempt in list(fleet.attempts):
+            fleet.answer(attempt)
+        fleet.advance(500)
+        assert fleet.answers[waiting].reason is RefusalReason.QUARANTINED
+
+    def test_suspect_runs_once_at_a_time(self):
+        """Repeats that come together do not each crash an upstream."""
+        fleet = Fleet()
+        for vm in fleet.vms.values():
+            vm.core.state.suspects.merge([Crash('poison', 'gone', 0)])
+        for _ in range(4):
+            fleet.arrive(NORTH, 'read', fingerprint='poison')
+        running = [
+            attempt
+            for attempt in fleet.attempts
+            if attempt.request.fingerprint == 'poison'
+        ]
+        assert len(running) == 1
+
     def test_broken_connection_alone_is_no_crash(self):
         """An upstream that goes on taking connections has not crashed."""
         fleet = Fleet()
