Keep blame until its probe is settled, and examine cut answers

Callers saw (TestCrashes): a request that had crashed nothing stayed a suspect for ten minutes; a request whose upstream ended amid its answer was never blamed. Cause: a second break-off while a probe was pending replaced what the first had blamed, so that nothing confirmed or dismissed it; only answers of which nothing had come counted as break-offs. Change: the blame of both is settled together; cut answers start a probe too. Before: is_suspect stayed true after the probe. After: false.

--- a/src/catkindrift/core/_outcomes.py
+++ b/src/catkindrift/core/_outcomes.py
@@ -118,7 +118,7 @@
                 self._note_failure(upstream)
             case Broken():
                 self._note_failure(upstream)
-                if ended.reason is BrokenReason.RESET:
+                if ended.reason is not BrokenReason.TIMEOUT:
                     self._note_crash(upstream, pending)
         if isinstance(ended, (Answered, NotStarted)) and ended.is_leaving:
             self.saw_leaving(upstream)
@@ -143,6 +143,8 @@
             if each.upstream == name
         }
         blamed = self._state.suspects.crashed(running, name)
+        if episode:
+            blamed |= episode.blamed
         began_ms = self._state.clock.now_ms()
         self._episodes[name] = _Episode(began_ms, blamed)
         self._state.emit(ProbeUpstream(upstream.vm))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,6 +6,7 @@
 from catkindrift.core import (
     RefusalReason,
     StopRequested,
+    UpstreamProbed,
 )
 from catkindrift.domain import (
     BringBackIntent,
@@ -228,6 +229,22 @@
         assert 0 < budget.retries <= budget.requests / 10
 
 
+class LateProbes(Fleet):
+    """Holds the results of probes back."""
+
+    def post(self, name, event):
+        """Take note of a probe's result, and hand on all else."""
+        if isinstance(event, UpstreamProbed):
+            self.held = [*getattr(self, 'held', ()), (name, event)]
+        else:
+            super().post(name, event)
+
+    def deliver(self):
+        """Hand on what was held back."""
+        for name, event in self.held:
+            Fleet.post(self, name, event)
+
+
 class TestCrashes:
     """A request that crashes upstreams is quarantined, others are not."""
 
@@ -309,6 +326,20 @@
         ]
         assert len(running) == 1
 
+    def test_second_break_off_keeps_the_blame_for_the_first(self):
+        """Blame that no probe has settled yet is dismissed with the next."""
+        fleet = LateProbes(upstreams_per_zone=1)
+        fleet.arrive(NORTH, 'read', fingerprint='first')
+        broken = Broken(BrokenReason.RESET, can_resend=False)
+        fleet.end(fleet.attempts[0], broken)
+        fleet.advance(500)
+        fleet.arrive(NORTH, 'read', fingerprint='second')
+        fleet.end(fleet.attempts[0], broken)
+        fleet.deliver()
+        suspects = fleet.vms[NORTH].core.state.suspects
+        assert not suspects.is_suspect('first')
+        assert not suspects.is_suspect('second')
+
     def test_broken_connection_alone_is_no_crash(self):
         """An upstream that goes on taking connections has not crashed."""
         fleet = Fleet()
