Blame all that ran on an upstream that ended, and sort it out later

Callers saw (tests/test_suspects.py): where a request under suspicion ran on the upstream that a new crashing request ended, the suspect alone was blamed; the guilty one took another upstream down, the innocent one was refused for ten minutes. Cause: suspects hid all others from blame. That stood for the comparison of crashes that there is now. Change: each request that ran is blamed; one whose crashes are all among those of another with more is no suspect. Before: is_quarantined('poison') false after its two crashes. Conclusion: in the case of the test the suspect stays quarantined too: the reports do not tell the two apart.

--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -47,11 +47,10 @@
     """Crashes by request fingerprint, from all entry VMs.
 
     Two crashes under one fingerprint put it into quarantine. A fingerprint
-    with one crash is a suspect: it runs only where no other suspect runs, and
-    when that upstream breaks off too, the suspect alone is blamed, not the
-    requests beside it. What entry VMs blame without knowing of each other is
-    sorted out here: a fingerprint whose crashes are all among those of one
-    with more crashes merely ran beside it.
+    with one crash is a suspect: it runs only where no other suspect runs. All
+    requests that an upstream ran when it ended are blamed, by each entry VM
+    for itself; a fingerprint whose crashes are all among those of one with
+    more crashes merely ran beside it, and is no suspect.
 
     Args:
         clock: Source of time.
@@ -92,9 +91,7 @@
         Returns:
             The blamed fingerprints.
         """
-        running = frozenset(fingerprints)
-        suspects = frozenset(filter(self.is_suspect, running))
-        blamed = suspects or running
+        blamed = frozenset(fingerprints)
         now_ms = self._clock.now_ms()
         for fingerprint in blamed:
             self._record(fingerprint, upstream, now_ms, is_confirmed=False)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -41,6 +41,15 @@
     assert suspects.is_quarantined('poison')
 
 
+def test_crashing_request_beside_a_suspect_is_blamed(suspects):
+    """Who is suspected already does not hide who is new."""
+    suspects.crashed(['innocent'], 'u1')
+    suspects.crashed(['innocent', 'poison'], 'u2')
+    assert not suspects.is_suspect('poison')
+    suspects.crashed(['poison'], 'u3')
+    assert suspects.is_quarantined('poison')
+
+
 def test_same_crashes_quarantine_both(suspects):
     """Nobody can tell which of the two is guilty."""
     for fingerprint in ('one', 'other'):
