Let an answer take back blame that another request explains

Callers saw (tests/test_suspects.py): a request that ran beside a crashing one, and was answered since, was quarantined by one coincidence minutes later. Cause: only suspects were cleared, and what another request explains is none. Change: an answer clears all blame of a request that is not quarantined. The log names what a crash has quarantined. Before: is_quarantined('beside') true. After: false.

--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -139,9 +139,11 @@
             self._metrics.blame.labels('confirmed').inc(len(blamed))
             self._on_news()
             logging.warning(
-                'upstream %s crashed while it ran %d blamed requests',
+                'upstream %s crashed while it ran %d blamed requests; '
+                'quarantined: %s',
                 upstream.id,
                 len(blamed),
+                sorted(filter(self.is_quarantined, blamed)),
             )
             return
         self._suspects.dismiss(blamed, upstream.id)
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -113,8 +113,8 @@
                 self._strikes.drop(fingerprint, upstream)
 
     def cleared(self, fingerprint: str) -> None:
-        """Forget a suspect that was answered, unless it is quarantined."""
-        if self.is_suspect(fingerprint):
+        """Forget the blame of what was answered, unless it is quarantined."""
+        if self._strikes.has(fingerprint):
             self._clear(fingerprint, self._clock.now_ms())
 
     def is_up(self, upstream: str, since_ms: int) -> None:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -50,6 +50,16 @@
     assert suspects.is_quarantined('poison')
 
 
+def test_answer_takes_back_what_another_request_explains(suspects, clock):
+    """Else a second coincidence, minutes later, would make two crashes."""
+    crash(suspects, 'poison', 'u1', 'u2')
+    crash(suspects, 'beside', 'u2')
+    clock.advance(100)
+    suspects.cleared('beside')
+    crash(suspects, 'beside', 'u3')
+    assert not suspects.is_quarantined('beside')
+
+
 def test_same_crashes_quarantine_both(suspects):
     """Nobody can tell which of the two is guilty."""
     for fingerprint in ('one', 'other'):
