--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -5,19 +5,23 @@
 
 import contextlib
 import io
+import itertools
 import sys
 from unittest import mock
 
 import attrs
 import pytest
 
-from catkindrift.gateway import _attempt
+from catkindrift.gateway import _attempt, _forwarder, _upstream_check
 from catkindrift.gateway._change_log import ChangeLog
+from catkindrift.gateway._crash_news import CrashNews
 from catkindrift.gateway._facts import Facts
 from catkindrift.gateway._gateway import Gateway
 from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.gateway._running_requests import RunningRequests
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._store_watch import StoreWatch
+from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.gateway._watch_silence import WatchSilence
 from catkindrift.gateway._zone_message import ZoneMessage
 from catkindrift.gateway._zone_page import ZonePage
@@ -28,6 +32,7 @@
 from catkindrift.limits import OfferBook
 from catkindrift.platform import StorePage, forwarded_headers
 from catkindrift.retries import Suspects
+from catkindrift.retries._strikes import Strikes
 from catkindrift.steering import (
     ColdPace,
     Members,
@@ -39,7 +44,9 @@
 from tests.breakage import always, report
 
 ATTEMPT = 'tests/test_gateway.py::test_'
+_NUMBERS = itertools.count()
 CUT = 'tests/test_store_cut.py::test_'
+CRASHING = 'tests/test_crashing_requests.py::test_'
 STEERING = 'tests/test_steering.py::test_'
 WATCH = 'tests/test_store_watch.py::test_'
 ZONE = 'tests/test_zone_watch.py::test_'
@@ -57,6 +64,11 @@
     return forwarded_headers(headers, left_ms, 'any')
 
 
+def unlike_any(*_identity):
+    """Return another fingerprint for each request."""
+    return str(next(_NUMBERS))
+
+
 def all_states(self, request, _now_ms):
     """Return the upstreams of a service wherever they are."""
     yield from self._order.registry.of_service(request.service)
@@ -150,6 +162,70 @@
         always(False),
         f'{ATTEMPT}request_that_crashes_upstreams_is_quarantined',
     ),
+    PlatformBreakage(
+        'BUDGET',
+        'a repeat is known whatever its key',
+        _forwarder,
+        'request_fingerprint',
+        unlike_any,
+        f'{CRASHING}repeats_of_a_crashing_request_reach_two_upstreams',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'an upstream is asked who it is',
+        _upstream_check,
+        'is_other_upstream',
+        always(False),
+        f'{CRASHING}upstream_that_is_back_at_once_has_crashed',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'a refusal takes no blame back',
+        _attempt.AttemptSender,
+        '_release',
+        _attempt.AttemptSender._end,
+        f'{CRASHING}refusal_by_a_full_upstream_takes_no_blame_back',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'suspects are kept apart',
+        SuspectIsolation,
+        '_taken',
+        always(frozenset()),
+        'tests/test_suspect_isolation.py',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'suspects of two VMs are kept apart',
+        SuspectIsolation,
+        '_parts_of_others',
+        always(frozenset()),
+        'tests/test_suspect_isolation.py',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'a suspect runs once at a time',
+        RunningRequests,
+        'is_assigned',
+        always(False),
+        f'{CRASHING}suspect_runs_once_at_a_time',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'all crashes are told in turn',
+        CrashNews,
+        '_in_turn',
+        always([]),
+        'tests/test_crash_watch.py',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'what ran beside a crashing request is no suspect',
+        Strikes,
+        'ran_beside_another',
+        always(False),
+        'tests/test_suspects.py',
+    ),
     PlatformBreakage(
         'GONE',
         'a caller who leaves cancels the work',
