Tell a VM of crashes when it is first heard

Cause: it heard of crashes with the next heartbeat of the others, up to a second after they knew it; it told them of itself with its own next one. Change: a VM beats once when it has registered, and whoever hears a new run of a process answers at once. Before (heartbeats an hour apart): nothing was heard within ten seconds. After: refused with 503. Conclusion: between its readiness and the first answer, a round trip, a VM still knows of no crash.

--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -112,9 +112,16 @@
                 malformed,
             )
             return
+        is_new = self._members.is_new(heartbeat.sender)
         self._members.heard(heartbeat)
         self._introductions.discard(heartbeat.sender.peers)
         self._on_heartbeat(heartbeat)
+        if is_new:
+            # A process that has just started knows of no crash.
+            self._send(
+                self._encoder.encode(self._heartbeat()),
+                heartbeat.sender.peers,
+            )
 
     def error_received(self, exc: Exception) -> None:
         """Pass over refused datagrams; silence is noticed anyway."""
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -71,6 +71,7 @@
             self._timeout_s,
         )
         await self._find_others()
+        self._heartbeats.beat(is_for_all=True)
         return True
 
     async def _find_others(self) -> None:
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -57,6 +57,11 @@
             if each.risen_ms > oldest_ms
         )
 
+    def is_new(self, facts: MemberFacts) -> bool:
+        """Return whether a run of a VM's process was not heard of before."""
+        known = self._members.get(facts.name)
+        return known is None or known.facts.started_ms < facts.started_ms
+
     def heard(self, heartbeat: Heartbeat) -> None:
         """Learn from a heartbeat."""
         self.learn((heartbeat.sender, *heartbeat.heard))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from catkindrift.gateway import _heartbeats
 from catkindrift.http1 import ConnectionPool
 from catkindrift.retries import Crash, request_fingerprint
 from tests.platform_deployment import SAFE, ask, deployed, eventually
@@ -188,6 +189,25 @@
     run(scenario())
 
 
+def test_vm_that_has_just_started_hears_of_crashes_at_once(
+    tmp_path,
+    monkeypatch,
+):
+    """It is told when it is first heard, not with the next heartbeat."""
+    monkeypatch.setattr(_heartbeats, '_INTERVAL_SECONDS', 3600)
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=UPSTREAMS) as deployment:
+            crash_at(deployment)
+            await send(deployment, *repeats()[:MOST_ENDED])
+            newcomer = await deployment.add_gateway('front-2', 'gij-b')
+            await eventually(newcomer._parts.crashes.told)
+            status, _, _ = await ask(deployment.address(index=1), repeats()[0])
+            assert status == 503
+
+    run(scenario())
+
+
 def test_other_body_at_the_path_of_a_crashing_request_is_served(tmp_path):
     """A body of the same length is not the same body."""
 
