Do not count crashes that a known crashing request explains

Cause: its two crashes were a part of neither request's alone. Change: a crash does not count for a fingerprint where another ran that had been known for a second to crash upstreams; a second is more than ages from several VMs differ, so that two requests never explain each other. Before: test_request_beside_two_crashing_ones_is_no_suspect red (is_quarantined true). After: green. Ties stay: what has the same crashes as another is quarantined with it. Conclusion: what remains refused is what nobody can tell apart.

--- a/src/catkindrift/retries/_strikes.py
+++ b/src/catkindrift/retries/_strikes.py
@@ -1,6 +1,7 @@
 """Crashes by request and upstream."""
 
 import itertools
+import math
 from collections.abc import Iterator
 from typing import Final, final
 
@@ -11,6 +12,8 @@
 _MOST_KEPT = 10_000
 # Reports of one upstream that lie closer together are one crash.
 _SAME_CRASH_MS = 5000
+# Ages that are told by other VMs differ by less than this.
+_KNOWN_BEFORE_MS = 1000
 
 
 @final
@@ -29,9 +32,11 @@
     is_confirmed: bool
 
     @property
-    def crashes(self) -> int:
-        """Return one, or two when the upstream crashed again later."""
-        return 1 + (self.last_ms - self.first_ms > _SAME_CRASH_MS)
+    def seen_ms(self) -> tuple[int, ...]:
+        """Return the times of one crash, or two if it crashed again later."""
+        if self.last_ms - self.first_ms > _SAME_CRASH_MS:
+            return (self.first_ms, self.last_ms)
+        return (self.first_ms,)
 
 
 @final
@@ -50,15 +55,18 @@
 
     def are_enough(self, fingerprint: str) -> bool:
         """Return whether there are enough for a quarantine."""
-        strikes = self._by_request.get(fingerprint, {})
-        crashes = sum(strike.crashes for strike in strikes.values())
-        return crashes >= CRASHES_TO_QUARANTINE
-
-    def ran_beside_another(self, fingerprint: str) -> bool:
-        """Return whether another fingerprint explains all crashes of one."""
-        upstreams = self._by_request[fingerprint].keys()
-        return any(
-            upstreams < strikes.keys() for strikes in self._by_request.values()
+        return self.counted(fingerprint) >= CRASHES_TO_QUARANTINE
+
+    def counted(self, fingerprint: str) -> int:
+        """Return the crashes that no other fingerprint explains."""
+        own = self._by_request.get(fingerprint, {})
+        if self._is_part_of_another(own):
+            return 0
+        since_ms = _enough_ms(own)
+        return sum(
+            len(strike.seen_ms)
+            for upstream, strike in own.items()
+            if not self._is_explained(fingerprint, upstream, since_ms)
         )
 
     def last_ms(self, fingerprint: str) -> int:
@@ -120,6 +128,31 @@
             if self.last_ms(fingerprint) < oldest_ms:
                 self.forget(fingerprint)
 
+    def _is_part_of_another(self, own: dict[str, Strike]) -> bool:
+        """Return whether another fingerprint has these crashes and more."""
+        return any(
+            own.keys() < strikes.keys() for strikes in self._by_request.values()
+        )
+
+    def _is_explained(
+        self,
+        fingerprint: str,
+        upstream: str,
+        since_ms: float,
+    ) -> bool:
+        """Return whether a request that was known to crash upstreams ran there.
+
+        Only one that was known well before counts, so that two requests never
+        explain each other's crashes.
+        """
+        return any(
+            upstream in strikes
+            and _enough_ms(strikes) + _KNOWN_BEFORE_MS < since_ms
+            and self.are_enough(other)
+            for other, strikes in self._by_request.items()
+            if other != fingerprint
+        )
+
     def _make_room(self) -> None:
         """Forget the oldest fingerprint, quarantined ones last."""
         if len(self._by_request) < _MOST_KEPT:
@@ -129,6 +162,14 @@
         self.forget(next(others, oldest))
 
 
+def _enough_ms(strikes: dict[str, Strike]) -> float:
+    """Return when crashes first were enough, or infinity."""
+    seen_ms = [each for strike in strikes.values() for each in strike.seen_ms]
+    if len(seen_ms) < CRASHES_TO_QUARANTINE:
+        return math.inf
+    return sorted(seen_ms)[CRASHES_TO_QUARANTINE - 1]
+
+
 def _confirmed_times(strikes: dict[str, Strike]) -> list[tuple[str, int]]:
     """Return upstream and time of each confirmed crash."""
     return [
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -49,8 +49,9 @@
     Two crashes under one fingerprint put it into quarantine. A fingerprint
     with one crash is a suspect: it runs only where no other suspect runs. All
     requests that an upstream ran when it ended are blamed, by each entry VM
-    for itself; a fingerprint whose crashes are all among those of one with
-    more crashes merely ran beside it, and is no suspect.
+    for itself. A crash does not count for a fingerprint where another one ran
+    that was known before to crash upstreams, nor where all crashes of the one
+    are among those of the other: it merely ran beside it.
 
     Args:
         clock: Source of time.
@@ -64,15 +65,11 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether the fingerprint may be to blame for a crash."""
-        if not self._strikes.has(fingerprint):
-            return False
-        return not self._strikes.ran_beside_another(fingerprint)
+        return self._strikes.counted(fingerprint) > 0
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request must not run again."""
-        if not self._strikes.are_enough(fingerprint):
-            return False
-        return not self._strikes.ran_beside_another(fingerprint)
+        return self._strikes.are_enough(fingerprint)
 
     def crashed(
         self,
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -94,6 +94,16 @@
     assert suspects.is_suspect('plain')
 
 
+def test_request_beside_two_crashing_ones_is_no_suspect(suspects, clock):
+    """Each of its crashes is that of a request known before, or a part."""
+    crash(suspects, 'poison', 'u1', 'u2')
+    crash(suspects, 'beside', 'u2')
+    clock.advance(5000)
+    crash(suspects, 'other', 'v1', 'v2')
+    crash(suspects, 'beside', 'v2')
+    assert not suspects.is_quarantined('beside')
+
+
 def test_mass_of_crashes_displaces_no_quarantine(suspects, monkeypatch):
     """What is known to crash upstreams is forgotten last."""
     monkeypatch.setattr(limits, '_MOST_KEPT', 20)
