Tell each crash once in a heartbeat

Cause: reports of one crash differ by milliseconds in age; the first and the last were told as two, which halved what a heartbeat holds. Change: two times are told only if they lie as far apart as two crashes. Before: test_one_crash_is_told_once saw two. Conclusion: found with a trace of heartbeats between two VMs.

--- a/src/catkindrift/retries/_strikes.py
+++ b/src/catkindrift/retries/_strikes.py
@@ -176,5 +176,5 @@
         (upstream, seen_ms)
         for upstream, strike in strikes.items()
         if strike.is_confirmed
-        for seen_ms in sorted({strike.first_ms, strike.last_ms})
+        for seen_ms in strike.seen_ms
     ]
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -94,6 +94,13 @@
     assert suspects.is_suspect('plain')
 
 
+def test_one_crash_is_told_once(suspects):
+    """Reports of it differ a little in age."""
+    for age_ms in (10, 12, 9):
+        suspects.merge([Crash('plain', 'u1', age_ms)])
+    assert len(suspects.crashes()) == 1
+
+
 def test_request_beside_two_crashing_ones_is_no_suspect(suspects, clock):
     """Each of its crashes is that of a request known before, or a part."""
     crash(suspects, 'poison', 'u1', 'u2')
