--- a/src/catkindrift/retries/_strikes.py
+++ b/src/catkindrift/retries/_strikes.py
@@ -1,7 +1,6 @@
 """Crashes by request and upstream."""
 
 import itertools
-import math
 from collections.abc import Iterator
 from typing import Final, final
 
@@ -12,8 +11,6 @@
 _MOST_KEPT = 10_000
 # Reports of one upstream that lie closer together are one crash.
 _SAME_CRASH_MS = 5000
-# Ages that are told by other VMs differ by less than this.
-_KNOWN_BEFORE_MS = 1000
 
 
 @final
@@ -58,16 +55,11 @@
         return self.counted(fingerprint) >= CRASHES_TO_QUARANTINE
 
     def counted(self, fingerprint: str) -> int:
-        """Return the crashes that no other fingerprint explains."""
+        """Return the crashes, or zero if others explain each of them."""
         own = self._by_request.get(fingerprint, {})
-        if self._is_part_of_another(own):
+        if all(self._is_explained(own, upstream) for upstream in own):
             return 0
-        since_ms = _enough_ms(own)
-        return sum(
-            len(strike.seen_ms)
-            for upstream, strike in own.items()
-            if not self._is_explained(fingerprint, upstream, since_ms)
-        )
+        return _crashes(own)
 
     def last_ms(self, fingerprint: str) -> int:
         """Return when the newest crash was seen."""
@@ -128,29 +120,17 @@
             if self.last_ms(fingerprint) < oldest_ms:
                 self.forget(fingerprint)
 
-    def _is_part_of_another(self, own: dict[str, Strike]) -> bool:
-        """Return whether another fingerprint has these crashes and more."""
-        return any(
-            own.keys() < strikes.keys() for strikes in self._by_request.values()
-        )
-
-    def _is_explained(
-        self,
-        fingerprint: str,
-        upstream: str,
-        since_ms: float,
-    ) -> bool:
-        """Return whether a request that was known to crash upstreams ran there.
+    def _is_explained(self, own: dict[str, Strike], upstream: str) -> bool:
+        """Return whether another request that crashes upstreams ran there.
 
-        Only one that was known well before counts, so that two requests never
-        explain each other's crashes.
+        One whose crashes are all among the own ones explains nothing, or two
+        requests with the same crashes would explain each other.
         """
         return any(
             upstream in strikes
-            and _enough_ms(strikes) + _KNOWN_BEFORE_MS < since_ms
-            and self.are_enough(other)
-            for other, strikes in self._by_request.items()
-            if other != fingerprint
+            and _crashes(strikes) >= CRASHES_TO_QUARANTINE
+            and not strikes.keys() <= own.keys()
+            for strikes in self._by_request.values()
         )
 
     def _make_room(self) -> None:
@@ -162,12 +142,8 @@
         self.forget(next(others, oldest))
 
 
-def _enough_ms(strikes: dict[str, Strike]) -> float:
-    """Return when crashes first were enough, or infinity."""
-    seen_ms = [each for strike in strikes.values() for each in strike.seen_ms]
-    if len(seen_ms) < CRASHES_TO_QUARANTINE:
-        return math.inf
-    return sorted(seen_ms)[CRASHES_TO_QUARANTINE - 1]
+def _crashes(strikes: dict[str, Strike]) -> int:
+    return sum(len(strike.seen_ms) for strike in strikes.values())
 
 
 def _confirmed_times(strikes: dict[str, Strike]) -> list[tuple[str, int]]:
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -49,9 +49,9 @@
     Two crashes under one fingerprint put it into quarantine. A fingerprint
     with one crash is a suspect: it runs only where no other suspect runs. All
     requests that an upstream ran when it ended are blamed, by each entry VM
-    for itself. A crash does not count for a fingerprint where another one ran
-    that was known before to crash upstreams, nor where all crashes of the one
-    are among those of the other: it merely ran beside it.
+    for itself. A fingerprint that merely ran beside others is no suspect: each
+    of its crashes was one of another that has two or more, not all of which it
+    shares.
 
     Args:
         clock: Source of time.
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -1,6 +1,7 @@
 """Blame for crashes, with scripted checks of upstreams."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -49,6 +50,7 @@
     clock: ManualClock = attrs.field(factory=ManualClock)
     check: ScriptedCheck = attrs.field(factory=ScriptedCheck)
     told_at_once: int = 0
+    on_tell: Callable = attrs.field(default=lambda: None)
     watch: CrashWatch = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -59,6 +61,7 @@
     def tell(self):
         """Count what is told to all at once."""
         self.told_at_once += 1
+        self.on_tell()
 
     def blamed(self):
         """Return which requests other entry VMs hear of."""
