--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -69,13 +69,6 @@
         for writer in self._writers:
             writer.transport.abort()
 
-    async def restart(self, name):
-        """Start again at the same address, as another incarnation."""
-        self.end()
-        self.id = name
-        self.has_ended = False
-        await self.start(self.port)
-
     def ok(self, attempt, body=b'hello', extra=b''):
         """Return the bytes of a whole, signed answer."""
         return (
