Count one crash for each start of an upstream

Callers saw: a request that had run once on an upstream that ended was refused for minutes, though it had ended nothing. Cause: reports of one upstream that lie five seconds apart count as two crashes. On the platform an id names one start, which ends once; but ages grow with each way between VMs, and are wrong by the time for which a VM stood still. Change: on the platform reports of one id are one crash, however far apart. Tests: test_reports_that_go_round_make_no_second_crash, test_report_of_a_vm_that_stood_still_makes_no_second_crash.

--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -50,7 +50,7 @@
     def __attrs_post_init__(self) -> None:
         """Start without suspects."""
         self.running = RunningRequests(self._clock)
-        self._suspects = Suspects(self._clock)
+        self._suspects = Suspects(self._clock, can_crash_again=False)
         self.news = CrashNews(self._suspects)
 
     def is_quarantined(self, fingerprint: str) -> bool:
--- a/src/catkindrift/retries/_strikes.py
+++ b/src/catkindrift/retries/_strikes.py
@@ -22,16 +22,19 @@
         first_ms: When it was first seen.
         last_ms: When it was last seen.
         is_confirmed: Whether the upstream is known to have ended.
+        can_crash_again: Whether distant reports mean two crashes.
     """
 
     first_ms: int
     last_ms: int
     is_confirmed: bool
+    can_crash_again: bool
 
     @property
     def seen_ms(self) -> tuple[int, ...]:
-        """Return the times of one crash, or two if it crashed again later."""
-        if self.last_ms - self.first_ms > _SAME_CRASH_MS:
+        """Return the times of one crash, or of two if it crashed again."""
+        span_ms = self.last_ms - self.first_ms
+        if self.can_crash_again and span_ms > _SAME_CRASH_MS:
             return (self.first_ms, self.last_ms)
         return (self.first_ms,)
 
@@ -39,8 +42,14 @@
 @final
 @attrs.define
 class Strikes:
-    """Strikes by fingerprint and upstream, up to a limit."""
+    """Strikes by fingerprint and upstream, up to a limit.
 
+    Args:
+        can_crash_again: Whether an upstream keeps its name when it starts
+            again, so that one name may crash twice.
+    """
+
+    _can_crash_again: bool
     _by_request: dict[str, dict[str, Strike]] = attrs.field(
         init=False,
         factory=dict,
@@ -97,7 +106,7 @@
         strikes = self._by_request.setdefault(fingerprint, {})
         strike = strikes.setdefault(
             upstream,
-            Strike(seen_ms, seen_ms, is_confirmed),
+            Strike(seen_ms, seen_ms, is_confirmed, self._can_crash_again),
         )
         strike.first_ms = min(strike.first_ms, seen_ms)
         strike.last_ms = max(strike.last_ms, seen_ms)
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -55,14 +55,23 @@
 
     Args:
         clock: Source of time.
+        can_crash_again: Whether upstreams keep their names when they start
+            again. Ages of reports are wrong by the time for which a VM stood
+            still, so only then do distant reports of one name mean two
+            crashes.
     """
 
     _clock: Clock
-    _strikes: Strikes = attrs.field(init=False, factory=Strikes)
+    _can_crash_again: bool = True
+    _strikes: Strikes = attrs.field(init=False)
     _cleared: dict[str, int] = attrs.field(init=False, factory=dict)
     _up_ms: dict[str, int] = attrs.field(init=False, factory=dict)
     confirmed: int = attrs.field(init=False, default=0)
 
+    def __attrs_post_init__(self) -> None:
+        """Start without crashes."""
+        self._strikes = Strikes(self._can_crash_again)
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether the fingerprint may be to blame for a crash."""
         return self._strikes.counted(fingerprint) > 0
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -101,6 +101,32 @@
     assert len(suspects.crashes()) == 1
 
 
+def test_reports_that_go_round_make_no_second_crash():
+    """Each way between VMs adds to what seems to be the time of a crash."""
+    clock = ManualClock(1_000_000)
+    here, there = Suspects(clock), Suspects(clock)
+    crash(here, 'plain', 'u1')
+    for _ in range(400):
+        for sender, receiver in ((here, there), (there, here)):
+            reports = sender.crashes()
+            clock.advance(500)
+            receiver.merge(reports)
+    assert here.is_suspect('plain')
+    assert not here.is_quarantined('plain')
+
+
+def test_report_of_a_vm_that_stood_still_makes_no_second_crash(clock):
+    """Where each start has a name of its own, one name crashes once."""
+    suspects = Suspects(clock, can_crash_again=False)
+    suspects.merge([Crash('plain', 'u1', 20_000)])
+    suspects.merge([Crash('plain', 'u1', 8000)])
+    assert not suspects.is_quarantined('plain')
+    suspects = Suspects(clock)
+    suspects.merge([Crash('poison', 'u1', 20_000)])
+    suspects.merge([Crash('poison', 'u1', 8000)])
+    assert suspects.is_quarantined('poison')
+
+
 def test_request_beside_two_crashing_ones_is_no_suspect(suspects):
     """Each of its crashes is that of another, which has more of its own."""
     crash(suspects, 'poison', 'u1', 'u2')
