Record blame in a fixed order

Cause: reports of equal age were told in the order of a set, which differs between processes, so that a seeded simulation need not repeat. Change: sorted. No decision depends on it but which of equal reports is told first.

--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -99,7 +99,7 @@
         """
         blamed = frozenset(fingerprints)
         now_ms = self._clock.now_ms()
-        for fingerprint in blamed:
+        for fingerprint in sorted(blamed):
             self._record(fingerprint, upstream, now_ms, is_confirmed=False)
         return blamed
 
