--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -166,6 +166,7 @@
     gateways: list = attrs.field(factory=list)
     fields: list = attrs.field(factory=list)
     upstreams: list = attrs.field(factory=list)
+    restarts: set = attrs.field(factory=set)
 
     async def start(self, *, routes=(SAFE, UNSAFE, UPLOAD), upstreams=2):
         await self.store.start(self.store_port)
@@ -184,6 +185,21 @@
         await self.store.put('servers', name, upstream.spec)
         return upstream
 
+    def restart_after_crash(self, pause_s):
+        """Restart each upstream that crashes, under its id and address."""
+
+        async def restart(upstream):
+            await asyncio.sleep(pause_s)
+            upstream.born_ms += 60_000
+            await upstream.start(upstream.port)
+            await self.store.put('servers', upstream.id, upstream.spec)
+
+        def schedule(upstream):
+            self.restarts.add(asyncio.create_task(restart(upstream)))
+
+        for each in self.upstreams:
+            each.on_end = schedule
+
     def answer_with(self, reply):
         """Script the next response of each upstream."""
         for upstream in self.upstreams:
@@ -207,6 +223,8 @@
     async def stop(self):
         for gateway in self.gateways:
             await gateway.stop()
+        for restart in self.restarts:
+            restart.cancel()
         for upstream in self.upstreams:
             upstream.close()
         self.store.close()
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -26,6 +26,9 @@
         host: Address to listen on.
         ends_at: Part of a target; a request for it ends the process.
         has_ended: Whether such a request has ended the process.
+        crashes: Number of times that the process has ended.
+        on_end: Called with the upstream when its process has ended.
+        born_ms: Unix time of the process start; 0 to state none.
         port: Port that it listens on.
     """
 
@@ -43,13 +46,18 @@
     host: str = '127.0.0.1'
     ends_at: bytes = b''
     has_ended: bool = False
+    crashes: int = 0
+    on_end: Callable = attrs.field(default=lambda _upstream: None)
+    born_ms: int = 0
     port: int = 0
     _server: asyncio.Server | None = None
     _writers: set = attrs.field(factory=set)
 
     @property
     def spec(self):
+        born = {'born': self.born_ms} if self.born_ms else {}
         return {
+            **born,
             'address': f'{self.host}:{self.port}',
             'info': {
                 'service': self.service,
@@ -76,9 +84,11 @@
     def end(self):
         """Reset all connections, as when the process is killed."""
         self.has_ended = True
+        self.crashes += 1
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
+        self.on_end(self)
 
     def ok(self, attempt, body=b'hello', extra=b''):
         """Return the bytes of a complete, signed response."""
