--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -88,8 +88,9 @@
         with contextlib.ExitStack() as stack:
             stack.callback(state.record_end, token)
             running = self._crashes.running
-            running.assign(state.upstream.id, token, pending.fingerprint)
-            stack.callback(running.remove, state.upstream.id, token)
+            incarnation = state.upstream.incarnation
+            running.assign(incarnation, token, pending.fingerprint)
+            stack.callback(running.remove, incarnation, token)
             return await self._connect_and_send(pending, state, token)
 
     async def _connect_and_send(
@@ -119,11 +120,11 @@
         running.mark_sent(token)
         try:
             return await self._exchange(
-                RunningAttempt(pending, state, exchange, now_ms),
+                RunningAttempt(pending, state, upstream, exchange, now_ms),
             )
         except BaseException:
             connection.abort()
-            running.mark_abandoned(upstream.id, pending.fingerprint)
+            running.mark_abandoned(upstream.incarnation, pending.fingerprint)
             raise
 
     async def _exchange(self, attempt: RunningAttempt) -> AttemptOutcome:
@@ -133,7 +134,7 @@
         headers = forwarded_headers(
             end_to_end(request.headers),
             max(1, pending.deadline_ms - attempt.began_ms),
-            attempt.state.upstream.id,
+            attempt.upstream.id,
         )
         exchange = attempt.exchange
         exchange.send_head(request.target, headers)
@@ -150,7 +151,11 @@
             return self._handle_broken_response(attempt, receiver.failure)
         self._observer.record_head(state, head)
         if not is_misdirected(head):
-            self._crashes.record_alive(state.upstream, attempt.began_ms)
+            self._crashes.record_alive(
+                attempt.upstream,
+                attempt.began_ms,
+                attempt.exchange.connection.connected_ms,
+            )
         if reports_not_run(head):
             self._release(attempt, is_whole=not is_misdirected(head))
             return self._observer.record_refusal(state, head)
@@ -214,8 +219,9 @@
     ) -> None:
         if failure in _DISCONNECT_FAILURES:
             self._crashes.record_disconnect(
-                attempt.state.upstream,
+                attempt.upstream,
                 attempt.pending.fingerprint,
+                attempt.exchange.connection.connected_ms,
             )
 
     def _release(self, attempt: RunningAttempt, *, is_whole: bool) -> None:
@@ -225,6 +231,6 @@
         """
         if is_whole:
             connection = attempt.exchange.connection
-            self._pool.give_back(attempt.state.upstream, connection)
+            self._pool.give_back(attempt.upstream, connection)
         else:
             attempt.abort()
--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -9,15 +9,13 @@
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._crash_reports import CrashReports
+from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._running_requests import RunningRequests
-from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
+from catkindrift.gateway._upstream_check import Liveness
 from catkindrift.retries import Cleared, Crash, Suspects
 from catkindrift.steering import Upstream
 
-# Pauses before each further health check of an unreachable upstream.
-_CHECK_PAUSES_SECONDS = (0.1, 0.4, 1.5)
-
 
 @final
 @attrs.define(eq=False)
@@ -25,30 +23,32 @@
     """Blames requests for crashes, but not for merely lost connections.
 
     When a response from an upstream is cut off, the requests that ran there
-    are blamed and a health check is sent. The blame is confirmed if the check
-    shows that the upstream has ended, and dismissed if the upstream is alive
-    or cannot be reached.
+    are blamed and a check is started. The blame is confirmed if the check
+    shows that this incarnation of the upstream has ended, and dismissed if it
+    is alive or cannot be reached.
 
     Args:
         clock: Source of time.
-        check: Sends health checks to upstreams.
+        check: Checks whether an incarnation has ended.
         metrics: Counts changes of blame.
-        on_confirmed_crash: Called when a crash is confirmed, to report it to
-            other entry VMs at once.
+        on_confirmed_crash: Called with the incarnation that has crashed, to
+            report the crash to other entry VMs at once.
     """
 
     _clock: Clock
-    _check: UpstreamCheck
+    _check: IncarnationCheck
     _metrics: GatewayMetrics
-    _on_confirmed_crash: Callable[[], None]
+    _on_confirmed_crash: Callable[[Upstream], None]
     running: RunningRequests = attrs.field(init=False)
     reports: CrashReports = attrs.field(init=False)
     _suspects: Suspects = attrs.field(init=False)
     _crashed_upstreams: set[str] = attrs.field(init=False, factory=set)
+    _reported_upstreams: set[str] = attrs.field(init=False, factory=set)
     _checks: dict[str, asyncio.Task[None]] = attrs.field(
         init=False,
         factory=dict,
     )
+    _check_times_ms: dict[str, int] = attrs.field(init=False, factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Create the tracking of in-flight requests and of suspects."""
@@ -70,7 +70,7 @@
         It may have been crashed by a request whose caller has disconnected;
         without such a request there is none to blame.
         """
-        abandoned = self.running.abandoned_at(upstream.id)
+        abandoned = self.running.abandoned_at(upstream.incarnation)
         if abandoned:
             self._blame_and_check(upstream, abandoned)
 
@@ -81,26 +81,53 @@
             self._metrics.blame.labels('cleared').inc()
         self._suspects.clear(fingerprint)
 
-    def record_alive(self, upstream: Upstream, since_ms: int) -> None:
+    def has_ended(self, upstream: Upstream) -> bool:
+        """Return whether any entry VM has seen this incarnation crash."""
+        incarnation = upstream.incarnation
+        return (
+            incarnation in self._crashed_upstreams
+            or incarnation in self._reported_upstreams
+        )
+
+    def is_in_doubt(self, upstream: Upstream) -> bool:
+        """Return whether a check of this incarnation is under way."""
+        return upstream.incarnation in self._checks
+
+    def record_alive(
+        self, upstream: Upstream, since_ms: int, connected_ms: int
+    ) -> None:
         """Retract blame for an upstream that has responded.
 
         Args:
             upstream: The upstream.
             since_ms: When the request was sent to which it responded; blame
                 recorded before that time is dropped.
+            connected_ms: When its connection was opened. If a restart may
+                keep the id, blame from before that time is kept.
         """
-        self._crashed_upstreams.discard(upstream.id)
-        self._suspects.record_alive(upstream.id, since_ms)
+        if upstream.born_ms:
+            self._suspects.record_alive(
+                upstream.incarnation, since_ms, connected_ms
+            )
+            return
+        self._crashed_upstreams.discard(upstream.incarnation)
+        self._suspects.record_alive(upstream.incarnation, since_ms)
 
-    def record_disconnect(self, upstream: Upstream, fingerprint: str) -> None:
+    def record_disconnect(
+        self,
+        upstream: Upstream,
+        fingerprint: str,
+        connected_ms: int = 0,
+    ) -> None:
         """Blame the requests running at an upstream, and check it.
 
         Args:
             upstream: The upstream.
             fingerprint: The request whose response was cut off.
+            connected_ms: When its connection was opened.
         """
-        running = self.running.running_at(upstream.id)
-        self._blame_and_check(upstream, {fingerprint, *running})
+        running = self.running.running_at(upstream.incarnation)
+        self._blame_and_check(upstream, {fingerprint, *running}, connected_ms)
 
     def next_crashes(self) -> tuple[Crash, ...]:
         """Return the confirmed crashes for the next heartbeat."""
@@ -117,65 +144,73 @@
             crashes: Confirmed crashes.
             cleared: Suspects that have had a whole response.
         """
+        self._reported_upstreams.update(each.upstream for each in crashes)
         self._suspects.merge(crashes, cleared)
 
-    def retain_upstreams(self, known_ids: frozenset[str]) -> None:
-        """Drop records of upstreams that are no longer listed."""
-        self._crashed_upstreams &= known_ids
-        self.running.retain_upstreams(known_ids)
+    def retain_upstreams(self, incarnations: frozenset[str]) -> None:
+        """Drop records of incarnations that are no longer listed."""
+        self._crashed_upstreams &= incarnations
+        self._reported_upstreams &= incarnations
+        self.running.retain_upstreams(incarnations)
 
-    def _blame_and_check(self, upstream: Upstream, running: set[str]) -> None:
+    def _blame_and_check(
+        self,
+        upstream: Upstream,
+        running: set[str],
+        connected_ms: int = 0,
+    ) -> None:
+        incarnation = upstream.incarnation
+        checked_ms = self._check_times_ms.get(incarnation, connected_ms)
+        if upstream.born_ms and connected_ms > checked_ms:
+            # Perhaps a successor that has not stated its start yet.
+            incarnation = f'{incarnation}+'
         if (
-            upstream.id in self._checks
-            or upstream.id in self._crashed_upstreams
+            incarnation in self._checks
+            or incarnation in self._crashed_upstreams
         ):
             return
-        blamed = self._suspects.record_crash(running, upstream.id)
+        self._check_times_ms[incarnation] = self._clock.now_ms()
+        blamed = self._suspects.record_crash(running, incarnation)
         self._metrics.blame.labels('blamed').inc(len(blamed))
         logging.info(
             'connection to upstream %s failed; requests running there: %s; '
             'blamed: %s',
-            upstream.incarnation,
+            incarnation,
             sorted(running),
             sorted(blamed),
         )
         loop = asyncio.get_running_loop()
-        check = loop.create_task(self._resolve_blame(upstream, blamed))
-        self._checks[upstream.id] = check
+        check = loop.create_task(
+            self._resolve_blame(upstream, incarnation, blamed)
+        )
+        self._checks[incarnation] = check
 
     async def _resolve_blame(
         self,
         upstream: Upstream,
+        incarnation: str,
         blamed: frozenset[str],
     ) -> None:
-        liveness = await self._probe(upstream)
-        self._checks.pop(upstream.id, None)
+        liveness = await self._check.run(upstream)
+        for checks in (self._checks, self._check_times_ms):
+            checks.pop(incarnation, None)
         if liveness is Liveness.ENDED:
-            self._crashed_upstreams.add(upstream.id)
-            self._suspects.confirm(blamed, upstream.id)
+            self._crashed_upstreams.add(incarnation)
+            self._suspects.confirm(blamed, incarnation)
             self._metrics.blame.labels('confirmed').inc(len(blamed))
-            self._on_confirmed_crash()
+            self._on_confirmed_crash(upstream)
             logging.warning(
                 'upstream %s crashed while running %d blamed requests; '
                 'quarantined: %s',
-                upstream.incarnation,
+                incarnation,
                 len(blamed),
                 sorted(filter(self.is_quarantined, blamed)),
             )
             return
-        self._suspects.dismiss(blamed, upstream.id)
+        self._suspects.dismiss(blamed, incarnation)
         self._metrics.blame.labels('dismissed').inc(len(blamed))
         logging.info(
             'blame for upstream %s dismissed, health check result: %s',
-            upstream.incarnation,
+            incarnation,
             liveness.value,
         )
-
-    async def _probe(self, upstream: Upstream) -> Liveness:
-        liveness = await self._check.probe(upstream)
-        for pause_s in _CHECK_PAUSES_SECONDS:
-            if liveness is not Liveness.UNKNOWN:
-                break
-            await asyncio.sleep(pause_s)
-            liveness = await self._check.probe(upstream)
-        return liveness
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -134,8 +134,9 @@
             self._parts.tick.run()
             self._parts.log.log_dropped_lines()
             self._export_store_calls()
-            self._parts.pool.prune(self._parts.state.registry.ids)
-            self._parts.crashes.retain_upstreams(self._parts.state.registry.ids)
+            incarnations = self._parts.state.registry.incarnations
+            self._parts.pool.prune(incarnations)
+            self._parts.crashes.retain_upstreams(incarnations)
             await asyncio.sleep(_TICK_SECONDS)
             self._parts.watches.assign_roles()
 
--- /dev/null
+++ b/src/catkindrift/gateway/_incarnation_check.py
@@ -0,0 +1,58 @@
+"""Checks whether an incarnation of an upstream has ended."""
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
+from catkindrift.steering import Upstream
+
+# Pauses before each further health check of an unreachable upstream.
+_CHECK_PAUSES_SECONDS = (0.1, 0.4, 1.5)
+# An upstream that has restarted writes its entry within a heartbeat, and the
+# change arrives within about a second.
+_RESTART_NOTICE_MS = 3000
+_RESTART_POLL_SECONDS = 0.1
+
+
+@final
+@attrs.define(eq=False)
+class IncarnationCheck:
+    """Combines health checks with the starts that upstreams' entries state.
+
+    If an upstream responds that may have restarted under its id, its entry
+    has some seconds to state a newer start.
+
+    Args:
+        clock: Source of time.
+        check: Sends health checks to upstreams.
+        find_current: Returns what is known now of an upstream, by its id.
+    """
+
+    _clock: Clock
+    _check: UpstreamCheck
+    _find_current: Callable[[str], Upstream | None]
+
+    async def run(self, upstream: Upstream) -> Liveness:
+        """Return whether the incarnation has ended, as far as can be known."""
+        liveness = await self._check.probe(upstream)
+        for pause_s in _CHECK_PAUSES_SECONDS:
+            if liveness is not Liveness.UNKNOWN:
+                break
+            await asyncio.sleep(pause_s)
+            liveness = await self._check.probe(upstream)
+        if liveness is Liveness.UNPROVEN:
+            return await self._wait_for_newer_start(upstream)
+        return liveness
+
+    async def _wait_for_newer_start(self, upstream: Upstream) -> Liveness:
+        until_ms = self._clock.now_ms() + _RESTART_NOTICE_MS
+        while self._clock.now_ms() < until_ms:
+            current = self._find_current(upstream.id)
+            if current and current.incarnation != upstream.incarnation:
+                return Liveness.ENDED
+            await asyncio.sleep(_RESTART_POLL_SECONDS)
+        return Liveness.UNPROVEN
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -12,6 +12,7 @@
 from catkindrift.gateway._directory import Directory
 from catkindrift.gateway._forwarder import Forwarder
 from catkindrift.gateway._heartbeats import Heartbeats
+from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._metrics_page import MetricsPage
 from catkindrift.gateway._missing_entries import MissingEntries
@@ -42,6 +43,7 @@
     Placement,
     SharedRetryBudget,
     SteeringBounds,
+    Upstream,
     UpstreamRegistry,
     ZoneDistances,
 )
@@ -96,9 +98,9 @@
         check = UpstreamCheck(self.pool, self._health_path)
         self.crashes = CrashWatch(
             clock,
-            check,
+            IncarnationCheck(clock, check, self._find_upstream),
             self.metrics,
-            self._broadcast_heartbeat,
+            self._handle_confirmed_crash,
         )
         self._wire_state()
         self._wire_data_path()
@@ -204,9 +206,16 @@
         self.watches.handle_heartbeat(heartbeat)
         self.crashes.merge_reports(heartbeat.crashes, heartbeat.cleared)
 
-    def _broadcast_heartbeat(self) -> None:
+    def _handle_confirmed_crash(self, upstream: Upstream) -> None:
+        rules = self.state.rules.get(upstream.service)
+        cold_start_ms = rules.cold_start_ms if rules else 0
+        self.state.registry.expect_restart(upstream, cold_start_ms)
         self.heartbeats.send_heartbeat(to_all_regions=True)
 
+    def _find_upstream(self, upstream_id: str) -> Upstream | None:
+        known = self.state.registry.find(upstream_id)
+        return known.upstream if known else None
+
     def _health_path(self, service: str) -> str:
         rules = self.state.rules.get(service)
         return rules.health_path if rules else ''
--- a/src/catkindrift/gateway/_running_attempt.py
+++ b/src/catkindrift/gateway/_running_attempt.py
@@ -6,7 +6,7 @@
 
 from catkindrift.gateway._pending_request import PendingRequest
 from catkindrift.http1 import Exchange
-from catkindrift.steering import UpstreamState
+from catkindrift.steering import Upstream, UpstreamState
 
 
 @final
@@ -17,12 +17,14 @@
     Args:
         pending: The request.
         state: State of the upstream.
+        upstream: The incarnation that it was sent to.
         exchange: The request and its response on one connection.
         began_ms: When the attempt was sent.
     """
 
     pending: PendingRequest
     state: UpstreamState
+    upstream: Upstream
     exchange: Exchange
     began_ms: int
 
--- a/src/catkindrift/gateway/_running_requests.py
+++ b/src/catkindrift/gateway/_running_requests.py
@@ -13,7 +13,7 @@
 @final
 @attrs.define(eq=False)
 class RunningRequests:
-    """Tracks request fingerprints by upstream.
+    """Tracks request fingerprints by incarnation of an upstream.
 
     A request is assigned, then sent, then removed. One that is assigned but
     still waits for a connection cannot have crashed the upstream, but counts
@@ -31,40 +31,40 @@
         init=False, factory=dict
     )
 
-    def assign(self, upstream_id: str, token: int, fingerprint: str) -> None:
+    def assign(self, incarnation: str, token: int, fingerprint: str) -> None:
         """Record that a request is about to be sent to an upstream.
 
         Args:
-            upstream_id: Id of the upstream.
+            incarnation: Incarnation of the upstream.
             token: Unique number of the attempt.
             fingerprint: Fingerprint of the request.
         """
-        self._assigned.setdefault(upstream_id, {})[token] = fingerprint
+        self._assigned.setdefault(incarnation, {})[token] = fingerprint
 
     def mark_sent(self, token: int) -> None:
         """Record that the upstream may run the request from now on."""
         self._sent.add(token)
 
-    def remove(self, upstream_id: str, token: int) -> None:
+    def remove(self, incarnation: str, token: int) -> None:
         """Drop an attempt that has ended."""
         self._sent.discard(token)
-        assigned = self._assigned.get(upstream_id, {})
+        assigned = self._assigned.get(incarnation, {})
         assigned.pop(token, None)
         if not assigned:
-            self._assigned.pop(upstream_id, None)
+            self._assigned.pop(incarnation, None)
 
-    def mark_abandoned(self, upstream_id: str, fingerprint: str) -> None:
+    def mark_abandoned(self, incarnation: str, fingerprint: str) -> None:
         """Record that a request was abandoned, but may still run there."""
-        abandoned = self._abandoned.setdefault(upstream_id, {})
+        abandoned = self._abandoned.setdefault(incarnation, {})
         abandoned.pop(fingerprint, None)
         abandoned[fingerprint] = self._clock.now_ms()
         self._drop_expired(abandoned)
 
-    def running_at(self, upstream_id: str) -> set[str]:
+    def running_at(self, incarnation: str) -> set[str]:
         """Return the fingerprints of requests that may run at an upstream."""
-        assigned = self._assigned.get(upstream_id, {})
+        assigned = self._assigned.get(incarnation, {})
         running = (assigned[token] for token in assigned.keys() & self._sent)
-        return {*running, *self.abandoned_at(upstream_id)}
+        return {*running, *self.abandoned_at(incarnation)}
 
     def is_assigned(self, fingerprint: str) -> bool:
         """Return whether a request is assigned to any upstream."""
@@ -74,23 +74,23 @@
         )
 
     def busy_upstreams(self) -> frozenset[str]:
-        """Return the ids of upstreams with assigned or abandoned requests."""
+        """Return the incarnations with assigned or abandoned requests."""
         return frozenset((*self._assigned, *self._abandoned))
 
-    def assigned_at(self, upstream_id: str) -> set[str]:
+    def assigned_at(self, incarnation: str) -> set[str]:
         """Return assigned and abandoned fingerprints of an upstream."""
-        assigned = self._assigned.get(upstream_id, {}).values()
-        return {*assigned, *self.abandoned_at(upstream_id)}
+        assigned = self._assigned.get(incarnation, {}).values()
+        return {*assigned, *self.abandoned_at(incarnation)}
 
-    def abandoned_at(self, upstream_id: str) -> set[str]:
+    def abandoned_at(self, incarnation: str) -> set[str]:
         """Return the recently abandoned fingerprints of an upstream."""
-        abandoned = self._abandoned.get(upstream_id, {})
+        abandoned = self._abandoned.get(incarnation, {})
         self._drop_expired(abandoned)
         return set(abandoned)
 
-    def retain_upstreams(self, known_ids: frozenset[str]) -> None:
-        """Drop abandoned requests of upstreams that are no longer listed."""
-        for gone in self._abandoned.keys() - known_ids:
+    def retain_upstreams(self, incarnations: frozenset[str]) -> None:
+        """Drop abandoned requests of incarnations that are not listed."""
+        for gone in self._abandoned.keys() - incarnations:
             self._abandoned.pop(gone)
 
     def _drop_expired(self, abandoned: dict[str, int]) -> None:
--- a/src/catkindrift/gateway/_suspect_isolation.py
+++ b/src/catkindrift/gateway/_suspect_isolation.py
@@ -1,5 +1,6 @@
 """Isolated placement of requests that are suspected of crashing upstreams."""
 
+from collections.abc import Callable
 from typing import final
 
 import attrs
@@ -13,6 +14,7 @@
     Placed,
     Placement,
     PlacementRequest,
+    Upstream,
     UpstreamRegistry,
 )
 
@@ -64,29 +66,56 @@
             return NotPlaced(NotPlacedReason.QUARANTINED, _QUARANTINED_RETRY_MS)
         if self._crashes.running.is_assigned(fingerprint):
             return NotPlaced(NotPlacedReason.SUSPECT_RUNS, _RUNNING_RETRY_MS)
-        isolated = attrs.evolve(
-            request,
-            key=fingerprint,
-            excluded=request.excluded | self._upstreams_running_suspects(),
+        service = request.service
+        excluded = (
+            request.excluded
+            | self._upstreams_running_suspects(service)
+            | self._upstreams_where(service, self._crashes.has_ended)
         )
-        on_own_upstreams = attrs.evolve(
-            isolated,
-            excluded=isolated.excluded
-            | self._upstreams_of_other_vms(request.service),
+        in_doubt = self._upstreams_where(service, self._crashes.is_in_doubt)
+        of_others = self._upstreams_of_other_vms(service)
+        for avoided in (in_doubt | of_others, in_doubt):
+            choice = self._placement.choose(
+                attrs.evolve(
+                    request, key=fingerprint, excluded=excluded | avoided
+                )
+            )
+            if isinstance(choice, Placed):
+                return choice
+        return self._placement.choose(
+            attrs.evolve(request, key=fingerprint, excluded=excluded)
         )
-        choice = self._placement.choose(on_own_upstreams)
-        if isinstance(choice, Placed):
-            return choice
-        return self._placement.choose(isolated)
 
-    def _upstreams_running_suspects(self) -> frozenset[str]:
+    def _upstreams_running_suspects(self, service: str) -> frozenset[str]:
         """Return the ids of upstreams that run a suspect for this VM."""
         running = self._crashes.running
         is_suspect = self._crashes.is_suspect
+        busy = running.busy_upstreams()
         return frozenset(
-            upstream_id
-            for upstream_id in running.busy_upstreams()
-            if any(map(is_suspect, running.assigned_at(upstream_id)))
+            state.upstream.id
+            for state in self._registry.of_service(service)
+            if state.upstream.incarnation in busy
+            and any(
+                map(is_suspect, running.assigned_at(state.upstream.incarnation))
+            )
+        )
+
+    def _upstreams_where(
+        self, service: str, holds: Callable[[Upstream], bool]
+    ) -> frozenset[str]:
+        """Return the ids of upstreams that may have restarted under their id.
+
+        A crash of the successor would be taken for that of the incarnation
+        which is known.
+
+        Args:
+            service: Name of the service.
+            holds: What must hold for the known incarnation.
+        """
+        return frozenset(
+            state.upstream.id
+            for state in self._registry.of_service(service)
+            if state.upstream.born_ms and holds(state.upstream)
         )
 
     def _upstreams_of_other_vms(self, service: str) -> frozenset[str]:
--- a/src/catkindrift/gateway/_upstream_check.py
+++ b/src/catkindrift/gateway/_upstream_check.py
@@ -14,7 +14,11 @@
     ResponseReceiver,
     encode_head,
 )
-from catkindrift.platform import health_headers, is_other_upstream
+from catkindrift.platform import (
+    health_headers,
+    is_other_upstream,
+    stated_start_ms,
+)
 from catkindrift.steering import Upstream
 
 # An upstream under full load queues health checks too.
@@ -29,6 +33,8 @@
 
     ENDED = 'ended'
     ALIVE = 'alive'
+    # The id responds, but a new start of the upstream may have kept it.
+    UNPROVEN = 'unproven'
     UNKNOWN = 'unknown'
 
 
@@ -38,7 +44,9 @@
     """Checks whether an upstream is still running as the same incarnation.
 
     An accepted connection alone does not show that: a process that is ending
-    may still accept one, and its successor soon does at the same address.
+    may still accept one, and its successor soon does at the same address. If
+    upstreams state their start, neither does the id; a response on an older
+    connection does, or one that states the start.
 
     Args:
         pool: Connections to upstreams.
@@ -51,6 +59,9 @@
 
     async def probe(self, upstream: Upstream) -> Liveness:
         """Send one health check and return its result."""
+        idle = self._pool.take(upstream) if upstream.born_ms else None
+        if idle and await self._has_responded(upstream, idle):
+            return Liveness.ALIVE
         try:
             connection = await self._pool.open(upstream)
         except ConnectionRefusedError:
@@ -59,6 +70,13 @@
             return Liveness.UNKNOWN
         return await self._send_health_check(upstream, connection)
 
+    async def _has_responded(
+        self, upstream: Upstream, connection: ClientConnection
+    ) -> bool:
+        """Return whether the peer of an older connection responds on it."""
+        liveness = await self._send_health_check(upstream, connection)
+        return liveness in {Liveness.ALIVE, Liveness.UNPROVEN}
+
     async def _send_health_check(
         self,
         upstream: Upstream,
@@ -84,16 +102,24 @@
             # with a full queue.
             connection.abort()
             return Liveness.ALIVE
+        body = receiver.take_buffered()
         self._pool.give_back(upstream, connection)
-        return _liveness_from(receiver.head, upstream)
+        return _liveness_from(receiver.head, body, upstream)
 
 
-def _liveness_from(head: ResponseHead | None, upstream: Upstream) -> Liveness:
+def _liveness_from(
+    head: ResponseHead | None, body: bytes, upstream: Upstream
+) -> Liveness:
     if head is None:
         return Liveness.UNKNOWN
     if is_other_upstream(head, upstream.id):
         return Liveness.ENDED
-    return Liveness.ALIVE
+    if not upstream.born_ms:
+        return Liveness.ALIVE
+    stated_ms = stated_start_ms(body)
+    if stated_ms == 0:
+        return Liveness.UNPROVEN
+    return Liveness.ENDED if stated_ms > upstream.born_ms else Liveness.ALIVE
 
 
 def _accept_any(_head: ResponseHead) -> bool:
--- a/src/catkindrift/gateway/_upstream_pool.py
+++ b/src/catkindrift/gateway/_upstream_pool.py
@@ -18,7 +18,7 @@
 @final
 @attrs.define(eq=False)
 class UpstreamPool:
-    """Pools connections by upstream and measures connect times.
+    """Pools connections by start of an upstream; measures connect times.
 
     Args:
         clock: Source of time.
@@ -37,7 +37,7 @@
 
     def take(self, upstream: Upstream) -> ClientConnection | None:
         """Return the most recently used idle connection, or None."""
-        return self._connections.take(upstream.id)
+        return self._connections.take(upstream.incarnation)
 
     async def connect(self, upstream: Upstream) -> ClientConnection | None:
         """Return a new connection, or None if the connect failed."""
@@ -75,8 +75,8 @@
         connection: ClientConnection,
     ) -> None:
         """Return a connection to the pool, or close it if not reusable."""
-        self._connections.give_back(upstream.id, connection)
+        self._connections.give_back(upstream.incarnation, connection)
 
-    def prune(self, known_ids: frozenset[str]) -> None:
-        """Close expired connections and those of unlisted upstreams."""
-        self._connections.prune(known_ids)
+    def prune(self, incarnations: frozenset[str]) -> None:
+        """Close expired connections and those of unlisted incarnations."""
+        self._connections.prune(incarnations)
--- a/src/catkindrift/http1/_client_connection.py
+++ b/src/catkindrift/http1/_client_connection.py
@@ -19,10 +19,16 @@
 
     It is not reused after bytes that belong to no request, a response to
     another request, or a truncated or malformed response.
+
+    Args:
+        keep_alive_ms: Idle timeout that the peer states, None if it has not.
+        idle_since_ms: When it was last given back to a pool.
+        connected_ms: When a pool opened it.
     """
 
     keep_alive_ms: int | None = attrs.field(init=False, default=None)
     idle_since_ms: int = attrs.field(init=False, default=0)
+    connected_ms: int = attrs.field(init=False, default=0)
     _transport: asyncio.Transport | None = attrs.field(init=False, default=None)
     _receiver: ResponseReceiver | None = attrs.field(init=False, default=None)
     _parser: ResponseParser | None = attrs.field(init=False, default=None)
--- a/src/catkindrift/http1/_connection_pool.py
+++ b/src/catkindrift/http1/_connection_pool.py
@@ -71,6 +71,7 @@
                 host,
                 port,
             )
+        connection.connected_ms = self._clock.now_ms()
         return connection
 
     def give_back(self, peer: str, connection: ClientConnection) -> None:
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -37,6 +37,7 @@
     matches_attempt,
     parse_load_report,
     reports_not_run,
+    stated_start_ms,
 )
 from catkindrift.platform._store_client import StoreClient
 from catkindrift.platform._store_object import StoreObject
@@ -72,4 +73,5 @@
     'reports_not_run',
     'request_id',
     'retry_after',
+    'stated_start_ms',
 ]
--- a/src/catkindrift/platform/_response_messages.py
+++ b/src/catkindrift/platform/_response_messages.py
@@ -1,5 +1,7 @@
 """Reads the platform's headers in upstreams' responses."""
 
+import msgspec
+
 from catkindrift.http1 import ResponseHead, find_header
 from catkindrift.platform._headers import (
     COLD_REMAINING,
@@ -9,6 +11,7 @@
     UPSTREAM_ID,
 )
 from catkindrift.platform._request_messages import request_id
+from catkindrift.platform._wire_server import decode_start_ms
 from catkindrift.steering import LoadReport
 
 _MISDIRECTED = 421
@@ -49,6 +52,20 @@
     return is_misdirected(head) or responder_id not in {'', upstream_id}
 
 
+def stated_start_ms(body: bytes) -> int:
+    """Return the start that a health check's body states, 0 if it has none.
+
+    Args:
+        body: JSON document, or anything else.
+    """
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return 0
+    stated = document.get('born') if isinstance(document, dict) else 0
+    return decode_start_ms(stated)
+
+
 def parse_load_report(head: ResponseHead) -> LoadReport | None:
     """Return the load that an upstream reports, or None if malformed."""
     fields = find_header(head.headers, LOAD).split(b',')
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -138,20 +138,26 @@
         if self._records.has_crashes(fingerprint):
             self._clear_at(fingerprint, self._clock.now_ms())
 
-    def record_alive(self, upstream: str, since_ms: int) -> None:
+    def record_alive(
+        self,
+        upstream: str,
+        since_ms: int,
+        connected_ms: int | None = None,
+    ) -> None:
         """Remove the crashes of an upstream that has sent a response.
 
-        Use this only for upstreams whose name changes with each restart;
-        otherwise the response may come from a new process.
-
         Args:
             upstream: Name of the upstream.
             since_ms: When the request of that response was sent. Crashes
                 after that time are kept, because the response may have been
                 sent before the crash.
+            connected_ms: When its connection was opened, if a restart may
+                keep the name; None if it never does. Crashes before that
+                time are kept, because another process may have responded.
         """
         for fingerprint, record in self._records.for_upstream(upstream):
-            if record.last_ms < since_ms:
+            is_proven = connected_ms is None or connected_ms < record.first_ms
+            if is_proven and record.last_ms < since_ms:
                 self._alive_ms[upstream] = since_ms
                 self._records.remove(fingerprint, upstream)
 
--- a/src/catkindrift/steering/_upstream_registry.py
+++ b/src/catkindrift/steering/_upstream_registry.py
@@ -40,6 +40,13 @@
         """Ids of all known upstreams."""
         return frozenset(self._states)
 
+    @property
+    def incarnations(self) -> frozenset[str]:
+        """Present incarnations of all known upstreams."""
+        return frozenset(
+            state.upstream.incarnation for state in self._states.values()
+        )
+
     def of_service(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service, including draining ones."""
         return self._by_service.get(service, [])
@@ -61,6 +68,8 @@
     def put(self, upstream: Upstream, cold_start_ms: int) -> None:
         """Add an upstream, or update it if `upstream` is newer.
 
+        Nothing is kept of an incarnation that another one has replaced.
+
         Args:
             upstream: Entry of the upstream.
             cold_start_ms: Time for which an upstream is cold that appears
@@ -68,7 +77,7 @@
         """
         now_ms = self._clock.now_ms()
         known = self._states.get(upstream.id)
-        if known is None:
+        if known is None or _has_restarted(known.upstream, upstream):
             self._add(upstream, now_ms, cold_start_ms)
         elif upstream.revision > known.upstream.revision:
             known.upstream = upstream
@@ -80,6 +89,17 @@
         if self._states.pop(upstream_id, None):
             self._rebuild_index()
 
+    def expect_restart(self, upstream: Upstream, cold_start_ms: int) -> None:
+        """Treat whatever answers for an ended incarnation as just started.
+
+        Args:
+            upstream: The incarnation that has ended.
+            cold_start_ms: Time for which its successor counts as cold.
+        """
+        known = self._states.get(upstream.id)
+        if known and known.upstream.incarnation == upstream.incarnation:
+            self._mark_cold(known, cold_start_ms)
+
     def mark_loaded(self) -> None:
         """Mark the first complete list of upstreams as loaded.
 
@@ -125,3 +145,9 @@
         for state in self._states.values():
             by_service.setdefault(state.upstream.service, []).append(state)
         self._by_service = by_service
+
+
+def _has_restarted(known: Upstream, newer: Upstream) -> bool:
+    if newer.revision <= known.revision or not known.born_ms:
+        return False
+    return newer.born_ms > known.born_ms
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -7,6 +7,7 @@
 
 from catkindrift.clock import ManualClock
 from catkindrift.gateway._crash_watch import CrashWatch
+from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._upstream_check import Liveness
 from catkindrift.steering import Upstream
@@ -50,15 +51,19 @@
     clock: ManualClock = attrs.field(factory=ManualClock)
     check: ScriptedCheck = attrs.field(factory=ScriptedCheck)
     confirmed_crashes: int = 0
+    known: dict = attrs.field(factory=dict)
     on_confirmed_crash: Callable = attrs.field(default=lambda: None)
     watch: CrashWatch = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self.watch = CrashWatch(
-            self.clock, self.check, GatewayMetrics(), self.note_confirmed_crash
+            self.clock,
+            IncarnationCheck(self.clock, self.check, self.known.get),
+            GatewayMetrics(),
+            self.note_confirmed_crash,
         )
 
-    def note_confirmed_crash(self):
+    def note_confirmed_crash(self, _upstream):
         """Count the crashes that are reported to all VMs at once."""
         self.confirmed_crashes += 1
         self.on_confirmed_crash()
@@ -207,3 +212,37 @@
         assert not here.watch.is_quarantined('innocent')
 
     run(scenario())
+
+
+def test_new_start_in_the_entry_confirms_the_crash():
+    """A health check that a successor may have answered proves nothing."""
+
+    async def scenario():
+        harness = CrashWatchHarness()
+        harness.check.liveness = Liveness.UNPROVEN
+        before = attrs.evolve(U1, born_ms=1)
+        harness.known['u1'] = attrs.evolve(U1, born_ms=2, revision=2)
+        await harness.crash(before, 'poison')
+        harness.check.liveness = Liveness.ALIVE
+        await harness.crash(harness.known['u1'], 'poison')
+        assert harness.reported_fingerprints() == ['poison']
+        assert harness.watch.has_ended(before)
+
+    run(scenario())
+
+
+def test_answer_proves_life_only_on_an_older_connection():
+    """Guard against blame that a successor's answer takes back."""
+
+    async def scenario():
+        harness = CrashWatchHarness()
+        harness.clock.advance(1000)
+        known = attrs.evolve(U1, born_ms=1)
+        await harness.crash(known, 'poison')
+        harness.clock.advance(1000)
+        harness.watch.record_alive(known, 1900, connected_ms=1500)
+        assert harness.reported_fingerprints() == ['poison']
+        harness.watch.record_alive(known, 1900, connected_ms=500)
+        assert not harness.reported_fingerprints()
+
+    run(scenario())
--- a/tests/test_platform_state.py
+++ b/tests/test_platform_state.py
@@ -168,3 +168,26 @@
     state.apply_evacuation(deleted('ovd-a'))
     assert state.registry.is_eligible(upstream_state)
     assert upstream_state.is_cold(clock.now_ms())
+
+
+def test_nothing_is_kept_of_a_start_that_another_one_replaced():
+    """Load, failures, ejection and warm objects belong to one start."""
+    _, state = make_state(0)
+    state.apply_upstream(entry('i-0', born=1_000))
+    before = state.registry.find('i-0')
+    before.eject(100_000)
+    state.apply_upstream(entry('i-0', revision=2, born=2_000))
+    after = state.registry.find('i-0')
+    assert after.upstream.incarnation == 'i-0@2000'
+    assert after is not before
+    assert not after.ejected_until_ms
+    state.apply_upstream(entry('i-0', revision=3, born=2_000))
+    assert state.registry.find('i-0') is after
+
+
+def test_malformed_start_counts_as_not_stated():
+    """An entry with a start that is no number still names an upstream."""
+    _, state = make_state(0)
+    for name, stated in (('a', 'soon'), ('b', -5), ('c', None)):
+        state.apply_upstream(entry(name, born=stated))
+        assert state.registry.find(name).upstream.incarnation == name
