--- a/src/catkindrift/gateway/_crash_reports.py
+++ b/src/catkindrift/gateway/_crash_reports.py
@@ -11,6 +11,8 @@
 _MAX_REPORTS = 8
 # Of these, the newest crashes, which other VMs may not know yet.
 _NEWEST_CRASHES = 4
+# Limit on crashes in a record in the store.
+_MAX_STORED_REPORTS = 256
 
 
 @final
@@ -44,6 +46,11 @@
         self._round += 1
         return tuple(reported)
 
+    def all_crashes(self) -> tuple[Crash, ...]:
+        """Return the newest crashes, as many as fit into a stored record."""
+        by_age = sorted(self._suspects.crashes(), key=_age_ms)
+        return tuple(by_age[:_MAX_STORED_REPORTS])
+
     def newest_cleared(self) -> tuple[Cleared, ...]:
         """Return the suspects that were cleared last."""
         by_age = sorted(self._suspects.cleared(), key=_age_ms)
--- /dev/null
+++ b/src/catkindrift/gateway/_entry_vm_records.py
@@ -0,0 +1,55 @@
+"""Records of entry VMs in the platform's store."""
+
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.gateway._crash_watch import CrashWatch
+from catkindrift.gateway._heartbeats import Heartbeats
+from catkindrift.platform import StoreObject, decode_entry_vm
+from catkindrift.steering import EntryVmRecord
+
+
+@final
+@attrs.define(eq=False)
+class EntryVmRecords:
+    """Exchanges crash reports with VMs that heartbeats do not reach.
+
+    Args:
+        clock: Source of time.
+        heartbeats: Contacts the registered VMs and passes news on to them.
+        crashes: Crashes that this VM knows.
+    """
+
+    _clock: Clock
+    _heartbeats: Heartbeats
+    _crashes: CrashWatch
+
+    def own_record(self) -> EntryVmRecord:
+        """Return what this VM has to tell."""
+        return EntryVmRecord(
+            self._heartbeats.own_member.peers,
+            self._crashes.reports.all_crashes(),
+            self._crashes.reports.newest_cleared(),
+            self._clock.wall_ms(),
+        )
+
+    def apply_list(self, found: tuple[StoreObject, ...]) -> None:
+        """Apply all records, which may have been written long ago."""
+        for stored in found:
+            record = decode_entry_vm(stored)
+            age_ms = max(0, self._clock.wall_ms() - record.written_ms)
+            self._apply(record.aged(age_ms))
+
+    def apply_change(self, stored: StoreObject) -> None:
+        """Apply a record that has just been written."""
+        if not stored.is_deleted:
+            self._apply(decode_entry_vm(stored))
+
+    def _apply(self, record: EntryVmRecord) -> None:
+        self._heartbeats.add_seed(record.peers)
+        known = len(self._crashes.reports.all_crashes())
+        self._crashes.merge_reports(record.crashes, record.cleared)
+        if len(self._crashes.reports.all_crashes()) > known:
+            self._heartbeats.send_heartbeat(to_all_regions=True)
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -10,6 +10,7 @@
 from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._directory import Directory
+from catkindrift.gateway._entry_vm_records import EntryVmRecords
 from catkindrift.gateway._forwarder import Forwarder
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.gateway._incarnation_check import IncarnationCheck
@@ -137,7 +138,13 @@
             health,
             self._handle_heartbeat,
         )
-        self.registration = Registration(client, settings, self.heartbeats)
+        records = EntryVmRecords(clock, self.heartbeats, self.crashes)
+        self.registration = Registration(
+            client, settings, self.heartbeats, records
+        )
+        self.watches.watch_entry_vms(
+            self.registration.load, records.apply_change
+        )
 
     def _wire_data_path(self) -> None:
         clock = self._clock
@@ -211,6 +218,7 @@
         cold_start_ms = rules.cold_start_ms if rules else 0
         self.state.registry.expect_restart(upstream, cold_start_ms)
         self.heartbeats.send_heartbeat(to_all_regions=True)
+        self.registration.publish()
 
     def _find_upstream(self, upstream_id: str) -> Upstream | None:
         known = self.state.registry.find(upstream_id)
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -8,19 +8,22 @@
 from absl import logging
 
 from catkindrift.errors import PlatformAmbiguousError, PlatformUnavailableError
+from catkindrift.gateway._entry_vm_records import EntryVmRecords
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.gateway._list_all import list_all
 from catkindrift.limits import jittered
 from catkindrift.platform import (
     ENTRY_VM_KIND,
     StoreClient,
-    decode_entry_vm,
+    StoreObject,
     encode_entry_vm,
 )
 from catkindrift.settings import GatewaySettings
 
 _MILLISECONDS_PER_SECOND = 1000
 _RETRY_SECONDS = 1.0
+# Crashes that come close together share a write.
+_COALESCING_SECONDS = 0.2
 # Rediscovery finds VMs whose membership was lost, such as after a long network
 # partition.
 _REDISCOVERY_SECONDS = 60.0
@@ -29,56 +32,80 @@
 @final
 @attrs.define(eq=False)
 class Registration:
-    """Writes this VM's address to the store and reads those of its peers.
+    """Writes this VM's record to the store and reads those of its peers.
 
-    Each process registers once. Liveness is tracked by heartbeats and needs
-    no store calls.
+    Each process writes once when it starts, after it has read what an earlier
+    one wrote, and then for crashes. Liveness is tracked by heartbeats and
+    needs no store calls.
 
     Args:
         client: Client of the store.
         settings: Name and addresses of this VM.
         heartbeats: Contacts the discovered peers.
+        records: Records of all VMs.
     """
 
     _client: StoreClient
     _settings: GatewaySettings
     _heartbeats: Heartbeats
+    _records: EntryVmRecords
+    _is_loaded: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
+    _is_changed: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
 
+    def load(self, found: tuple[StoreObject, ...]) -> None:
+        """Apply a complete list of records, which lets this VM register."""
+        self._records.apply_list(found)
+        self._is_loaded.set()
+
+    def publish(self) -> None:
+        """Write this VM's record again soon."""
+        self._is_changed.set()
+
     async def run(self) -> None:
-        """Register with retries, then rediscover peers until cancelled."""
-        await self._register_with_retries()
+        """Register, then publish and rediscover peers until cancelled."""
+        await self._is_loaded.wait()
+        await self._write_with_retries()
+        self._heartbeats.send_heartbeat(to_all_regions=True)
         while True:
-            await asyncio.sleep(jittered(self._rng, _REDISCOVERY_SECONDS))
-            try:
-                await self._discover_peers()
-            except PlatformUnavailableError as unavailable:
-                logging.warning('discovery of entry VMs: %s', unavailable)
+            await self._publish_or_rediscover()
+
+    async def _publish_or_rediscover(self) -> None:
+        wait_s = jittered(self._rng, _REDISCOVERY_SECONDS)
+        try:
+            await asyncio.wait_for(self._is_changed.wait(), wait_s)
+        except TimeoutError:
+            await self._discover_peers()
+            return
+        await asyncio.sleep(_COALESCING_SECONDS)
+        await self._write_with_retries()
 
-    async def _register_with_retries(self) -> None:
+    async def _write_with_retries(self) -> None:
         is_done = False
         while not is_done:
             try:
-                is_done = await self._register()
+                is_done = await self._write()
             except (PlatformUnavailableError, PlatformAmbiguousError) as lost:
-                logging.warning('registration failed; retrying: %s', lost)
+                logging.warning('write of own record; retrying: %s', lost)
                 await asyncio.sleep(jittered(self._rng, _RETRY_SECONDS))
 
-    async def _register(self) -> bool:
+    async def _write(self) -> bool:
+        self._is_changed.clear()
         await self._client.put(
             ENTRY_VM_KIND,
             self._settings.vm.name,
-            encode_entry_vm(self._settings.listen.peers),
+            encode_entry_vm(self._records.own_record()),
             self._timeout_s,
         )
-        await self._discover_peers()
-        self._heartbeats.send_heartbeat(to_all_regions=True)
         return True
 
     async def _discover_peers(self) -> None:
-        page = await list_all(self._client, ENTRY_VM_KIND, self._timeout_s)
-        for each in page.objects:
-            self._heartbeats.add_seed(decode_entry_vm(each))
+        try:
+            page = await list_all(self._client, ENTRY_VM_KIND, self._timeout_s)
+        except PlatformUnavailableError as unavailable:
+            logging.warning('discovery of entry VMs: %s', unavailable)
+            return
+        self._records.apply_list(page.objects)
 
     @property
     def _timeout_s(self) -> float:
--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -28,6 +28,8 @@
 from catkindrift.steering import TimeSpan
 
 _MILLISECONDS_PER_SECOND = 1000
+# Interval at which an inactive watch looks whether it is active again.
+_INACTIVE_DELAY_S = 0.5
 # Delay before a relist after the store has dropped the requested history.
 _RELIST_DELAY_S = 0.15
 
@@ -50,6 +52,7 @@
         relists_when_behind: Whether to relist instead of reading all missed
             changes. This is cheaper for a few large objects that change often.
             It also relists while objects change faster than they are polled.
+        is_active: Whether to poll at all, after a first list.
     """
 
     _clock: Clock
@@ -62,6 +65,7 @@
     _on_outage_end: Callable[[TimeSpan], None]
     _relists_when_behind: bool = False
     newest_revision: int = attrs.field(init=False, default=0)
+    is_active: bool = attrs.field(init=False, default=True)
     change_log: ChangeLog = attrs.field(init=False, factory=ChangeLog)
     _revision: int = attrs.field(init=False, default=0)
     _is_listed: bool = attrs.field(init=False, default=False)
@@ -164,6 +168,9 @@
         if not self._is_listed:
             await self._list()
             return
+        if not self.is_active:
+            await asyncio.sleep(_INACTIVE_DELAY_S)
+            return
         page = await self._long_poll()
         if page is None:
             return
--- a/src/catkindrift/gateway/_store_watches.py
+++ b/src/catkindrift/gateway/_store_watches.py
@@ -1,6 +1,6 @@
 """The store watches of this entry VM and their roles in its zone."""
 
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, final
 
 import attrs
@@ -11,6 +11,7 @@
 from catkindrift.gateway._store_watch import StoreWatch
 from catkindrift.platform import (
     CONFIGURATION_KIND,
+    ENTRY_VM_KIND,
     EVACUATION_KIND,
     UPSTREAM_KIND,
     StoreClient,
@@ -72,21 +73,25 @@
             ),
         )
         self._watches = tuple(
-            StoreWatch(
-                self._clock,
-                self._client,
-                kind,
-                self._settings.platform,
-                self.health,
-                on_list,
-                on_change,
-                state.missing.record_outage,
-                kind != _SHARED_KIND,
-            )
+            self._create(kind, on_list, on_change, relists=kind != _SHARED_KIND)
             for kind, on_list, on_change in kinds
         )
         self.health.add_recovery_listener(self._retry_now)
 
+    def watch_entry_vms(
+        self,
+        on_list: Callable[[tuple[StoreObject, ...]], None],
+        on_change: Callable[[StoreObject], None],
+    ) -> None:
+        """Watch the records of entry VMs too, from the start of the jobs.
+
+        Args:
+            on_list: Called with each complete list.
+            on_change: Called with each change.
+        """
+        watch = self._create(ENTRY_VM_KIND, on_list, on_change, relists=False)
+        self._watches = (*self._watches, watch)
+
     def jobs(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines of all watches, to be run as tasks."""
         return [watch.run() for watch in self._watches]
@@ -143,12 +148,39 @@
         )
 
     def _choose_sentinels(self) -> None:
-        """Start or stop being a sentinel for each kind."""
+        """Start or stop being a sentinel for each kind.
+
+        The records of entry VMs are watched by two VMs of those that hear
+        each other, which pass the news on in heartbeats.
+        """
         own = self._settings.vm.name
         alive = [own, *(each.name for each in self._members.alive())]
         for watch in self._watches:
             chosen = rendezvous_order(watch.kind, alive)[:_SENTINEL_COUNT]
-            watch.set_sentinel(is_sentinel=own in chosen)
+            if watch.kind == ENTRY_VM_KIND:
+                watch.is_active = own in chosen
+            else:
+                watch.set_sentinel(is_sentinel=own in chosen)
+
+    def _create(
+        self,
+        kind: str,
+        on_list: Callable[[tuple[StoreObject, ...]], None],
+        on_change: Callable[[StoreObject], None],
+        *,
+        relists: bool,
+    ) -> StoreWatch:
+        return StoreWatch(
+            self._clock,
+            self._client,
+            kind,
+            self._settings.platform,
+            self.health,
+            on_list,
+            on_change,
+            self._state.missing.record_outage,
+            relists,
+        )
 
     def _apply_configurations(self, found: tuple[StoreObject, ...]) -> None:
         for each in found:
--- a/src/catkindrift/platform/_entries.py
+++ b/src/catkindrift/platform/_entries.py
@@ -9,7 +9,11 @@
 from catkindrift.platform._store_object import StoreObject
 from catkindrift.platform._wire_config import WireConfiguration
 from catkindrift.platform._wire_server import WireServer
-from catkindrift.steering import RoutingConfiguration, Upstream
+from catkindrift.steering import (
+    EntryVmRecord,
+    RoutingConfiguration,
+    Upstream,
+)
 
 
 def decode_configuration(stored: StoreObject) -> RoutingConfiguration | None:
@@ -42,16 +46,20 @@
         return None
 
 
-def encode_entry_vm(address: str) -> Any:
-    """Return the spec with which an entry VM registers itself."""
-    return {'peers': address}
+def encode_entry_vm(record: EntryVmRecord) -> Any:
+    """Return the spec of an entry VM's record."""
+    return msgspec.to_builtins(record)
 
 
-def decode_entry_vm(stored: StoreObject) -> str:
-    """Return an entry VM's address for peers, or '' if it has none."""
-    spec = stored.spec
-    address = spec.get('peers') if isinstance(spec, dict) else None
-    return address if isinstance(address, str) else ''
+def decode_entry_vm(stored: StoreObject) -> EntryVmRecord:
+    """Return an entry VM's record, an empty one if it is malformed."""
+    try:
+        return msgspec.convert(stored.spec, EntryVmRecord)
+    except msgspec.ValidationError as malformed:
+        logging.warning(
+            'record of entry VM %s is malformed: %s', stored.name, malformed
+        )
+        return EntryVmRecord()
 
 
 def _convert_upstream(
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -8,6 +8,7 @@
 from catkindrift.steering._cost import CostModel
 from catkindrift.steering._directory_list import addresses_for
 from catkindrift.steering._distances import ZoneDistances
+from catkindrift.steering._entry_vm_record import EntryVmRecord
 from catkindrift.steering._heartbeat import Heartbeat, MemberFacts
 from catkindrift.steering._load_report import LoadReport
 from catkindrift.steering._members import Members
@@ -36,6 +37,7 @@
     'ChoiceReason',
     'ColdRateLimiter',
     'CostModel',
+    'EntryVmRecord',
     'Heartbeat',
     'LoadReport',
     'MemberFacts',
