--- a/src/catkindrift/core/_attempt_results.py
+++ b/src/catkindrift/core/_attempt_results.py
@@ -28,15 +28,27 @@
 # How long an upstream counts as leaving after its last signal.
 LEAVING_SIGNAL_TTL_MS = 30_000
 _STATUS_CLASS_SIZE = 100
+# The VM list states the start of an upstream within this time.
+_RESTART_NOTICE_MS = 5000
 
 
 @final
 @attrs.define
 class _UnconfirmedCrash:
-    """A broken connection that may mean a crash; a probe is in flight."""
+    """A broken connection that may mean a crash.
 
+    Args:
+        incarnation: Start of the upstream whose connection broke.
+        detected_ms: When it broke.
+        blamed: Fingerprints of the requests in flight there.
+        answered_ms: When a probe found the upstream up, which may have
+            restarted; None while the probe is in flight.
+    """
+
+    incarnation: str
     detected_ms: int
     blamed: frozenset[str]
+    answered_ms: int | None = None
 
 
 @final
@@ -91,16 +103,30 @@
 
         Args:
             name: Name of the probed upstream.
-            is_up: It accepted a connection, so it has not crashed.
+            is_up: It accepted a connection, so it has not crashed, or has
+                already restarted.
         """
-        crash = self._unconfirmed_crashes.pop(name, None)
+        crash = self._unconfirmed_crashes.get(name)
         if crash is None:
             return
-        if is_up:
-            self._state.suspects.dismiss(crash.blamed, name)
+        if is_up and crash.incarnation != name:
+            crash.answered_ms = self._state.clock.now_ms()
             return
-        self._state.suspects.confirm(crash.blamed, name)
-        self._state.emit(PublishRecord())
+        self._resolve(name, crash, has_ended=not is_up)
+
+    def resolve_restarts(self) -> None:
+        """Confirm crashes of upstreams that are listed with a newer start.
+
+        Those that are not listed so in time are dismissed.
+        """
+        now_ms = self._state.clock.now_ms()
+        for name, crash in tuple(self._unconfirmed_crashes.items()):
+            answered_ms = crash.answered_ms
+            upstream = self._state.upstreams.get(name)
+            if upstream and upstream.vm.incarnation != crash.incarnation:
+                self._resolve(name, crash, has_ended=True)
+            elif answered_ms and now_ms - answered_ms >= _RESTART_NOTICE_MS:
+                self._resolve(name, crash, has_ended=False)
 
     def mark_leaving(self, upstream: UpstreamState) -> None:
         """Record a signal from an upstream that it is leaving."""
@@ -172,13 +198,26 @@
             for each in self._state.pending.values()
             if each.upstream == name
         }
-        blamed = self._state.suspects.record_crash(running, name)
+        incarnation = upstream.vm.incarnation
+        blamed = self._state.suspects.record_crash(running, incarnation)
         if crash:
             blamed |= crash.blamed
-        detected_ms = self._state.clock.now_ms()
-        self._unconfirmed_crashes[name] = _UnconfirmedCrash(detected_ms, blamed)
+        self._unconfirmed_crashes[name] = _UnconfirmedCrash(
+            incarnation, self._state.clock.now_ms(), blamed
+        )
         self._state.emit(ProbeUpstream(upstream.vm))
 
+    def _resolve(
+        self, name: str, crash: _UnconfirmedCrash, *, has_ended: bool
+    ) -> None:
+        self._unconfirmed_crashes.pop(name)
+        suspects = self._state.suspects
+        if not has_ended:
+            suspects.dismiss(crash.blamed, crash.incarnation)
+            return
+        suspects.confirm(crash.blamed, crash.incarnation)
+        self._state.emit(PublishRecord())
+
     def _count_response(
         self, pending: PendingRequest, attempt_result: Answered
     ) -> None:
--- a/src/catkindrift/core/_core.py
+++ b/src/catkindrift/core/_core.py
@@ -175,8 +175,7 @@
                 self._shift_gate.refresh()
                 self._dispatcher.dispatch_all_waiting()
             case VmListReceived():
-                self._membership.apply_vm_list(event.vms)
-                self._dispatcher.dispatch_all_waiting()
+                self._apply_vm_list(event)
             case UpstreamProbed():
                 self._attempt_results.handle_probe(
                     event.upstream,
@@ -187,8 +186,14 @@
             case CoreClosed():
                 self._dispatcher.refuse_all_waiting()
 
+    def _apply_vm_list(self, event: VmListReceived) -> None:
+        self._membership.apply_vm_list(event.vms)
+        self._attempt_results.resolve_restarts()
+        self._dispatcher.dispatch_all_waiting()
+
     def _tick(self) -> None:
         self.slots.refresh()
+        self._attempt_results.resolve_restarts()
         self._dispatcher.refuse_expired()
         self._dispatcher.dispatch_all_waiting()
 
--- a/src/catkindrift/domain/_codec.py
+++ b/src/catkindrift/domain/_codec.py
@@ -3,16 +3,25 @@
 from typing import Any, TypeVar
 
 import cattrs
+from cattrs.gen import make_dict_unstructure_fn, override
 from cattrs.preconf.json import make_converter
 from cattrs.strategies import configure_tagged_union
 
 from catkindrift.domain._intent import Intent
+from catkindrift.domain._vm import Vm
 from catkindrift.errors import InvalidInputError
 
 _Decoded = TypeVar('_Decoded')
 
 _DECODE_ERRORS = (ValueError, cattrs.BaseValidationError, TypeError, KeyError)
 _CONVERTER = make_converter(forbid_extra_keys=True)
+# Entry VMs of an earlier release refuse keys that they don't know.
+_CONVERTER.register_unstructure_hook(
+    Vm,
+    make_dict_unstructure_fn(
+        Vm, _CONVERTER, started_ms=override(omit_if_default=True)
+    ),
+)
 configure_tagged_union(
     Intent,
     _CONVERTER,
--- a/src/catkindrift/domain/_vm.py
+++ b/src/catkindrift/domain/_vm.py
@@ -40,6 +40,8 @@
         service: Service that an upstream runs; empty for entry VMs.
         slots: Maximum number of requests that an upstream runs at a time.
         state: Whether the VM is live or leaving.
+        started_ms: Unix time at which an upstream's process started; 0 if the
+            platform does not tell.
     """
 
     name: str
@@ -53,3 +55,11 @@
     service: str = ''
     slots: int = 0
     state: VmState = VmState.LIVE
+    started_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of this start; the name alone if the start is unknown."""
+        return (
+            f'{self.name}@{self.started_ms}' if self.started_ms else self.name
+        )
--- a/src/catkindrift/routing/_upstream_table.py
+++ b/src/catkindrift/routing/_upstream_table.py
@@ -49,7 +49,7 @@
         """Replace the upstreams by those of a new VM list.
 
         The observations of known upstreams are preserved, except of a VM
-        that has another address or port than before.
+        that has another address, port or start than before.
         """
         listed: dict[str, UpstreamState] = {}
         for vm in vms:
@@ -80,10 +80,11 @@
 
     def _merge(self, vm: Vm) -> UpstreamState:
         known = self._states.get(vm.name)
-        if known is None or (known.vm.address, known.vm.port) != (
-            vm.address,
-            vm.port,
-        ):
+        if known is None or _process(known.vm) != _process(vm):
             return UpstreamState(vm)
         known.vm = vm
         return known
+
+
+def _process(vm: Vm) -> tuple[str, int, int]:
+    return (vm.address, vm.port, vm.started_ms)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,6 +15,7 @@
     DrainScope,
     Shift,
     ShiftIntent,
+    VmRole,
 )
 from catkindrift.plans import Planner, add_plan, confirm_plan
 from catkindrift.retries import Crash, Interrupted, InterruptedReason, Outcome
@@ -259,6 +260,16 @@
             Fleet.post(self, name, event)
 
 
+def state_starts(fleet, started_ms):
+    """List all upstreams as up since `started_ms`, at all entry VMs."""
+    for name, vm in fleet.vm_list.items():
+        if vm.role is VmRole.UPSTREAM:
+            fleet.vm_list[name] = attrs.evolve(vm, started_ms=started_ms)
+            fleet.restore(name)
+    for vm in fleet.vms:
+        fleet.sync_platform(vm)
+
+
 class TestCrashes:
     """Only requests that crash upstreams are quarantined."""
 
@@ -282,6 +293,34 @@
                 fleet.advance(500)
         assert len(fleet.down_upstreams) == 2
 
+    def test_upstreams_that_restart_at_once_are_told_apart(self):
+        """An upstream that is up again has crashed if its start is newer.
+
+        Guards against a probe that its new start answers.
+        """
+        fleet = Fleet(upstreams_per_zone=1)
+        state_starts(fleet, 1)
+        broken = Interrupted(InterruptedReason.RESET, can_resend=False)
+        crashes = 0
+        for _ in range(8):
+            fleet.arrive(NORTH, 'read', fingerprint='poison')
+            for attempt in list(fleet.attempts):
+                crashes += 1
+                fleet.end(attempt, broken)
+                state_starts(fleet, crashes + 1)
+            fleet.advance(1000)
+        assert crashes == 2
+
+    def test_break_off_of_a_start_that_lives_on_is_no_crash(self):
+        """Blame is dismissed if no newer start is listed in time."""
+        fleet = Fleet()
+        state_starts(fleet, 1)
+        fleet.arrive(NORTH, 'read', fingerprint='plain')
+        broken = Interrupted(InterruptedReason.RESET, can_resend=False)
+        fleet.end(fleet.attempts[0], broken)
+        fleet.advance(6000)
+        assert not fleet.vms[NORTH].core.state.suspects.is_suspect('plain')
+
     def test_innocent_beside_poison(self):
         """A request in flight beside a crashing one is not quarantined."""
         fleet = Fleet()
