--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -1,6 +1,7 @@
 """A fake upstream of the platform, with scripted faults."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 import attrs
@@ -29,6 +30,8 @@
         crashes: Number of times that the process has ended.
         on_end: Called with the upstream when its process has ended.
         born_ms: Unix time of the process start; 0 to state none.
+        limit: Requests per second that each response names; empty for none.
+        arrivals_s: Times at which requests arrived.
         port: Port that it listens on.
     """
 
@@ -49,6 +52,8 @@
     crashes: int = 0
     on_end: Callable = attrs.field(default=lambda _upstream: None)
     born_ms: int = 0
+    limit: str = ''
+    arrivals_s: list = attrs.field(factory=list)
     port: int = 0
     _server: asyncio.Server | None = None
     _writers: set = attrs.field(factory=set)
@@ -92,6 +97,8 @@
 
     def ok(self, attempt, body=b'hello', extra=b''):
         """Return the bytes of a complete, signed response."""
+        if self.limit:
+            extra += b'Server-Limit: %b\r\n' % self.limit.encode()
         return (
             b'HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Signature: s\r\n'
             b'Server-Load: 1,0,4\r\n%bContent-Length: %d\r\n\r\n%b'
@@ -130,6 +137,7 @@
             writer.write(self._health())
             return
         self.requests.append((lines[0], headers, body))
+        self.arrivals_s.append(time.monotonic())
         attempt = headers.get(b'attempt-id', b'')
         if headers.get(b'expected-instance') != self.id.encode():
             writer.write(
