Keep to the limits that upstreams name (LIMIT)

Cause: no process knew the header; nothing decided by it. Class: a bound on a sum over all entry VMs, as the pace of cold upstreams. Change: platform/ decodes the limit; a value that is no finite decimal number is logged and passed over. steering/ keeps it by incarnation and deals the whole requests of a window of 4 s to the entry VMs, in an order that all of them compute alike from the names of all VMs that may be alive, heard or not. Placement passes over a limited upstream whose share is spent, so others take the request; if all are limited it is refused at once, with the time at which one takes a request. The news goes by heartbeat, at first hand only. Entry VMs are known from their records in the store too, so those that never heard each other share the limit; a VM that does not hear all others renews its record every minute. The pace of cold upstreams and the retry budget are shared by the same names. The state shows in the log, in the request log and explain (limit_per_s, reason limited) and in two metrics. No call is made to decide on a request.

--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -11,6 +11,7 @@
     Placement,
     PlacementRequest,
     RequestKind,
+    UpstreamLimits,
     UpstreamRegistry,
     ZoneDistances,
 )
@@ -37,6 +38,7 @@
         CandidateOrder(registry, distances),
         CostModel(distances),
         ColdRateLimiter(clock, BOUNDS, 'one'),
+        UpstreamLimits(clock, 'one'),
     )
 
 
--- a/src/catkindrift/errors.py
+++ b/src/catkindrift/errors.py
@@ -12,6 +12,7 @@
     'ForbiddenError',
     'HistoryGoneError',
     'InvalidInputError',
+    'MalformedLimitError',
     'NotFoundError',
     'PlatformAmbiguousError',
     'PlatformConflictError',
@@ -112,3 +113,19 @@
 
 class BrokenAnswerError(CatkindriftError):
     """A response broke off; the caller's connection must be closed."""
+
+
+@final
+class MalformedLimitError(CatkindriftError):
+    """An upstream names a limit that is no number of requests.
+
+    Args:
+        stated: What it names.
+    """
+
+    def __init__(self, stated: bytes) -> None:
+        """Name the value and the remedy."""
+        super().__init__(
+            f'the limit {stated!r} is passed over; '
+            'name a finite decimal number of requests per second',
+        )
--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -151,6 +151,7 @@
             return self._handle_broken_response(attempt, receiver.failure)
         self._observer.record_head(state, head)
         if not is_misdirected(head):
+            self._observer.record_limit(attempt, head)
             self._crashes.record_alive(
                 attempt.upstream,
                 attempt.began_ms,
--- a/src/catkindrift/gateway/_entry_vm_records.py
+++ b/src/catkindrift/gateway/_entry_vm_records.py
@@ -8,7 +8,7 @@
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.platform import StoreObject, decode_entry_vm
-from catkindrift.steering import EntryVmRecord
+from catkindrift.steering import EntryVmRecord, Members
 
 
 @final
@@ -20,11 +20,13 @@
         clock: Source of time.
         heartbeats: Contacts the registered VMs and passes news on to them.
         crashes: Crashes that this VM knows.
+        members: Entry VMs.
     """
 
     _clock: Clock
     _heartbeats: Heartbeats
     _crashes: CrashWatch
+    _members: Members
 
     def own_record(self) -> EntryVmRecord:
         """Return what this VM has to tell."""
@@ -40,14 +42,15 @@
         for stored in found:
             record = decode_entry_vm(stored)
             age_ms = max(0, self._clock.wall_ms() - record.written_ms)
-            self._apply(record.aged(age_ms))
+            self._apply(stored.name, record.aged(age_ms), age_ms)
 
     def apply_change(self, stored: StoreObject) -> None:
         """Apply a record that has just been written."""
         if not stored.is_deleted:
-            self._apply(decode_entry_vm(stored))
+            self._apply(stored.name, decode_entry_vm(stored))
 
-    def _apply(self, record: EntryVmRecord) -> None:
+    def _apply(self, name: str, record: EntryVmRecord, age_ms: int = 0) -> None:
+        self._members.record_registration(name, age_ms)
         self._heartbeats.add_seed(record.peers)
         known = len(self._crashes.reports.all_crashes())
         self._crashes.merge_reports(record.crashes, record.cleared)
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -33,6 +33,7 @@
     NotPlaced,
     Placed,
     SharedRetryBudget,
+    UpstreamLimits,
 )
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -59,6 +60,7 @@
         sender: Sends attempts.
         budget: Limits retries.
         cold_limiter: Counts requests to cold upstreams.
+        limits: Counts requests to upstreams that name a limit.
         refusals: Builds and records refusals.
         metrics: Counts outcomes.
         log: Log of failed and refused requests.
@@ -70,6 +72,7 @@
     _sender: AttemptSender
     _budget: SharedRetryBudget
     _cold_limiter: ColdRateLimiter
+    _limits: UpstreamLimits
     _refusals: Refusals
     _metrics: GatewayMetrics
     _log: RequestLog
@@ -208,6 +211,7 @@
         self._metrics.choices.labels(choice.reason.value).inc()
         if choice.state.is_cold(self._clock.now_ms()):
             self._cold_limiter.count_request(upstream.id)
+        self._limits.count_request(upstream.incarnation)
         may_have_run = pending.may_have_run
         outcome = await self._sender.send(pending, choice.state)
         if isinstance(outcome, NotRun):
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -134,6 +134,9 @@
             self._parts.tick.run()
             self._parts.log.log_dropped_lines()
             self._export_store_calls()
+            self._parts.metrics.limited_upstreams.set(
+                self._parts.limits.limited_count
+            )
             incarnations = self._parts.state.registry.incarnations
             self._parts.pool.prune(incarnations)
             self._parts.crashes.retain_upstreams(incarnations)
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -14,7 +14,12 @@
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.settings import Endpoint
-from catkindrift.steering import Heartbeat, MemberFacts, Members
+from catkindrift.steering import (
+    Heartbeat,
+    MemberFacts,
+    Members,
+    UpstreamLimits,
+)
 
 # A VM counts as failed after several missed heartbeats.
 _INTERVAL_SECONDS = 0.5
@@ -41,6 +46,7 @@
         revisions: Returns the newest known store revision of each kind.
         crashes: Crashes to report to other VMs.
         health: Reachability of the store from this VM.
+        limits: Limits of upstreams, to report to other VMs.
         on_heartbeat: Called with each heartbeat received.
     """
 
@@ -50,6 +56,7 @@
     _revisions: Callable[[], dict[str, int]]
     _crashes: CrashWatch
     _health: StoreHealth
+    _limits: UpstreamLimits
     _on_heartbeat: Callable[[Heartbeat], None]
     _seeds: set[str] = attrs.field(init=False, factory=set)
     _transport: asyncio.DatagramTransport | None = attrs.field(
@@ -146,6 +153,7 @@
             self._crashes.next_crashes(),
             self._health.answer_age_ms,
             self._crashes.reports.newest_cleared(),
+            self._limits.notices(),
         )
 
     def _receivers(self, *, to_all_regions: bool) -> set[str]:
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -17,6 +17,8 @@
     choices: Counter = attrs.field(init=False)
     failures: Counter = attrs.field(init=False)
     blame: Counter = attrs.field(init=False)
+    limit_changes: Counter = attrs.field(init=False)
+    limited_upstreams: Gauge = attrs.field(init=False)
     extra_attempts: Counter = attrs.field(init=False)
     connections_opened: Counter = attrs.field(init=False)
     store_calls: Gauge = attrs.field(init=False)
@@ -33,6 +35,16 @@
             'Requests blamed for the crash of an upstream',
             'change',
         )
+        self.limit_changes = self._counter(
+            'upstream_limit_changes',
+            'Limits that upstreams have named, changed or ended',
+            'change',
+        )
+        self.limited_upstreams = Gauge(
+            'catkindrift_limited_upstreams',
+            'Upstreams that name a limit',
+            registry=self.registry,
+        )
         self.extra_attempts = self._counter(
             'extra_attempts',
             'Attempts beyond the first of a request',
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -45,6 +45,7 @@
     SharedRetryBudget,
     SteeringBounds,
     Upstream,
+    UpstreamLimits,
     UpstreamRegistry,
     ZoneDistances,
 )
@@ -75,6 +76,7 @@
     regions: dict[str, str] = attrs.field(init=False)
     budget: SharedRetryBudget = attrs.field(init=False)
     cold_limiter: ColdRateLimiter = attrs.field(init=False)
+    limits: UpstreamLimits = attrs.field(init=False)
     metrics: GatewayMetrics = attrs.field(init=False)
     log: RequestLog = attrs.field(init=False)
     distances: ZoneDistances = attrs.field(init=False)
@@ -93,7 +95,8 @@
         self.budget = SharedRetryBudget(clock, bounds)
         self.cold_limiter = ColdRateLimiter(clock, bounds, vm.name)
         self.metrics = GatewayMetrics()
-        self.log = RequestLog(clock, vm.name, BoundedOutput(clock))
+        self.limits = UpstreamLimits(clock, vm.name)
+        self.log = RequestLog(clock, vm.name, BoundedOutput(clock), self.limits)
         self.distances = ZoneDistances(vm.zone, self.regions)
         self.pool = UpstreamPool(clock, self.distances, self.metrics)
         check = UpstreamCheck(self.pool, self._health_path)
@@ -136,11 +139,14 @@
             self.watches.revisions,
             self.crashes,
             health,
+            self.limits,
             self._handle_heartbeat,
         )
-        records = EntryVmRecords(clock, self.heartbeats, self.crashes)
+        records = EntryVmRecords(
+            clock, self.heartbeats, self.crashes, self.members
+        )
         self.registration = Registration(
-            client, settings, self.heartbeats, records
+            client, settings, self.heartbeats, records, self.members
         )
         self.watches.watch_entry_vms(
             self.registration.load, records.apply_change
@@ -153,6 +159,7 @@
             CandidateOrder(self.state.registry, self.distances),
             CostModel(self.distances),
             self.cold_limiter,
+            self.limits,
         )
         self.tick = SteeringTick(
             self.state,
@@ -160,6 +167,7 @@
             placement,
             self.cold_limiter,
             self.budget,
+            self.limits,
         )
         forwarder = Forwarder(
             clock,
@@ -174,11 +182,18 @@
             AttemptSender(
                 clock,
                 self.pool,
-                UpstreamObserver(clock, placement, self.metrics),
+                UpstreamObserver(
+                    clock,
+                    placement,
+                    self.metrics,
+                    self.limits,
+                    self._broadcast_heartbeat,
+                ),
                 self.crashes,
             ),
             self.budget,
             self.cold_limiter,
+            self.limits,
             Refusals(self.state, self.metrics, self.log),
             self.metrics,
             self.log,
@@ -212,12 +227,16 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.watches.handle_heartbeat(heartbeat)
         self.crashes.merge_reports(heartbeat.crashes, heartbeat.cleared)
+        self.limits.merge(heartbeat.limits)
+
+    def _broadcast_heartbeat(self) -> None:
+        self.heartbeats.send_heartbeat(to_all_regions=True)
 
     def _handle_confirmed_crash(self, upstream: Upstream) -> None:
         rules = self.state.rules.get(upstream.service)
         cold_start_ms = rules.cold_start_ms if rules else 0
         self.state.registry.expect_restart(upstream, cold_start_ms)
-        self.heartbeats.send_heartbeat(to_all_regions=True)
+        self._broadcast_heartbeat()
         self.registration.publish()
 
     def _find_upstream(self, upstream_id: str) -> Upstream | None:
--- a/src/catkindrift/gateway/_refusals.py
+++ b/src/catkindrift/gateway/_refusals.py
@@ -10,8 +10,12 @@
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._request_log import RequestLog
 from catkindrift.http1 import CallerRequest, Response
-from catkindrift.limits import jittered
+from catkindrift.limits import jittered, jittered_up
 from catkindrift.platform import request_id, retry_after
+from catkindrift.steering import NotPlacedReason
+
+# Refusals whose time is the earliest at which a retry can succeed.
+_EARLIEST_REASONS = frozenset((NotPlacedReason.LIMITED.value,))
 
 
 @final
@@ -45,7 +49,8 @@
                 callers don't retry at the same time.
         """
         self._record(request, reason, retry_after_ms)
-        header = retry_after(jittered(self._rng, retry_after_ms))
+        spread = jittered_up if reason in _EARLIEST_REASONS else jittered
+        header = retry_after(spread(self._rng, retry_after_ms))
         return Response(HTTPStatus.SERVICE_UNAVAILABLE, [header])
 
     def refuse_unrouted(self, request: CallerRequest) -> Response:
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -19,6 +19,7 @@
     encode_entry_vm,
 )
 from catkindrift.settings import GatewaySettings
+from catkindrift.steering import Members
 
 _MILLISECONDS_PER_SECOND = 1000
 _RETRY_SECONDS = 1.0
@@ -35,20 +36,22 @@
     """Writes this VM's record to the store and reads those of its peers.
 
     Each process writes once when it starts, after it has read what an earlier
-    one wrote, and then for crashes. Liveness is tracked by heartbeats and
-    needs no store calls.
+    one wrote, then for crashes, and again while it does not hear all others.
+    Liveness is tracked by heartbeats and needs no store calls.
 
     Args:
         client: Client of the store.
         settings: Name and addresses of this VM.
         heartbeats: Contacts the discovered peers.
         records: Records of all VMs.
+        members: Entry VMs.
     """
 
     _client: StoreClient
     _settings: GatewaySettings
     _heartbeats: Heartbeats
     _records: EntryVmRecords
+    _members: Members
     _is_loaded: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
     _is_changed: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
@@ -76,7 +79,8 @@
             await asyncio.wait_for(self._is_changed.wait(), wait_s)
         except TimeoutError:
             await self._discover_peers()
-            return
+            if self._members.hears_all:
+                return
         await asyncio.sleep(_COALESCING_SECONDS)
         await self._write_with_retries()
 
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -10,7 +10,7 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._pending_request import PendingRequest
-from catkindrift.steering import Placed, UpstreamState
+from catkindrift.steering import Placed, UpstreamLimits, UpstreamState
 
 
 def _to_json(document: Any, **_options: Any) -> str:
@@ -30,11 +30,13 @@
         clock: Source of time.
         vm_name: Name of this entry VM.
         output: Destination of the lines.
+        limits: Limits of upstreams.
     """
 
     _clock: Clock
     _vm_name: str
     _output: BoundedOutput
+    _limits: UpstreamLimits
     _log: Any = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -94,7 +96,7 @@
             choice=choice.reason.value,
             expected_ms=round(choice.cost_ms),
             left_ms=pending.deadline_ms - now_ms,
-            **_upstream_fields(choice.state, now_ms),
+            **self._upstream_fields(choice.state, now_ms),
         )
 
     def log_final_response(self, pending: PendingRequest, status: int) -> None:
@@ -107,7 +109,7 @@
         now_ms = self._clock.now_ms()
         choice = pending.choice
         upstream_fields = (
-            _upstream_fields(choice.state, now_ms) if choice else {}
+            self._upstream_fields(choice.state, now_ms) if choice else {}
         )
         self._log.info(
             'ended',
@@ -141,18 +143,20 @@
             **entry,
         }
 
-
-def _upstream_fields(state: UpstreamState, now_ms: int) -> dict[str, Any]:
-    upstream = state.upstream
-    return {
-        'upstream': upstream.id,
-        'zone': upstream.zone,
-        'revision': upstream.revision,
-        'born_ms': upstream.born_ms,
-        'known_for_ms': now_ms - state.first_seen_ms,
-        'load': round(state.load(now_ms), 1),
-        'in_flight': state.in_flight,
-        'failure_rate': round(state.failure_rate, 2),
-        'is_cold': state.is_cold(now_ms),
-        'is_ejected': state.ejected_until_ms > now_ms,
-    }
+    def _upstream_fields(
+        self, state: UpstreamState, now_ms: int
+    ) -> dict[str, Any]:
+        upstream = state.upstream
+        return {
+            'upstream': upstream.id,
+            'zone': upstream.zone,
+            'revision': upstream.revision,
+            'born_ms': upstream.born_ms,
+            'known_for_ms': now_ms - state.first_seen_ms,
+            'load': round(state.load(now_ms), 1),
+            'in_flight': state.in_flight,
+            'failure_rate': round(state.failure_rate, 2),
+            'limit_per_s': self._limits.per_second(upstream.incarnation),
+            'is_cold': state.is_cold(now_ms),
+            'is_ejected': state.ejected_until_ms > now_ms,
+        }
--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -10,6 +10,7 @@
     Members,
     Placement,
     SharedRetryBudget,
+    UpstreamLimits,
 )
 
 
@@ -24,6 +25,7 @@
         placement: Chooses upstreams.
         cold_limiter: Limits requests to cold upstreams.
         budget: Limits retries.
+        limits: Limits that upstreams name.
     """
 
     _state: PlatformState
@@ -31,6 +33,7 @@
     _placement: Placement
     _cold_limiter: ColdRateLimiter
     _budget: SharedRetryBudget
+    _limits: UpstreamLimits
 
     def run(self) -> None:
         """Apply the current members, upstreams and rules."""
@@ -39,4 +42,6 @@
         self._cold_limiter.update_members(names)
         self._cold_limiter.keep_only(self._state.registry.ids)
         self._budget.update_member_count(len(names))
+        self._limits.update_members(names)
+        self._limits.keep_only(self._state.registry.incarnations)
         self._placement.rules = self._state.rules
--- a/src/catkindrift/gateway/_upstream_observer.py
+++ b/src/catkindrift/gateway/_upstream_observer.py
@@ -1,20 +1,31 @@
 """Updates the state of upstreams from the results of attempts."""
 
+from collections.abc import Callable
 from typing import final
 
 import attrs
+from absl import logging
 
 from catkindrift.clock import Clock
+from catkindrift.errors import MalformedLimitError
 from catkindrift.gateway._attempt_outcome import NotRun, OutcomeUnknown
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._running_attempt import RunningAttempt
 from catkindrift.http1 import ResponseFailure, ResponseHead
 from catkindrift.platform import (
     cold_remaining_ms,
+    is_from_upstream,
     is_misdirected,
     parse_load_report,
+    request_limit,
+)
+from catkindrift.steering import (
+    LimitChange,
+    LoadReport,
+    Placement,
+    UpstreamLimits,
+    UpstreamState,
 )
-from catkindrift.steering import LoadReport, Placement, UpstreamState
 
 # Assumed queue of a full upstream that doesn't report its load, as a multiple
 # of its slots.
@@ -29,12 +40,17 @@
     Args:
         clock: Source of time.
         placement: Holds the usual response time of each service.
-        metrics: Counts failures.
+        metrics: Counts failures and limits.
+        limits: Limits that upstreams name.
+        on_limit_change: Called when a limit has been named or has ended, to
+            tell other entry VMs at once.
     """
 
     _clock: Clock
     _placement: Placement
     _metrics: GatewayMetrics
+    _limits: UpstreamLimits
+    _on_limit_change: Callable[[], None]
 
     def record_connect_failure(self, state: UpstreamState) -> NotRun:
         """Eject an upstream that accepted no connection."""
@@ -62,6 +78,34 @@
         if cold_ms:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
 
+    def record_limit(self, attempt: RunningAttempt, head: ResponseHead) -> None:
+        """Record the limit that a response names, or that it names none.
+
+        A malformed limit is logged and passed over. Only a response that the
+        upstream itself generated can show that it names none.
+        """
+        try:
+            per_second = request_limit(head)
+        except MalformedLimitError as malformed:
+            self._metrics.limit_changes.labels('malformed').inc()
+            logging.log_every_n(
+                logging.WARNING,
+                'upstream %s: %s',
+                100,
+                attempt.upstream.incarnation,
+                malformed,
+            )
+            return
+        pending = attempt.pending
+        if per_second is None and not is_from_upstream(
+            head, pending.request_id
+        ):
+            return
+        incarnation = attempt.upstream.incarnation
+        change = self._limits.record(incarnation, per_second, attempt.began_ms)
+        if change is not LimitChange.NONE:
+            self._report_limit(incarnation, change, per_second)
+
     def record_refusal(
         self, state: UpstreamState, head: ResponseHead
     ) -> NotRun:
@@ -91,3 +135,19 @@
         state.record_response(now_ms, took_ms, latency.average_ms)
         if not attempt.pending.was_queued:
             latency.add_sample(took_ms)
+
+    def _report_limit(
+        self,
+        incarnation: str,
+        change: LimitChange,
+        per_second: float | None,
+    ) -> None:
+        self._metrics.limit_changes.labels(change.value).inc()
+        logging.info(
+            'limit of upstream %s %s: %s requests per second',
+            incarnation,
+            change.value,
+            per_second,
+        )
+        if change is not LimitChange.CHANGED:
+            self._on_limit_change()
--- a/src/catkindrift/limits/_jitter.py
+++ b/src/catkindrift/limits/_jitter.py
@@ -19,3 +19,13 @@
             `pause`.
     """
     return pause * rng.uniform(1 - spread, 1 + spread)
+
+
+def jittered_up(rng: random.Random, pause: float) -> float:
+    """Return `pause` with random jitter that never shortens it.
+
+    Args:
+        rng: Source of randomness.
+        pause: Duration in any unit; the result has the same unit.
+    """
+    return pause * rng.uniform(1, 1 + 2 * _DEFAULT_SPREAD)
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -37,6 +37,7 @@
     matches_attempt,
     parse_load_report,
     reports_not_run,
+    request_limit,
     stated_start_ms,
 )
 from catkindrift.platform._store_client import StoreClient
@@ -72,6 +73,7 @@
     'remaining_ms',
     'reports_not_run',
     'request_id',
+    'request_limit',
     'retry_after',
     'stated_start_ms',
 ]
--- a/src/catkindrift/platform/_headers.py
+++ b/src/catkindrift/platform/_headers.py
@@ -18,6 +18,8 @@
 # Running requests, waiting requests and slots of the responding upstream,
 # separated by commas.
 LOAD: Final = b'server-load'
+# Requests per second that the upstream takes from all entry VMs together.
+LIMIT: Final = b'server-limit'
 # Set if the upstream did not start the request.
 NOT_RUN: Final = b'not-executed'
 RETRY_AFTER: Final = b'Retry-After'
--- a/src/catkindrift/platform/_response_messages.py
+++ b/src/catkindrift/platform/_response_messages.py
@@ -1,10 +1,15 @@
 """Reads the platform's headers in upstreams' responses."""
 
+import math
+import re
+
 import msgspec
 
+from catkindrift.errors import MalformedLimitError
 from catkindrift.http1 import ResponseHead, find_header
 from catkindrift.platform._headers import (
     COLD_REMAINING,
+    LIMIT,
     LOAD,
     NOT_RUN,
     SIGNATURE,
@@ -16,6 +21,9 @@
 
 _MISDIRECTED = 421
 _LOAD_FIELD_COUNT = 3
+_DECIMAL = re.compile(rb'\d+(\.\d*)?|\.\d+')
+# Malformed values are shown in the log up to this length.
+_MAX_SHOWN_BYTES = 32
 
 
 def matches_attempt(head: ResponseHead, attempt_id: str) -> bool:
@@ -77,6 +85,23 @@
     return LoadReport(running, waiting, slots)
 
 
+def request_limit(head: ResponseHead) -> float | None:
+    """Return the limit that an upstream names, or None if it names none.
+
+    Returns:
+        Requests per second over all entry VMs.
+
+    Raises:
+        MalformedLimitError: The limit is not a finite decimal number from 0.
+    """
+    stated = find_header(head.headers, LIMIT).strip()
+    if not stated:
+        return None
+    if not _DECIMAL.fullmatch(stated) or math.isinf(float(stated)):
+        raise MalformedLimitError(stated[:_MAX_SHOWN_BYTES])
+    return float(stated)
+
+
 def cold_remaining_ms(head: ResponseHead) -> int:
     """Return the time until the upstream is warm, 0 if it is not cold."""
     remaining = find_header(head.headers, COLD_REMAINING).strip()
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -10,6 +10,8 @@
 from catkindrift.steering._distances import ZoneDistances
 from catkindrift.steering._entry_vm_record import EntryVmRecord
 from catkindrift.steering._heartbeat import Heartbeat, MemberFacts
+from catkindrift.steering._limit_change import LimitChange
+from catkindrift.steering._limit_notice import LimitNotice
 from catkindrift.steering._load_report import LoadReport
 from catkindrift.steering._members import Members
 from catkindrift.steering._placement import Placement
@@ -28,6 +30,7 @@
 from catkindrift.steering._shared_retry_budget import SharedRetryBudget
 from catkindrift.steering._time_span import TimeSpan
 from catkindrift.steering._upstream import Upstream
+from catkindrift.steering._upstream_limits import UpstreamLimits
 from catkindrift.steering._upstream_registry import UpstreamRegistry
 from catkindrift.steering._upstream_state import UpstreamState
 
@@ -39,6 +42,8 @@
     'CostModel',
     'EntryVmRecord',
     'Heartbeat',
+    'LimitChange',
+    'LimitNotice',
     'LoadReport',
     'MemberFacts',
     'Members',
@@ -56,6 +61,7 @@
     'SteeringBounds',
     'TimeSpan',
     'Upstream',
+    'UpstreamLimits',
     'UpstreamRegistry',
     'UpstreamState',
     'WeightedRotation',
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -5,6 +5,7 @@
 import attrs
 
 from catkindrift.retries import Cleared, Crash
+from catkindrift.steering._limit_notice import LimitNotice
 
 
 @final
@@ -52,6 +53,7 @@
         answer_age_ms: Age of the newest response of the platform's store to
             the sender itself; None if it has had none.
         cleared: Recent responses to suspect requests.
+        limits: Limits of upstreams that the sender has seen itself.
     """
 
     sender: MemberFacts
@@ -60,3 +62,4 @@
     crashes: tuple[Crash, ...] = ()
     answer_age_ms: int | None = None
     cleared: tuple[Cleared, ...] = ()
+    limits: tuple[LimitNotice, ...] = ()
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -14,6 +14,8 @@
 # Silent VMs keep their shares of the common limits for this time, since they
 # may be partitioned from this VM and still serve requests.
 _RETENTION_MS = 120_000
+# A VM that does not hear all others renews its record twice in this time.
+_RECORD_RETENTION_MS = 180_000
 
 
 @final
@@ -39,11 +41,28 @@
     _own_name: str
     last_recovery_ms: int = attrs.field(init=False, default=0)
     _members: dict[str, _Member] = attrs.field(init=False, factory=dict)
+    _records_ms: dict[str, int] = attrs.field(init=False, factory=dict)
 
     @property
     def names(self) -> tuple[str, ...]:
-        """Sorted names of all known entry VMs: alive, silent and this one."""
-        return tuple(sorted({self._own_name, *self._members}))
+        """Sorted names of all entry VMs that may be alive, with this one.
+
+        These are the VMs that have been heard, and those whose record in the
+        store has been written lately, heard or not.
+        """
+        oldest_ms = self._clock.now_ms() - _RECORD_RETENTION_MS
+        registered = (
+            name
+            for name, written_ms in self._records_ms.items()
+            if written_ms > oldest_ms
+        )
+        return tuple(sorted({self._own_name, *self._members, *registered}))
+
+    @property
+    def hears_all(self) -> bool:
+        """Whether all entry VMs that may be alive are heard."""
+        alive = {self._own_name, *(each.name for each in self.alive())}
+        return alive.issuperset(self.names)
 
     @property
     def facts(self) -> tuple[MemberFacts, ...]:
@@ -80,6 +99,18 @@
             elif each.version > known.facts.version:
                 self._update(known, each, now_ms)
 
+    def record_registration(self, name: str, age_ms: int) -> None:
+        """Record that a VM has written its record in the store.
+
+        Args:
+            name: Name of the VM.
+            age_ms: Time since it was written.
+        """
+        written_ms = self._clock.now_ms() - age_ms
+        self._records_ms[name] = max(
+            written_ms, self._records_ms.get(name, written_ms)
+        )
+
     def forget_silent(self) -> None:
         """Remove VMs that have been silent for the retention time."""
         oldest_ms = self._clock.now_ms() - _RETENTION_MS
--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -19,6 +19,7 @@
 from catkindrift.steering._request_kind import RequestKind
 from catkindrift.steering._service_latency import ServiceLatency
 from catkindrift.steering._service_rules import ServiceRules
+from catkindrift.steering._upstream_limits import UpstreamLimits
 from catkindrift.steering._upstream_state import UpstreamState
 
 # Number of upstreams that an object is placed on. Another one would have to
@@ -45,6 +46,7 @@
         order: Preference order of upstreams for an object.
         cost: Cost model by which upstreams are compared.
         cold_limiter: Rate limit on requests to cold upstreams.
+        limits: Limits that upstreams name.
         rules: Rules by name of the service.
     """
 
@@ -52,6 +54,7 @@
     _order: CandidateOrder
     _cost: CostModel
     _cold_limiter: ColdRateLimiter
+    _limits: UpstreamLimits
     rules: Mapping[str, ServiceRules] = attrs.field(init=False, factory=dict)
     _latencies: dict[str, ServiceLatency] = attrs.field(
         init=False, factory=dict
@@ -90,14 +93,18 @@
         request: PlacementRequest,
         now_ms: int,
     ) -> Iterator[UpstreamState]:
+        for state in self._admitted(request):
+            is_limited = self._limits.wait_ms(state.upstream.incarnation) > 0
+            if not is_limited and self._within_cold_rate(state, now_ms):
+                yield state
+
+    def _admitted(self, request: PlacementRequest) -> Iterator[UpstreamState]:
         order = self._order.order_for_key(
             request.service,
             request.key,
             near_first=request.route.kind is RequestKind.UPLOAD,
         )
-        for state in order:
-            if request.admits(state) and self._within_cold_rate(state, now_ms):
-                yield state
+        return filter(request.admits, order)
 
     def _within_cold_rate(self, state: UpstreamState, now_ms: int) -> bool:
         if not state.is_cold(now_ms):
@@ -161,9 +168,7 @@
         It gets one request at a time.
         """
         if not ejected:
-            return NotPlaced(
-                NotPlacedReason.NO_UPSTREAM, _NO_UPSTREAM_RETRY_AFTER_MS
-            )
+            return self._refuse_without_upstream(request)
         first = min(ejected, key=_ejection_end)
         if first.in_flight:
             ejection_ms = first.ejected_until_ms - now_ms
@@ -174,6 +179,18 @@
         cost_ms = self._cost.total_ms(first, now_ms, average_ms)
         return Placed(first, ChoiceReason.LAST_RESORT, cost_ms)
 
+    def _refuse_without_upstream(self, request: PlacementRequest) -> NotPlaced:
+        waits_ms = [
+            self._limits.retry_after_ms(state.upstream.incarnation)
+            for state in self._admitted(request)
+        ]
+        limited_ms = min(filter(None, waits_ms), default=None)
+        if limited_ms is None:
+            return NotPlaced(
+                NotPlacedReason.NO_UPSTREAM, _NO_UPSTREAM_RETRY_AFTER_MS
+            )
+        return NotPlaced(NotPlacedReason.LIMITED, limited_ms)
+
 
 def _ejection_end(state: UpstreamState) -> int:
     return state.ejected_until_ms
--- a/src/catkindrift/steering/_placement_result.py
+++ b/src/catkindrift/steering/_placement_result.py
@@ -23,6 +23,7 @@
 
     NO_UPSTREAM = 'no_upstream'
     ALL_FULL = 'all_full'
+    LIMITED = 'limited'
     TOO_LATE = 'too_late'
     QUARANTINED = 'quarantined'
     SUSPECT_RUNS = 'suspect_runs'
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -10,6 +10,7 @@
 from catkindrift.clock import ManualClock
 from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._request_log import RequestLog
+from catkindrift.steering import UpstreamLimits
 from tests.platform_deployment import ask, deployed, head
 
 
@@ -25,7 +26,7 @@
     """Mass refusals write a limited number of lines and count the dropped."""
     clock = ManualClock(100_000)
     output = BoundedOutput(clock, pipe[1])
-    log = RequestLog(clock, 'front-1', output)
+    log = RequestLog(clock, 'front-1', output, UpstreamLimits(clock, 'front-1'))
     for number in range(500):
         log.log_refusal(f'a{number}', 'all_full', 100, 7)
     clock.advance(1000)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -20,6 +20,7 @@
     RoutingConfiguration,
     ServiceRules,
     SharedRetryBudget,
+    UpstreamLimits,
     UpstreamRegistry,
     WeightedRotation,
     WeightedService,
@@ -44,12 +45,14 @@
         self.registry.mark_loaded()
         self.cold_limiter = ColdRateLimiter(self.clock, BOUNDS, 'one')
         self.cold_limiter.update_members(members)
+        self.limits = UpstreamLimits(self.clock, 'one')
         distances = ZoneDistances(zone, REGIONS)
         self.placement = Placement(
             self.clock,
             CandidateOrder(self.registry, distances),
             CostModel(distances),
             self.cold_limiter,
+            self.limits,
         )
         self.placement.rules = {'tariffs': RULES}
 
