--- a/src/catkindrift/gateway/_platform_state.py
+++ b/src/catkindrift/gateway/_platform_state.py
@@ -180,7 +180,8 @@
 
 
 def _log_restart(known: Upstream, newer: Upstream) -> None:
-    if known.born_ms and newer.born_ms > known.born_ms:
+    is_newer = newer.revision > known.revision
+    if is_newer and known.born_ms and newer.born_ms != known.born_ms:
         logging.info(
             'upstream %s has started again, revision %d; before: %s',
             newer.incarnation,
--- a/src/catkindrift/gateway/_upstream_check.py
+++ b/src/catkindrift/gateway/_upstream_check.py
@@ -75,7 +75,8 @@
     ) -> bool:
         """Return whether the peer of an older connection responds on it."""
         liveness = await self._send_health_check(upstream, connection)
-        return liveness in {Liveness.ALIVE, Liveness.UNPROVEN}
+        has_responded = liveness in {Liveness.ALIVE, Liveness.UNPROVEN}
+        return has_responded and connection.is_reusable
 
     async def _send_health_check(
         self,
@@ -98,15 +99,21 @@
             async with asyncio.timeout(_RESPONSE_TIMEOUT_SECONDS):
                 await receiver.wait_for_body(_MAX_RESPONSE_BYTES)
         except TimeoutError:
-            # A new incarnation would respond at once, so this is the old one
-            # with a full queue.
             connection.abort()
-            return Liveness.ALIVE
+            return _liveness_of_busy(upstream)
         body = receiver.take_buffered()
         self._pool.give_back(upstream, connection)
         return _liveness_from(receiver.head, body, upstream)
 
 
+def _liveness_of_busy(upstream: Upstream) -> Liveness:
+    """Return what a connection shows on which no response comes in time.
+
+    A new incarnation with another id would respond at once.
+    """
+    return Liveness.UNPROVEN if upstream.born_ms else Liveness.ALIVE
+
+
 def _liveness_from(
     head: ResponseHead | None, body: bytes, upstream: Upstream
 ) -> Liveness:
@@ -119,7 +126,7 @@
     stated_ms = stated_start_ms(body)
     if stated_ms == 0:
         return Liveness.UNPROVEN
-    return Liveness.ENDED if stated_ms > upstream.born_ms else Liveness.ALIVE
+    return Liveness.ALIVE if stated_ms == upstream.born_ms else Liveness.ENDED
 
 
 def _accept_any(_head: ResponseHead) -> bool:
--- a/src/catkindrift/steering/_upstream_registry.py
+++ b/src/catkindrift/steering/_upstream_registry.py
@@ -93,11 +93,14 @@
         """Treat whatever answers for an ended incarnation as just started.
 
         Args:
-            upstream: The incarnation that has ended.
+            upstream: The incarnation that has ended. Nothing changes if its
+                start is unknown, since a successor then has another id.
             cold_start_ms: Time for which its successor counts as cold.
         """
         known = self._states.get(upstream.id)
-        if known and known.upstream.incarnation == upstream.incarnation:
+        if not known or not upstream.born_ms:
+            return
+        if known.upstream.incarnation == upstream.incarnation:
             self._mark_cold(known, cold_start_ms)
 
     def mark_loaded(self) -> None:
@@ -150,4 +153,4 @@
 def _has_restarted(known: Upstream, newer: Upstream) -> bool:
     if newer.revision <= known.revision or not known.born_ms:
         return False
-    return newer.born_ms > known.born_ms
+    return newer.born_ms not in {0, known.born_ms}
