--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -1,12 +1,14 @@
 """Simulation of crashing requests at several entry VMs in virtual time."""
 
 import asyncio
+import itertools
 import random
 from fractions import Fraction
 
 import attrs
 
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
+from catkindrift.gateway._upstream_check import Liveness
 from catkindrift.steering import (
     Members,
     NotPlacedReason,
@@ -22,6 +24,10 @@
 # A VM counts as connected when it has run without a cut for this time.
 CONNECTED_MS = 3000
 HEARTBEAT_STEPS = 5
+# A VM that hears no others reads what they wrote within this time.
+STORE_STEPS = 15
+# Steps within which an upstream that has restarted states its start.
+STATED_WITHIN_STEPS = 10
 RUN_STEPS = 3
 DOWN_STEPS = 30
 CUT_OFF_STEPS = 40
@@ -40,6 +46,7 @@
     name: str
     bench: Bench
     members: Members
+    keeps_ids: bool = False
     connected_since_ms: int = -CONNECTED_MS
     cut_off_steps: int = 0
     has_new_crash: bool = False
@@ -51,8 +58,12 @@
 
     def restart(self):
         self.harness = CrashWatchHarness(
-            self.bench.clock, on_confirmed_crash=self.record_new_crash
+            self.bench.clock,
+            known=self,
+            on_confirmed_crash=self.record_new_crash,
         )
+        if self.keeps_ids:
+            self.harness.check.liveness = Liveness.UNPROVEN
         self.isolation = SuspectIsolation(
             self.bench.placement,
             self.harness.watch,
@@ -61,12 +72,19 @@
             self.name,
         )
 
+    def get(self, upstream_id):
+        """Return what the entry of an upstream states now."""
+        known = self.bench.registry.find(upstream_id)
+        return known.upstream if known else None
+
     def record_new_crash(self):
         self.has_new_crash = True
 
-    def is_connected(self):
+    def is_connected(self, *, hears_store):
+        """Return whether it has run and heard others, or the store, lately."""
         silent_ms = self.bench.clock.now_ms() - self.connected_since_ms
-        return not self.cut_off_steps and silent_ms >= CONNECTED_MS
+        hears_any = hears_store or not self.cut_off_steps
+        return hears_any and silent_ms >= CONNECTED_MS
 
 
 @attrs.define(eq=False)
@@ -76,6 +94,8 @@
     vm: SimulatedVm
     fingerprint: str
     state: object
+    upstream: object
+    began_ms: int
     token: int
     ends_at: int
 
@@ -89,11 +109,17 @@
         mass_crashes: Whether upstreams also crash for other reasons.
         has_faults: Whether VMs are cut off and restarted, and datagrams are
             lost.
+        keeps_ids: Whether upstreams restart at once under their id, and state
+            their new start up to a second later.
+        has_store: Whether VMs that hear no others still hear the store, and
+            so stay in touch.
     """
 
     seed: int
     mass_crashes: bool = False
     has_faults: bool = True
+    keeps_ids: bool = False
+    has_store: bool = False
     vm_count: int = 6
     upstream_count: int = 14
     steps: int = 300
@@ -109,15 +135,22 @@
     _tokens: int = 0
     _running: list = attrs.field(factory=list)
     _down: dict = attrs.field(factory=dict)
+    _stated_at: dict = attrs.field(factory=dict)
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
-        self.bench = Bench(*sample_upstreams(self.upstream_count))
+        upstreams = sample_upstreams(self.upstream_count)
+        born_ms = 1 if self.keeps_ids else 0
+        self.bench = Bench(
+            *(attrs.evolve(each, born_ms=born_ms) for each in upstreams)
+        )
         names = [f'front-{number}' for number in range(self.vm_count)]
         for name in names:
             members = Members(self.bench.clock, name)
             members.record_facts(map(member, names))
-            self.vms.append(SimulatedVm(name, self.bench, members))
+            self.vms.append(
+                SimulatedVm(name, self.bench, members, self.keeps_ids)
+            )
 
     def run(self):
         """Run all steps and return the simulation."""
@@ -130,9 +163,42 @@
             self.bench.clock.advance(STEP_MS)
             self._refresh_members()
             self._inject_faults()
+            self._restart_upstreams()
             self._send_requests()
             await self._finish()
+            await self._let_checks_run()
             self._send_heartbeats()
+            if self.has_store and step % STORE_STEPS == 0:
+                self._read_store()
+        for vm in self.vms:
+            for check in vm.harness.watch._checks.values():
+                check.cancel()
+
+    async def _let_checks_run(self):
+        for _ in range(8 if self.keeps_ids else 0):
+            await asyncio.sleep(0)
+
+    def _restart_upstreams(self):
+        """State the new starts that are due in the entries of upstreams."""
+        for upstream, due in list(self._stated_at.items()):
+            if due <= self.step:
+                self._stated_at.pop(upstream)
+                self.bench.registry.put(
+                    attrs.evolve(
+                        self.bench.registry.find(upstream).upstream,
+                        born_ms=self.step + 2,
+                        revision=self.step + 2,
+                    ),
+                    0,
+                )
+
+    def _read_store(self):
+        """Let each VM read the records that all VMs have written."""
+        for vm, other in itertools.permutations(self.vms, 2):
+            reports = other.harness.watch.reports
+            vm.harness.watch.merge_reports(
+                reports.all_crashes(), reports.newest_cleared()
+            )
 
     def _refresh_members(self):
         """Keep all members alive, since the member list lags behind cuts."""
@@ -147,7 +213,8 @@
         for vm in self.vms if self.has_faults else ():
             if vm.cut_off_steps:
                 vm.cut_off_steps -= 1
-                vm.connected_since_ms = self.bench.clock.now_ms()
+                if not self.has_store:
+                    vm.connected_since_ms = self.bench.clock.now_ms()
             elif self._happens(FAULT_PROBABILITY):
                 self.rng.choice((self._cut_off, self._restart))(vm)
         for name, back_at in list(self._down.items()):
@@ -197,7 +264,7 @@
         self._tokens += 1
         upstream = choice.state.upstream
         running = vm.harness.watch.running
-        running.assign(upstream.id, self._tokens, fingerprint)
+        running.assign(upstream.incarnation, self._tokens, fingerprint)
         running.mark_sent(self._tokens)
         choice.state.record_request(self._tokens, key, now_ms)
         self._running.append(
@@ -205,6 +272,8 @@
                 vm,
                 fingerprint,
                 choice.state,
+                upstream,
+                now_ms,
                 self._tokens,
                 self.step + run_steps,
             )
@@ -221,7 +290,8 @@
         now_ms = self.bench.clock.now_ms()
         if len(times_ms) > 1 and times_ms[1] < now_ms:
             self.needless_runs.append((self.step, vm.name, fingerprint))
-        if len(times_ms) < 3 or not vm.is_connected():
+        is_in_touch = vm.is_connected(hears_store=self.has_store)
+        if len(times_ms) < 3 or not is_in_touch:
             return
         if now_ms - times_ms[2] > CONNECTED_MS:
             self.late_runs.append((self.step, vm.name, fingerprint))
@@ -249,25 +319,31 @@
         return self.rng.sample(states, min(3, len(states)))
 
     async def _end(self, upstream):
-        self.bench.registry.remove(upstream.id)
-        self._down[upstream.id] = self.step + DOWN_STEPS
+        if self.keeps_ids:
+            stated_at = self.step + self.rng.randint(1, STATED_WITHIN_STEPS)
+            self._stated_at.setdefault(upstream.id, stated_at)
+        else:
+            self.bench.registry.remove(upstream.id)
+            self._down[upstream.id] = self.step + DOWN_STEPS
         interrupted = [
             each
             for each in self._running
             if each.state.upstream.id == upstream.id
         ]
         for each in interrupted:
-            each.vm.harness.watch.record_disconnect(upstream, each.fingerprint)
+            each.vm.harness.watch.record_disconnect(
+                each.upstream, each.fingerprint, each.began_ms
+            )
         for each in interrupted:
             self._running.remove(each)
             self._release(each)
-            while each.vm.harness.watch._checks:
+            while each.vm.harness.watch._checks and not self.keeps_ids:
                 await asyncio.sleep(0)
 
     def _release(self, each):
         each.state.record_end(each.token)
         running = each.vm.harness.watch.running
-        running.remove(each.state.upstream.id, each.token)
+        running.remove(each.upstream.incarnation, each.token)
 
     def _send_heartbeats(self):
         for vm in self.vms:
--- a/tests/test_crash_containment.py
+++ b/tests/test_crash_containment.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from catkindrift.gateway import _incarnation_check
 from tests.crash_simulation import CrashSimulation
 
 SEEDS = range(12)
@@ -32,6 +33,25 @@
     assert not simulation.late_runs
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('has_faults', [False, True])
+def test_starts_under_one_id_are_told_apart(seed, has_faults, monkeypatch):
+    """Guard against crashes of one id that count as one, or as none."""
+    monkeypatch.setattr(_incarnation_check, '_RESTART_POLL_SECONDS', 0)
+    simulation = CrashSimulation(
+        seed, has_faults=has_faults, keeps_ids=True, has_store=True
+    ).run()
+    assert sum(map(len, simulation.crash_times_ms.values())) > 2
+    assert not simulation.late_runs
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_store_reaches_vms_that_hear_no_others(seed):
+    """VMs that are cut off from others only are still in touch."""
+    simulation = CrashSimulation(seed, has_store=True).run()
+    assert not simulation.late_runs
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_few_others_are_refused(seed):
     """Guard against quarantine of requests that merely ran beside crashes.
