--- a/src/catkindrift/gateway/_crash_reports.py
+++ b/src/catkindrift/gateway/_crash_reports.py
@@ -30,6 +30,11 @@
     _suspects: Suspects
     _round: int = attrs.field(init=False, default=0)
 
+    @property
+    def count(self) -> int:
+        """Number of confirmed crashes that this VM knows."""
+        return len(self._suspects.crashes())
+
     def next_crashes(self) -> tuple[Crash, ...]:
         """Return the crashes for the next heartbeat and move the rotation."""
         by_age = sorted(self._suspects.crashes(), key=_age_ms)
--- a/src/catkindrift/gateway/_entry_vm_records.py
+++ b/src/catkindrift/gateway/_entry_vm_records.py
@@ -40,19 +40,35 @@
     def apply_list(self, found: tuple[StoreObject, ...]) -> None:
         """Apply all records, which may have been written long ago."""
         for stored in found:
-            record = decode_entry_vm(stored)
-            age_ms = max(0, self._clock.wall_ms() - record.written_ms)
-            self._apply(stored.name, record.aged(age_ms), age_ms)
+            age_ms, record = self._register(stored)
+            self._merge(record.aged(age_ms))
 
     def apply_change(self, stored: StoreObject) -> None:
         """Apply a record that has just been written."""
         if not stored.is_deleted:
-            self._apply(stored.name, decode_entry_vm(stored))
+            _, record = self._register(stored)
+            self._merge(record)
 
-    def _apply(self, name: str, record: EntryVmRecord, age_ms: int = 0) -> None:
-        self._members.record_registration(name, age_ms)
+    def register(self, found: tuple[StoreObject, ...]) -> None:
+        """Learn only which VMs there are.
+
+        Their crash reports may have been retracted since they were written.
+        """
+        for stored in found:
+            self._register(stored)
+
+    def _register(self, stored: StoreObject) -> tuple[int, EntryVmRecord]:
+        """Learn of a VM; return the age of its record, and the record."""
+        record = decode_entry_vm(stored)
+        age_ms = max(0, self._clock.wall_ms() - record.written_ms)
+        self._members.record_registration(stored.name, age_ms)
         self._heartbeats.add_seed(record.peers)
-        known = len(self._crashes.reports.all_crashes())
+        return age_ms, record
+
+    def _merge(self, record: EntryVmRecord) -> None:
+        if not record.crashes and not record.cleared:
+            return
+        known = self._crashes.reports.count
         self._crashes.merge_reports(record.crashes, record.cleared)
-        if len(self._crashes.reports.all_crashes()) > known:
+        if self._crashes.reports.count > known:
             self._heartbeats.send_heartbeat(to_all_regions=True)
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -109,7 +109,7 @@
         except PlatformUnavailableError as unavailable:
             logging.warning('discovery of entry VMs: %s', unavailable)
             return
-        self._records.apply_list(page.objects)
+        self._records.register(page.objects)
 
     @property
     def _timeout_s(self) -> float:
