Switch off the mechanisms of BUDGET one by one

Four breakages: the state of an upstream outlives its start, an entry's newer start confirms nothing, any response proves life, and crash reports are not read from the store. Each of the four named tests is red with it.

--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -16,7 +16,9 @@
 from catkindrift.gateway import _attempt, _forwarder, _upstream_check
 from catkindrift.gateway._change_log import ChangeLog
 from catkindrift.gateway._crash_reports import CrashReports
+from catkindrift.gateway._entry_vm_records import EntryVmRecords
 from catkindrift.gateway._gateway import Gateway
+from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._pending_request import PendingRequest
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._running_requests import RunningRequests
@@ -41,6 +43,7 @@
     SharedRetryBudget,
     UpstreamRegistry,
     WeightedRotation,
+    _upstream_registry,
 )
 from tests.breakage import always, report
 
@@ -49,6 +52,7 @@
 STORE_CUT = 'tests/test_store_cut.py::test_'
 CRASHING = 'tests/test_crashing_requests.py::test_'
 STEERING = 'tests/test_steering.py::test_'
+RESTARTED = 'tests/test_restarted_upstreams.py::test_'
 WATCH = 'tests/test_store_watch.py::test_'
 ZONE = 'tests/test_zone_watch.py::test_'
 
@@ -75,6 +79,18 @@
     yield from self._order.registry.of_service(request.service)
 
 
+async def never_restarted(_self, _upstream):
+    """Return that no newer start was stated."""
+    return _upstream_check.Liveness.UNPROVEN
+
+
+def forget_connection(record_alive):
+    """Return `record_alive` without the age of the connection."""
+    return lambda suspects, upstream, since_ms, _connected_ms: record_alive(
+        suspects, upstream, since_ms
+    )
+
+
 async def return_immediately(_self):
     """Return without waiting for running requests."""
 
@@ -229,6 +245,40 @@
         always(False),
         'tests/test_suspects.py',
     ),
+    PlatformBreakage(
+        'BUDGET',
+        'a newer start replaces the state of an upstream',
+        _upstream_registry,
+        '_has_restarted',
+        always(False),
+        'tests/test_platform_state.py::test_nothing_is_kept_of_a_start_that_'
+        'another_one_replaced',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'the entry of an upstream confirms that it has restarted',
+        IncarnationCheck,
+        '_wait_for_newer_start',
+        never_restarted,
+        f'{RESTARTED}upstream_that_restarts_under_its_id_has_crashed',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'only an older connection proves that a start lives',
+        Suspects,
+        'record_alive',
+        forget_connection(Suspects.record_alive),
+        'tests/test_crash_watch.py::test_answer_proves_life_only_on_an_older_'
+        'connection',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'crash reports are read from the store',
+        EntryVmRecords,
+        '_merge',
+        always(None),
+        f'{RESTARTED}vms_that_hear_only_the_store_share_crashes',
+    ),
     PlatformBreakage(
         'GONE',
         'a caller that disconnects cancels its requests',
