Switch off the mechanisms of LIMIT one by one

Five breakages: a VM takes the whole limit, a spent share is not asked for, an older response undoes a newer one, unheard VMs have no share, and any text is a limit.

--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -7,6 +7,7 @@
 import contextlib
 import io
 import itertools
+import re
 import sys
 from unittest import mock
 
@@ -33,7 +34,11 @@
 from catkindrift.http1._request_body import RequestBody
 from catkindrift.http1._response_queue import ResponseQueue
 from catkindrift.limits import SlotReservations
-from catkindrift.platform import StorePage, forwarded_headers
+from catkindrift.platform import (
+    StorePage,
+    _response_messages,
+    forwarded_headers,
+)
 from catkindrift.retries import Suspects
 from catkindrift.retries._crash_records import CrashRecords
 from catkindrift.steering import (
@@ -41,6 +46,7 @@
     Members,
     Placement,
     SharedRetryBudget,
+    UpstreamLimits,
     UpstreamRegistry,
     WeightedRotation,
     _upstream_registry,
@@ -52,6 +58,7 @@
 STORE_CUT = 'tests/test_store_cut.py::test_'
 CRASHING = 'tests/test_crashing_requests.py::test_'
 STEERING = 'tests/test_steering.py::test_'
+LIMITS = 'tests/test_upstream_limits.py::test_'
 RESTARTED = 'tests/test_restarted_upstreams.py::test_'
 WATCH = 'tests/test_store_watch.py::test_'
 ZONE = 'tests/test_zone_watch.py::test_'
@@ -91,6 +98,13 @@
     )
 
 
+def forget_send_time(record):
+    """Return `record` that takes every response for the newest."""
+    return lambda limits, upstream, per_second, _sent_ms: record(
+        limits, upstream, per_second, sys.maxsize
+    )
+
+
 async def return_immediately(_self):
     """Return without waiting for running requests."""
 
@@ -439,6 +453,47 @@
         always(None),
         f'{STEERING}cold_pace_holds_over_all_entry_vms',
     ),
+    PlatformBreakage(
+        'LIMIT',
+        'the limit of an upstream is shared among entry VMs',
+        UpstreamLimits,
+        'update_members',
+        always(None),
+        f'{LIMITS}sum_over_all_vms_stays_within_the_limit',
+    ),
+    PlatformBreakage(
+        'LIMIT',
+        'an upstream whose share is spent gets no requests',
+        UpstreamLimits,
+        'wait_ms',
+        always(0),
+        f'{LIMITS}others_take_what_a_limited_upstream_does_not',
+    ),
+    PlatformBreakage(
+        'LIMIT',
+        'an older response does not undo a newer one',
+        UpstreamLimits,
+        'record',
+        forget_send_time(UpstreamLimits.record),
+        f'{LIMITS}newest_statement_counts',
+    ),
+    PlatformBreakage(
+        'LIMIT',
+        'entry VMs that are never heard share the limits',
+        Members,
+        'record_registration',
+        always(None),
+        'tests/test_entry_vm_records.py::test_registered_vm_counts_until_its_'
+        'record_is_old',
+    ),
+    PlatformBreakage(
+        'LIMIT',
+        'a malformed limit is not taken for a number',
+        _response_messages,
+        '_DECIMAL',
+        re.compile(b'.*'),
+        f'{LIMITS}malformed_limit_is_named',
+    ),
     PlatformBreakage(
         'HOME',
         'home regions restrict the candidates',
