--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := $(shell find src -name '*.py' -o -name '*.json')
 
-.PHONY: run test lint types unit format breakage nightly soak bench capacity binary protocol clean
+.PHONY: run test lint types unit format breakage nightly soak platform-soak bench capacity binary protocol clean
 
 run: $(STAMP)
 	$(BIN)/catkindrift demo
@@ -37,6 +37,11 @@
 soak: $(STAMP)
 	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES)
 
+# Entry VMs of the platform on loopback under random faults.
+SEEDS ?= 50
+platform-soak: $(STAMP)
+	$(BIN)/python -m tests.platform_soak --seed $(SEED) --seeds $(SEEDS)
+
 # Each prints tables and writes them to benchmarks/results.
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.decisions
