--- a/tests/test_entry_vm_records.py
+++ b/tests/test_entry_vm_records.py
@@ -40,6 +40,12 @@
     assert members.hears_all
 
 
+def stored_crashes(deployment):
+    """Return the crashes in the record of front-1, once it is written."""
+    stored = deployment.store._objects.get(('entry-vms', 'front-1'))
+    return stored and stored['spec']['crashes']
+
+
 def test_quarantine_outlives_all_processes(tmp_path):
     """A process reads what an earlier one of its VM has written."""
 
@@ -49,12 +55,7 @@
             crashes = deployment.gateways[0]._parts.crashes
             crashes.merge_reports(tuple(records))
             deployment.gateways[0]._parts.registration.publish()
-            name = 'front-1'
-            await eventually(
-                lambda: deployment.store._objects['entry-vms', name]['spec'][
-                    'crashes'
-                ]
-            )
+            await eventually(lambda: stored_crashes(deployment))
             await deployment.gateways.pop().stop()
             again = await deployment.add_gateway()
             await eventually(
