--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -17,7 +17,8 @@
     """Objects by kind and name, one revision counter, pages and watches.
 
     Faults are injected by fields: `is_down` makes calls fail with 503,
-    `is_silent` never responds, `lost_writes` is the number of next writes that
+    `is_silent` never responds, `refused_kinds` are kinds whose reads fail with
+    503, `lost_writes` is the number of next writes that
     take effect without a response, and `part_pause_s` is the delay in seconds
     between the chunks of a watch response.
     """
@@ -25,6 +26,7 @@
     page_size: int = 50
     is_down: bool = False
     is_silent: bool = False
+    refused_kinds: set = attrs.field(factory=set)
     lost_writes: int = 0
     part_pause_s: float = 0
     revision: int = 1
@@ -84,6 +86,8 @@
             return Response(HTTPStatus.SERVICE_UNAVAILABLE)
         kind, _, name = request.path.removeprefix('/objects/').partition('/')
         if request.method == b'GET':
+            if kind in self.refused_kinds:
+                return Response(HTTPStatus.SERVICE_UNAVAILABLE)
             if 'watch' in query:
                 return await self._watch(kind, query)
             return self._list(kind, query.get('after', ''))
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -106,9 +106,11 @@
         )
 
     def _health(self):
+        body = b'{"born":%d}' % self.born_ms if self.born_ms else b''
         return (
-            b'HTTP/1.1 200 OK\r\nInstance-Id: %b\r\nContent-Length: 0\r\n\r\n'
-            % self.id.encode()
+            b'HTTP/1.1 200 OK\r\nInstance-Id: %b\r\n'
+            b'Content-Length: %d\r\n\r\n%b'
+            % (self.id.encode(), len(body), body)
         )
 
     async def _serve(self, reader, writer):
