--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -19,6 +19,8 @@
     blame: Counter = attrs.field(init=False)
     limit_changes: Counter = attrs.field(init=False)
     limited_upstreams: Gauge = attrs.field(init=False)
+    sharing_vms: Gauge = attrs.field(init=False)
+    cold_upstreams: Gauge = attrs.field(init=False)
     extra_attempts: Counter = attrs.field(init=False)
     connections_opened: Counter = attrs.field(init=False)
     store_calls: Gauge = attrs.field(init=False)
@@ -40,10 +42,15 @@
             'Limits that upstreams have named, changed or ended',
             'change',
         )
-        self.limited_upstreams = Gauge(
-            'catkindrift_limited_upstreams',
-            'Upstreams that name a limit',
-            registry=self.registry,
+        self.limited_upstreams = self._gauge(
+            'limited_upstreams', 'Upstreams that name a limit'
+        )
+        self.sharing_vms = self._gauge(
+            'sharing_entry_vms',
+            'Entry VMs among which this one divides common limits',
+        )
+        self.cold_upstreams = self._gauge(
+            'cold_upstreams', 'Upstreams that get requests at the cold rate'
         )
         self.extra_attempts = self._counter(
             'extra_attempts',
@@ -67,6 +74,9 @@
             registry=self.registry,
         )
 
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f'catkindrift_{name}', text, registry=self.registry)
+
     def _counter(self, name: str, text: str, label: str) -> Counter:
         return Counter(
             f'catkindrift_{name}',
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -168,6 +168,7 @@
             self.cold_limiter,
             self.budget,
             self.limits,
+            self.metrics,
         )
         forwarder = Forwarder(
             clock,
--- a/src/catkindrift/gateway/_platform_state.py
+++ b/src/catkindrift/gateway/_platform_state.py
@@ -115,6 +115,13 @@
             self._log_draining_start(upstream)
         rules = self.rules.get(upstream.service)
         self.registry.put(upstream, rules.cold_start_ms if rules else 0)
+        if known is None and self.has_upstreams:
+            logging.info(
+                'upstream %s is new, revision %d; cold by its entry: %d ms',
+                upstream.incarnation,
+                upstream.revision,
+                upstream.cold_remaining_ms,
+            )
 
     def replace_upstreams(self, stored: tuple[StoreObject, ...]) -> None:
         """Replace the known upstreams by a complete list from the store."""
--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -3,7 +3,9 @@
 from typing import final
 
 import attrs
+from absl import logging
 
+from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.steering import (
     ColdRateLimiter,
@@ -26,6 +28,7 @@
         cold_limiter: Limits requests to cold upstreams.
         budget: Limits retries.
         limits: Limits that upstreams name.
+        metrics: Shows how the limits are divided.
     """
 
     _state: PlatformState
@@ -34,14 +37,31 @@
     _cold_limiter: ColdRateLimiter
     _budget: SharedRetryBudget
     _limits: UpstreamLimits
+    _metrics: GatewayMetrics
+    _sharing: int = attrs.field(init=False, default=0)
 
     def run(self) -> None:
         """Apply the current members, upstreams and rules."""
         self._members.forget_silent()
         names = self._members.names
+        self._report(len(names))
         self._cold_limiter.update_members(names)
         self._cold_limiter.keep_only(self._state.registry.ids)
         self._budget.update_member_count(len(names))
         self._limits.update_members(names)
         self._limits.keep_only(self._state.registry.incarnations)
         self._placement.rules = self._state.rules
+
+    def _report(self, sharing: int) -> None:
+        """Log and export among how many VMs the limits are divided."""
+        if sharing != self._sharing:
+            logging.info(
+                'common limits are divided among %d entry VMs, %d of them '
+                'heard; before: %d',
+                sharing,
+                len(self._members.alive()) + 1,
+                self._sharing,
+            )
+        self._sharing = sharing
+        self._metrics.sharing_vms.set(sharing)
+        self._metrics.cold_upstreams.set(self._state.registry.cold_count)
--- a/src/catkindrift/steering/_upstream_registry.py
+++ b/src/catkindrift/steering/_upstream_registry.py
@@ -47,6 +47,12 @@
             state.upstream.incarnation for state in self._states.values()
         )
 
+    @property
+    def cold_count(self) -> int:
+        """Number of upstreams that count as cold."""
+        now_ms = self._clock.now_ms()
+        return sum(state.is_cold(now_ms) for state in self._states.values())
+
     def of_service(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service, including draining ones."""
         return self._by_service.get(service, [])
