Count all requests of the last second to cold upstreams (FAILBACK)

Callers saw: an upstream that had become cold could get up to twice the allowed requests in the second in which it did. Cause: requests sent while it counted as warm were not counted, the counts were dropped when its entry was removed, also if it returned within the second, and a connect to another region can take longer than the 200 ms left for jitter. Change: all requests count, counts of the last second outlive the entry, 300 ms are left for jitter. Result: test_steering passes.

--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -59,7 +59,7 @@
         isolation: Chooses upstreams.
         sender: Sends attempts.
         budget: Limits retries.
-        cold_limiter: Counts requests to cold upstreams.
+        cold_limiter: Counts requests, for when an upstream is cold.
         limits: Counts requests to upstreams that name a limit.
         refusals: Builds and records refusals.
         metrics: Counts outcomes.
@@ -209,8 +209,7 @@
         pending.excluded.add(upstream.id)
         pending.choice = choice
         self._metrics.choices.labels(choice.reason.value).inc()
-        if choice.state.is_cold(self._clock.now_ms()):
-            self._cold_limiter.count_request(upstream.id)
+        self._cold_limiter.count_request(upstream.id)
         self._limits.count_request(upstream.incarnation)
         may_have_run = pending.may_have_run
         outcome = await self._sender.send(pending, choice.state)
--- a/src/catkindrift/steering/_cold_rate_limiter.py
+++ b/src/catkindrift/steering/_cold_rate_limiter.py
@@ -13,8 +13,8 @@
 
 _WINDOW_MS = 1000
 # Requests sent over more than one second can arrive within one second, since
-# network delay varies from request to request.
-_JITTER_MS = 200
+# network delay and connects vary from request to request.
+_JITTER_MS = 300
 # Part of the limit that is divided among the known entry VMs. The rest covers
 # an entry VM that the others don't know yet and that already sends its share.
 _ALLOCATED_FRACTION = 0.85
@@ -52,21 +52,28 @@
 
     def allows(self, state: UpstreamState, rules: ServiceRules) -> bool:
         """Return whether a request may be sent to a cold upstream now."""
-        sent = self._send_times_ms.get(state.upstream.id, deque())
-        oldest_ms = self._clock.now_ms() - _WINDOW_MS - _JITTER_MS
-        while sent and sent[0] <= oldest_ms:
-            sent.popleft()
+        sent = self._recent(state.upstream.id)
         return len(sent) < self._share(state.upstream.id, rules)
 
     def count_request(self, upstream_id: str) -> None:
-        """Count a request that is sent to a cold upstream."""
-        sent = self._send_times_ms.setdefault(upstream_id, deque())
-        sent.append(self._clock.now_ms())
+        """Count a request to any upstream, since a warm one may become cold."""
+        self._recent(upstream_id).append(self._clock.now_ms())
 
     def keep_only(self, upstream_ids: frozenset[str]) -> None:
-        """Drop the counts of all upstreams except `upstream_ids`."""
+        """Drop old counts of all upstreams except `upstream_ids`.
+
+        Counts of the last second are kept: the entry may return.
+        """
         for removed in self._send_times_ms.keys() - upstream_ids:
-            self._send_times_ms.pop(removed)
+            if not self._recent(removed):
+                self._send_times_ms.pop(removed)
+
+    def _recent(self, upstream_id: str) -> deque[int]:
+        sent = self._send_times_ms.setdefault(upstream_id, deque())
+        oldest_ms = self._clock.now_ms() - _WINDOW_MS - _JITTER_MS
+        while sent and sent[0] <= oldest_ms:
+            sent.popleft()
+        return sent
 
     def _share(self, upstream_id: str, rules: ServiceRules) -> int:
         rate = rules.cold_per_second * self.bounds.cold_overshoot
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -229,6 +229,18 @@
     assert 0 < most <= 7.7 * 1.5 + 5
 
 
+def test_requests_of_the_last_second_count_after_an_upstream_became_cold():
+    """A warm upstream may become cold, and its entry may vanish and return."""
+    bench = Bench(*sample_upstreams(1))
+    state = bench.registry.find('i-ovd-a-0')
+    for _ in range(20):
+        bench.cold_limiter.count_request('i-ovd-a-0')
+    bench.cold_limiter.keep_only(frozenset())
+    assert not bench.cold_limiter.allows(state, RULES)
+    bench.clock.advance(1400)
+    assert bench.cold_limiter.allows(state, RULES)
+
+
 def test_new_upstreams_count_as_cold():
     """An upstream that appears after the first list has just started.
 
