--- a/src/catkindrift/gateway/_entry_vm_records.py
+++ b/src/catkindrift/gateway/_entry_vm_records.py
@@ -39,9 +39,12 @@
 
     def apply_list(self, found: tuple[StoreObject, ...]) -> None:
         """Apply all records, which may have been written long ago."""
+        ages_ms: dict[str, int] = {}
         for stored in found:
             age_ms, record = self._register(stored)
+            ages_ms[stored.name] = age_ms
             self._merge(record.aged(age_ms))
+        self._members.record_list(ages_ms)
 
     def apply_change(self, stored: StoreObject) -> None:
         """Apply a record that has just been written."""
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -29,6 +29,8 @@
 _MAX_RECEIVERS = 16
 # Records of other VMs that one heartbeat carries.
 _MAX_GOSSIPED_MEMBERS = 2
+# Names of VMs that are known from the store only; each takes about 30 bytes.
+_MAX_UNHEARD_MEMBERS = 4
 
 
 @final
@@ -154,8 +156,14 @@
             self._health.answer_age_ms,
             self._crashes.reports.newest_cleared(),
             self._limits.notices(),
+            self._sample_unheard(),
         )
 
+    def _sample_unheard(self) -> tuple[tuple[str, int], ...]:
+        unheard = self._members.unheard_records
+        count = min(len(unheard), _MAX_UNHEARD_MEMBERS)
+        return tuple(self._rng.sample(unheard, count))
+
     def _receivers(self, *, to_all_regions: bool) -> set[str]:
         known = self._members.facts
         near = [
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -146,7 +146,7 @@
             clock, self.heartbeats, self.crashes, self.members
         )
         self.registration = Registration(
-            client, settings, self.heartbeats, records, self.members
+            clock, client, settings, self.heartbeats, records, self.members
         )
         self.watches.watch_entry_vms(
             self.registration.load, records.apply_change
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -7,6 +7,7 @@
 import attrs
 from absl import logging
 
+from catkindrift.clock import Clock
 from catkindrift.errors import PlatformAmbiguousError, PlatformUnavailableError
 from catkindrift.gateway._entry_vm_records import EntryVmRecords
 from catkindrift.gateway._heartbeats import Heartbeats
@@ -28,6 +29,8 @@
 # Rediscovery finds VMs whose membership was lost, such as after a long network
 # partition.
 _REDISCOVERY_SECONDS = 60.0
+# Records that are much older count as left behind by a removed VM.
+_RENEWAL_MS = 3_600_000
 
 
 @final
@@ -36,10 +39,11 @@
     """Writes this VM's record to the store and reads those of its peers.
 
     Each process writes once when it starts, after it has read what an earlier
-    one wrote, then for crashes, and again while it does not hear all others.
-    Liveness is tracked by heartbeats and needs no store calls.
+    one wrote, then for crashes, each hour, and again while it does not hear all
+    others. Liveness is tracked by heartbeats and needs no store calls.
 
     Args:
+        clock: Source of time.
         client: Client of the store.
         settings: Name and addresses of this VM.
         heartbeats: Contacts the discovered peers.
@@ -47,6 +51,7 @@
         members: Entry VMs.
     """
 
+    _clock: Clock
     _client: StoreClient
     _settings: GatewaySettings
     _heartbeats: Heartbeats
@@ -55,6 +60,7 @@
     _is_loaded: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
     _is_changed: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
+    _renewal_due_ms: int = attrs.field(init=False, default=0)
 
     def load(self, found: tuple[StoreObject, ...]) -> None:
         """Apply a complete list of records, which lets this VM register."""
@@ -79,7 +85,8 @@
             await asyncio.wait_for(self._is_changed.wait(), wait_s)
         except TimeoutError:
             await self._discover_peers()
-            if self._members.hears_all:
+            is_due = self._clock.now_ms() >= self._renewal_due_ms
+            if self._members.hears_all and not is_due:
                 return
         await asyncio.sleep(_COALESCING_SECONDS)
         await self._write_with_retries()
@@ -101,6 +108,8 @@
             encode_entry_vm(self._records.own_record()),
             self._timeout_s,
         )
+        self._members.record_own_registration()
+        self._renewal_due_ms = self._clock.now_ms() + _RENEWAL_MS
         return True
 
     async def _discover_peers(self) -> None:
--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -44,8 +44,9 @@
         """Apply the current members, upstreams and rules."""
         self._members.forget_silent()
         names = self._members.names
-        self._report(len(names))
-        self._cold_limiter.update_members(names)
+        sharers = self._members.sharers
+        self._report(len(sharers))
+        self._cold_limiter.update_members(sharers)
         self._cold_limiter.keep_only(self._state.registry.ids)
         self._budget.update_member_count(len(names))
         self._limits.update_members(names)
--- a/src/catkindrift/steering/_cold_rate_limiter.py
+++ b/src/catkindrift/steering/_cold_rate_limiter.py
@@ -46,7 +46,8 @@
     def update_members(self, members: tuple[str, ...]) -> None:
         """Set the names of all entry VMs that share the limit.
 
-        Include VMs that are silent: they may still send requests.
+        Include VMs that are silent: they may still send requests. Without
+        names this VM has no share.
         """
         self._members = members
 
@@ -78,7 +79,9 @@
     def _share(self, upstream_id: str, rules: ServiceRules) -> int:
         rate = rules.cold_per_second * self.bounds.cold_overshoot
         allowance = int((rate + self.bounds.cold_slack) * _ALLOCATED_FRACTION)
-        senders = max(1, len(self._members))
+        senders = len(self._members)
+        if not senders:
+            return 0
         if senders <= allowance:
             return allowance // senders
         chosen = rendezvous_order(upstream_id, self._members)[:allowance]
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -54,6 +54,8 @@
             the sender itself; None if it has had none.
         cleared: Recent responses to suspect requests.
         limits: Limits of upstreams that the sender has seen itself.
+        unheard: Names of some VMs that the sender knows from the store only,
+            with the ages of their records in milliseconds.
     """
 
     sender: MemberFacts
@@ -63,3 +65,4 @@
     answer_age_ms: int | None = None
     cleared: tuple[Cleared, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
+    unheard: tuple[tuple[str, int], ...] = ()
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -1,6 +1,6 @@
 """Membership and liveness of entry VMs."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import final
 
 import attrs
@@ -16,6 +16,13 @@
 _RETENTION_MS = 120_000
 # A VM that does not hear all others renews its record twice in this time.
 _RECORD_RETENTION_MS = 180_000
+# A VM that hears all others renews its record several times in this time.
+_LISTED_RETENTION_MS = 10_800_000
+# VMs that start together learn of each other in this time after the list.
+_SETTLING_MS = 2500
+# Without a sign that the others know of it, a VM gives its shares up well
+# before they forget it.
+_SHARE_LEASE_MS = 110_000
 
 
 @final
@@ -42,6 +49,8 @@
     last_recovery_ms: int = attrs.field(init=False, default=0)
     _members: dict[str, _Member] = attrs.field(init=False, factory=dict)
     _records_ms: dict[str, int] = attrs.field(init=False, factory=dict)
+    _listed_ms: int | None = attrs.field(init=False, default=None)
+    _known_to_others_ms: int = attrs.field(init=False, default=-_SHARE_LEASE_MS)
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -58,6 +67,36 @@
         )
         return tuple(sorted({self._own_name, *self._members, *registered}))
 
+    @property
+    def sharers(self) -> tuple[str, ...]:
+        """Sorted names of the entry VMs that share the common limits.
+
+        Empty while this VM can't know all of them, or while they may have
+        forgotten it: until the records in the store have been read and VMs
+        that started at the same time had time to appear, and after a long time
+        without contact.
+        """
+        now_ms = self._clock.now_ms()
+        if self._listed_ms is None or now_ms - self._listed_ms < _SETTLING_MS:
+            return ()
+        if self.hears_all:
+            self._known_to_others_ms = now_ms
+        if now_ms - self._known_to_others_ms > _SHARE_LEASE_MS:
+            return ()
+        return self.names
+
+    @property
+    def unheard_records(self) -> tuple[tuple[str, int], ...]:
+        """Names of registered VMs that are not heard, and ages of records."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            (name, now_ms - written_ms)
+            for name, written_ms in self._records_ms.items()
+            if name not in self._members
+            and name != self._own_name
+            and now_ms - written_ms < _RECORD_RETENTION_MS
+        )
+
     @property
     def hears_all(self) -> bool:
         """Whether all entry VMs that may be alive are heard."""
@@ -86,6 +125,8 @@
     def record_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Update the members from a heartbeat."""
         self.record_facts((heartbeat.sender, *heartbeat.heard))
+        for name, age_ms in heartbeat.unheard:
+            self.record_registration(name, age_ms)
 
     def record_facts(self, facts: Iterable[MemberFacts]) -> None:
         """Replace older facts; newer facts about a VM show that it is alive."""
@@ -111,6 +152,25 @@
             written_ms, self._records_ms.get(name, written_ms)
         )
 
+    def record_list(self, ages_ms: Mapping[str, int]) -> None:
+        """Record a complete list of the records in the store.
+
+        VMs that hear each other renew their records rarely, so an old record
+        may be that of a VM which this one does not hear.
+
+        Args:
+            ages_ms: Time since each record was written, by name of the VM.
+        """
+        for name, age_ms in ages_ms.items():
+            if age_ms < _LISTED_RETENTION_MS:
+                self.record_registration(name, 0)
+        if self._listed_ms is None:
+            self._listed_ms = self._clock.now_ms()
+
+    def record_own_registration(self) -> None:
+        """Record that this VM has written its record in the store."""
+        self._known_to_others_ms = self._clock.now_ms()
+
     def forget_silent(self) -> None:
         """Remove VMs that have been silent for the retention time."""
         oldest_ms = self._clock.now_ms() - _RETENTION_MS
