--- a/src/catkindrift/callers/_upstream_sender.py
+++ b/src/catkindrift/callers/_upstream_sender.py
@@ -186,6 +186,7 @@
     ) -> ClientConnection | None:
         try:
             return await self._pool.connect(
+                connection_key(upstream),
                 upstream.address,
                 upstream.port,
                 min(timeout_ms, _CONNECT_TIMEOUT_MS),
--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -18,6 +18,7 @@
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._pending_request import PendingRequest
 from catkindrift.gateway._running_attempt import RunningAttempt
+from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
 from catkindrift.gateway._upstream_observer import UpstreamObserver
 from catkindrift.gateway._upstream_pool import UpstreamPool
 from catkindrift.http1 import (
@@ -35,7 +36,7 @@
     is_misdirected,
     reports_not_run,
 )
-from catkindrift.steering import UpstreamState
+from catkindrift.steering import UnseenRestarts, Upstream, UpstreamState
 
 # How a response fails when the upstream crashes while it is running.
 _DISCONNECT_FAILURES = frozenset(
@@ -56,12 +57,16 @@
         pool: Connections to upstreams.
         observer: Updates the state of upstreams from their responses.
         crashes: Tracks which requests crash upstreams.
+        check: Health checks of upstreams.
+        restarts: Restarts of upstreams that may not have been seen.
     """
 
     _clock: Clock
     _pool: UpstreamPool
     _observer: UpstreamObserver
     _crashes: CrashWatch
+    _check: UpstreamCheck
+    _restarts: UnseenRestarts
     _tokens: Iterator[int] = attrs.field(
         init=False,
         factory=itertools.count,
@@ -101,9 +106,14 @@
     ) -> AttemptOutcome:
         upstream = state.upstream
         connection = self._pool.take(upstream)
+        if connection is None and not await self._confirm_start(upstream):
+            return NotRun(has_reached_upstream=False)
+        if connection is None:
+            connection = self._pool.take(upstream)
         if connection is None:
             connection = await self._pool.connect(upstream)
         if connection is None:
+            self._restarts.expect(upstream.incarnation)
             self._crashes.record_connect_failure(upstream)
             return self._observer.record_connect_failure(state)
         # A crash may have been reported while the connection was opened.
@@ -127,6 +137,23 @@
             running.mark_abandoned(upstream.incarnation, pending.fingerprint)
             raise
 
+    async def _confirm_start(self, upstream: Upstream) -> bool:
+        """Return whether a request may go to an upstream.
+
+        Without an open connection a restart under the same id is not seen, so
+        a health check has to show that this start still runs.
+        """
+        is_seen = not upstream.born_ms or self._pool.is_connected(upstream)
+        if is_seen:
+            return True
+        connection = await self._pool.connect(upstream)
+        if connection is None:
+            return True
+        liveness = await self._check.confirm(upstream, connection)
+        if liveness is Liveness.ENDED:
+            self._restarts.expect(upstream.incarnation)
+        return liveness is not Liveness.ENDED
+
     async def _exchange(self, attempt: RunningAttempt) -> AttemptOutcome:
         pending = attempt.pending
         request = pending.request
--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -31,6 +31,8 @@
         clock: Source of time.
         check: Checks whether an incarnation has ended.
         metrics: Counts changes of blame.
+        on_reported_crash: Called with an incarnation that has crashed by what
+            another entry VM reports.
         on_confirmed_crash: Called with the incarnation that has crashed, to
             report the crash to other entry VMs at once.
     """
@@ -38,6 +40,7 @@
     _clock: Clock
     _check: IncarnationCheck
     _metrics: GatewayMetrics
+    _on_reported_crash: Callable[[str], None]
     _on_confirmed_crash: Callable[[Upstream], None]
     running: RunningRequests = attrs.field(init=False)
     reports: CrashReports = attrs.field(init=False)
@@ -129,9 +132,14 @@
         running = self.running.running_at(upstream.incarnation)
         self._blame_and_check(upstream, {fingerprint, *running}, connected_ms)
 
-    def next_crashes(self) -> tuple[Crash, ...]:
-        """Return the confirmed crashes for the next heartbeat."""
-        return self.reports.next_crashes()
+    def record_idle_loss(self, upstream: Upstream) -> None:
+        """Check an upstream that closed an idle connection too early.
+
+        Only where a restart may keep the id; another id shows it otherwise.
+        """
+        if upstream.born_ms:
+            running = self.running.running_at(upstream.incarnation)
+            self._blame_and_check(upstream, set(running))
 
     def merge_reports(
         self,
@@ -144,7 +152,10 @@
             crashes: Confirmed crashes.
             cleared: Suspects that have had a whole response.
         """
-        self._reported_upstreams.update(each.upstream for each in crashes)
+        reported = {each.upstream for each in crashes}
+        for incarnation in reported - self._reported_upstreams:
+            self._on_reported_crash(incarnation)
+        self._reported_upstreams.update(reported)
         self._suspects.merge(crashes, cleared)
 
     def retain_upstreams(self, incarnations: frozenset[str]) -> None:
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -152,7 +152,7 @@
             self._own_member,
             tuple(gossiped),
             self._revisions(),
-            self._crashes.next_crashes(),
+            self._crashes.reports.next_crashes(),
             self._health.answer_age_ms,
             self._crashes.reports.newest_cleared(),
             self._limits.notices(),
--- a/src/catkindrift/gateway/_incarnation_check.py
+++ b/src/catkindrift/gateway/_incarnation_check.py
@@ -8,7 +8,7 @@
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
-from catkindrift.steering import Upstream
+from catkindrift.steering import UnseenRestarts, Upstream
 
 # Pauses before each further health check of an unreachable upstream.
 _CHECK_PAUSES_SECONDS = (0.1, 0.4, 1.5)
@@ -30,14 +30,23 @@
         clock: Source of time.
         check: Sends health checks to upstreams.
         find_current: Returns what is known now of an upstream, by its id.
+        restarts: Told that an upstream may have restarted, or has not.
     """
 
     _clock: Clock
     _check: UpstreamCheck
     _find_current: Callable[[str], Upstream | None]
+    _restarts: UnseenRestarts
 
     async def run(self, upstream: Upstream) -> Liveness:
         """Return whether the incarnation has ended, as far as can be known."""
+        self._restarts.expect(upstream.incarnation)
+        liveness = await self._probe(upstream)
+        if liveness is Liveness.ALIVE:
+            self._restarts.rule_out(upstream.incarnation)
+        return liveness
+
+    async def _probe(self, upstream: Upstream) -> Liveness:
         liveness = await self._check.probe(upstream)
         for pause_s in _CHECK_PAUSES_SECONDS:
             if liveness is not Liveness.UNKNOWN:
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -44,6 +44,7 @@
     Placement,
     SharedRetryBudget,
     SteeringBounds,
+    UnseenRestarts,
     Upstream,
     UpstreamLimits,
     UpstreamRegistry,
@@ -81,6 +82,9 @@
     log: RequestLog = attrs.field(init=False)
     distances: ZoneDistances = attrs.field(init=False)
     pool: UpstreamPool = attrs.field(init=False)
+    registry: UpstreamRegistry = attrs.field(init=False)
+    restarts: UnseenRestarts = attrs.field(init=False)
+    check: UpstreamCheck = attrs.field(init=False)
     crashes: CrashWatch = attrs.field(init=False)
     tick: SteeringTick = attrs.field(init=False)
     caller_server: HttpServer = attrs.field(init=False)
@@ -98,12 +102,25 @@
         self.limits = UpstreamLimits(clock, vm.name)
         self.log = RequestLog(clock, vm.name, BoundedOutput(clock), self.limits)
         self.distances = ZoneDistances(vm.zone, self.regions)
-        self.pool = UpstreamPool(clock, self.distances, self.metrics)
-        check = UpstreamCheck(self.pool, self._health_path)
+        self.registry = UpstreamRegistry(clock)
+        self.restarts = UnseenRestarts(
+            clock, self.registry, self._cold_start_ms
+        )
+        self.pool = UpstreamPool(
+            clock,
+            self.distances,
+            self.metrics,
+            self.restarts.record_connect,
+            self._handle_idle_loss,
+        )
+        self.check = UpstreamCheck(self.pool, self._health_path)
         self.crashes = CrashWatch(
             clock,
-            IncarnationCheck(clock, check, self._find_upstream),
+            IncarnationCheck(
+                clock, self.check, self._find_upstream, self.restarts
+            ),
             self.metrics,
+            self.restarts.expect,
             self._handle_confirmed_crash,
         )
         self._wire_state()
@@ -125,7 +142,7 @@
         self.members = Members(clock, settings.vm.name)
         health = StoreHealth(clock)
         self.state = PlatformState(
-            UpstreamRegistry(clock),
+            self.registry,
             self.regions,
             MissingEntries(clock, health),
         )
@@ -191,6 +208,8 @@
                     self._broadcast_heartbeat,
                 ),
                 self.crashes,
+                self.check,
+                self.restarts,
             ),
             self.budget,
             self.cold_limiter,
@@ -233,17 +252,24 @@
     def _broadcast_heartbeat(self) -> None:
         self.heartbeats.send_heartbeat(to_all_regions=True)
 
+    def _handle_idle_loss(self, incarnation: str) -> None:
+        known = self.registry.find_incarnation(incarnation)
+        if known:
+            self.crashes.record_idle_loss(known.upstream)
+
     def _handle_confirmed_crash(self, upstream: Upstream) -> None:
-        rules = self.state.rules.get(upstream.service)
-        cold_start_ms = rules.cold_start_ms if rules else 0
-        self.state.registry.expect_restart(upstream, cold_start_ms)
+        self.restarts.expect(upstream.incarnation)
         self._broadcast_heartbeat()
         self.registration.publish()
 
     def _find_upstream(self, upstream_id: str) -> Upstream | None:
-        known = self.state.registry.find(upstream_id)
+        known = self.registry.find(upstream_id)
         return known.upstream if known else None
 
+    def _cold_start_ms(self, service: str) -> int:
+        rules = self.state.rules.get(service)
+        return rules.cold_start_ms if rules else 0
+
     def _health_path(self, service: str) -> str:
         rules = self.state.rules.get(service)
         return rules.health_path if rules else ''
--- a/src/catkindrift/gateway/_upstream_check.py
+++ b/src/catkindrift/gateway/_upstream_check.py
@@ -70,6 +70,15 @@
             return Liveness.UNKNOWN
         return await self._send_health_check(upstream, connection)
 
+    async def confirm(
+        self, upstream: Upstream, connection: ClientConnection
+    ) -> Liveness:
+        """Check on a new connection which start of an upstream accepted it.
+
+        Afterwards the connection is in the pool, if it can be reused.
+        """
+        return await self._send_health_check(upstream, connection)
+
     async def _has_responded(
         self, upstream: Upstream, connection: ClientConnection
     ) -> bool:
--- a/src/catkindrift/gateway/_upstream_pool.py
+++ b/src/catkindrift/gateway/_upstream_pool.py
@@ -1,5 +1,6 @@
 """Pool of connections to upstreams."""
 
+from collections.abc import Callable
 from typing import final
 
 import attrs
@@ -24,21 +25,31 @@
         clock: Source of time.
         distances: Round-trip times to zones, updated by each connect.
         metrics: Counts opened connections and failed connects.
+        on_connect: Called with the incarnation of an upstream that has
+            accepted a connection.
+        on_idle_loss: Called with the incarnation of an upstream that has
+            closed an idle connection before its idle timeout.
     """
 
     _clock: Clock
     _distances: ZoneDistances
     _metrics: GatewayMetrics
+    _on_connect: Callable[[str], None]
+    _on_idle_loss: Callable[[str], None]
     _connections: ConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create an empty pool."""
-        self._connections = ConnectionPool(self._clock)
+        self._connections = ConnectionPool(self._clock, self._on_idle_loss)
 
     def take(self, upstream: Upstream) -> ClientConnection | None:
         """Return the most recently used idle connection, or None."""
         return self._connections.take(upstream.incarnation)
 
+    def is_connected(self, upstream: Upstream) -> bool:
+        """Return whether any connection to this incarnation is open."""
+        return self._connections.open_count(upstream.incarnation) > 0
+
     async def connect(self, upstream: Upstream) -> ClientConnection | None:
         """Return a new connection, or None if the connect failed."""
         try:
@@ -57,6 +68,7 @@
         limit_ms = expected_ms * _CONNECT_ROUND_TRIPS + _CONNECT_EXTRA_MS
         try:
             connection = await self._connections.connect(
+                upstream.incarnation,
                 upstream.host,
                 upstream.port,
                 limit_ms,
@@ -67,6 +79,7 @@
         self._metrics.connections_opened.labels('opened').inc()
         took_ms = self._clock.now_ms() - began_ms
         self._distances.add_sample(upstream.zone, took_ms)
+        self._on_connect(upstream.incarnation)
         return connection
 
     def give_back(
--- a/src/catkindrift/http1/_client_connection.py
+++ b/src/catkindrift/http1/_client_connection.py
@@ -1,6 +1,7 @@
 """Client connection."""
 
 import asyncio
+from collections.abc import Callable
 from typing import final
 
 import attrs
@@ -24,11 +25,15 @@
         keep_alive_ms: Idle timeout that the peer states, None if it has not.
         idle_since_ms: When it was last given back to a pool.
         connected_ms: When a pool opened it.
+        on_lost: Called when it has been closed by either side.
     """
 
     keep_alive_ms: int | None = attrs.field(init=False, default=None)
     idle_since_ms: int = attrs.field(init=False, default=0)
     connected_ms: int = attrs.field(init=False, default=0)
+    on_lost: Callable[['ClientConnection'], None] | None = attrs.field(
+        init=False, default=None
+    )
     _transport: asyncio.Transport | None = attrs.field(init=False, default=None)
     _receiver: ResponseReceiver | None = attrs.field(init=False, default=None)
     _parser: ResponseParser | None = attrs.field(init=False, default=None)
@@ -123,3 +128,5 @@
         self._writable.set()
         if self._parser:
             self._parser.connection_lost()
+        if self.on_lost:
+            self.on_lost(self)
--- a/src/catkindrift/http1/_connection_pool.py
+++ b/src/catkindrift/http1/_connection_pool.py
@@ -1,7 +1,8 @@
 """Pool of idle client connections."""
 
 import asyncio
-from collections.abc import Container
+import functools
+from collections.abc import Callable, Container
 from typing import final
 
 import attrs
@@ -17,6 +18,10 @@
 _MAX_IDLE_FRACTION = 0.75
 
 
+def _ignore_loss(_peer: str) -> None:
+    """Ignore a lost connection."""
+
+
 @final
 @attrs.define(eq=False)
 class ConnectionPool:
@@ -26,13 +31,24 @@
 
     Args:
         clock: Source of time.
+        on_idle_loss: Called with the id of a peer that has closed an idle
+            connection before its idle timeout.
     """
 
     _clock: Clock
+    _on_idle_loss: Callable[[str], None] = _ignore_loss
     _idle: dict[str, list[ClientConnection]] = attrs.field(
         init=False,
         factory=dict,
     )
+    _open: dict[str, set[ClientConnection]] = attrs.field(
+        init=False,
+        factory=dict,
+    )
+
+    def open_count(self, peer: str) -> int:
+        """Return the number of open connections to a peer, idle or not."""
+        return len(self._open.get(peer, ()))
 
     def take(self, peer: str) -> ClientConnection | None:
         """Return the most recently used idle connection, or None.
@@ -50,6 +66,7 @@
 
     async def connect(
         self,
+        peer: str,
         host: str,
         port: int,
         timeout_ms: float,
@@ -57,6 +74,7 @@
         """Open a connection.
 
         Args:
+            peer: Id of the peer.
             host: IP address.
             port: TCP port.
             timeout_ms: Connect timeout in milliseconds.
@@ -72,6 +90,8 @@
                 port,
             )
         connection.connected_ms = self._clock.now_ms()
+        connection.on_lost = functools.partial(self._handle_loss, peer)
+        self._open.setdefault(peer, set()).add(connection)
         return connection
 
     def give_back(self, peer: str, connection: ClientConnection) -> None:
@@ -99,12 +119,21 @@
         """Abort all idle connections."""
         self.prune(())
 
+    def _handle_loss(self, peer: str, connection: ClientConnection) -> None:
+        remaining = self._open.get(peer, set())
+        remaining.discard(connection)
+        if not remaining:
+            self._open.pop(peer, None)
+        is_idle = connection in self._idle.get(peer, ())
+        if is_idle and self._is_recent(connection):
+            self._on_idle_loss(peer)
+
     def _is_fresh(self, connection: ClientConnection) -> bool:
+        return connection.is_reusable and self._is_recent(connection)
+
+    def _is_recent(self, connection: ClientConnection) -> bool:
         keep_alive_ms = connection.keep_alive_ms
         if keep_alive_ms is None:
             keep_alive_ms = _DEFAULT_KEEP_ALIVE_MS
         idle_ms = self._clock.now_ms() - connection.idle_since_ms
-        return (
-            connection.is_reusable
-            and idle_ms < keep_alive_ms * _MAX_IDLE_FRACTION
-        )
+        return idle_ms < keep_alive_ms * _MAX_IDLE_FRACTION
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -29,6 +29,7 @@
 from catkindrift.steering._service_rules import ServiceRules
 from catkindrift.steering._shared_retry_budget import SharedRetryBudget
 from catkindrift.steering._time_span import TimeSpan
+from catkindrift.steering._unseen_restarts import UnseenRestarts
 from catkindrift.steering._upstream import Upstream
 from catkindrift.steering._upstream_limits import UpstreamLimits
 from catkindrift.steering._upstream_registry import UpstreamRegistry
@@ -60,6 +61,7 @@
     'SharedRetryBudget',
     'SteeringBounds',
     'TimeSpan',
+    'UnseenRestarts',
     'Upstream',
     'UpstreamLimits',
     'UpstreamRegistry',
--- a/src/catkindrift/steering/_upstream_registry.py
+++ b/src/catkindrift/steering/_upstream_registry.py
@@ -61,6 +61,13 @@
         """Return an upstream by its id, or None if it is unknown."""
         return self._states.get(upstream_id)
 
+    def find_incarnation(self, incarnation: str) -> UpstreamState | None:
+        """Return an upstream if its present start is `incarnation`."""
+        upstream_id, _, _ = incarnation.partition('@')
+        known = self._states.get(upstream_id)
+        is_same = known and known.upstream.incarnation == incarnation
+        return known if is_same else None
+
     def is_eligible(self, state: UpstreamState) -> bool:
         """Return whether an upstream may get requests.
 
@@ -95,20 +102,6 @@
         if self._states.pop(upstream_id, None):
             self._rebuild_index()
 
-    def expect_restart(self, upstream: Upstream, cold_start_ms: int) -> None:
-        """Treat whatever answers for an ended incarnation as just started.
-
-        Args:
-            upstream: The incarnation that has ended. Nothing changes if its
-                start is unknown, since a successor then has another id.
-            cold_start_ms: Time for which its successor counts as cold.
-        """
-        known = self._states.get(upstream.id)
-        if not known or not upstream.born_ms:
-            return
-        if known.upstream.incarnation == upstream.incarnation:
-            self._mark_cold(known, cold_start_ms)
-
     def mark_loaded(self) -> None:
         """Mark the first complete list of upstreams as loaded.
 
--- a/src/catkindrift/steering/_upstream_state.py
+++ b/src/catkindrift/steering/_upstream_state.py
@@ -35,6 +35,8 @@
         upstream: Entry of the upstream in the platform's store.
         first_seen_ms: When this process first saw the entry.
         cold_until_ms: Time until which it counts as cold.
+        restart_until_ms: Time until which it may have been restarted unseen,
+            so that it counts as cold too.
         ejected_until_ms: Time until which it gets no requests after failures.
         failure_rate: Moving average of failures per request, from 0 to 1.
     """
@@ -42,6 +44,7 @@
     upstream: Upstream
     first_seen_ms: int
     cold_until_ms: int = 0
+    restart_until_ms: int = 0
     ejected_until_ms: int = 0
     failure_rate: float = 0
     _consecutive_failures: int = 0
@@ -61,7 +64,7 @@
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether requests to the upstream are limited to a low rate."""
-        return now_ms < self.cold_until_ms
+        return now_ms < max(self.cold_until_ms, self.restart_until_ms)
 
     def load(self, now_ms: int) -> float:
         """Estimate the requests of all entry VMs at the upstream.
--- a/tests/cold_simulation.py
+++ b/tests/cold_simulation.py
@@ -14,6 +14,7 @@
     MemberFacts,
     Members,
     ServiceRules,
+    UnseenRestarts,
     UpstreamRegistry,
 )
 from tests.steering_samples import BOUNDS, sample_upstream
@@ -34,6 +35,7 @@
 NEWS_MS = (50, 2000)
 LATE_NEWS_MS = (2000, 12_000)
 NETWORK_MS = (1, 250)
+IDLE_TIMEOUT_MS = 7500
 
 
 @attrs.define(eq=False)
@@ -45,17 +47,23 @@
     starts: int = 0
     back_at_ms: int = 0
     cut_until_ms: int = 0
-    sent_at_ms: int = -1_000_000
+    sent_at_ms: int = 0
+    connected_ms: int = 0
     members: Members = attrs.field(init=False)
     limiter: ColdRateLimiter = attrs.field(init=False)
     registry: UpstreamRegistry = attrs.field(init=False)
+    restarts: UnseenRestarts = attrs.field(init=False)
 
     def start(self, back_at_ms):
         self.starts += 1
         self.back_at_ms = back_at_ms
+        self.connected_ms = 0
         self.members = Members(self.clock, self.name)
         self.limiter = ColdRateLimiter(self.clock, BOUNDS, self.name)
         self.registry = UpstreamRegistry(self.clock)
+        self.restarts = UnseenRestarts(
+            self.clock, self.registry, lambda _service: RULES.cold_start_ms
+        )
 
     def runs(self):
         return self.clock.now_ms() >= self.back_at_ms
@@ -63,6 +71,10 @@
     def is_reached(self):
         return self.runs() and self.clock.now_ms() >= self.cut_until_ms
 
+    def has_connection(self):
+        idle_ms = self.clock.now_ms() - self.sent_at_ms
+        return bool(self.connected_ms) and idle_ms < IDLE_TIMEOUT_MS
+
     def facts(self):
         return MemberFacts(
             self.name,
@@ -246,11 +258,12 @@
     def _break_connections(self, vm):
         """Show the restart to a VM with an open connection."""
         state = vm.registry.find(UPSTREAM)
-        if state and self.clock.now_ms() - vm.sent_at_ms < 5000:
-            before = state.upstream
+        if state and vm.has_connection():
+            vm.connected_ms = 0
+            before = state.upstream.incarnation
             event = self._for_start(
                 vm,
-                lambda: vm.registry.expect_restart(before, RULES.cold_start_ms),
+                lambda: vm.restarts.expect(before),
             )
             self._later((1, 20), event)
 
@@ -276,10 +289,27 @@
         if is_cold and not vm.limiter.allows(state, RULES):
             return
         vm.limiter.count_request(UPSTREAM)
+        if not vm.has_connection() and not self._connect(vm, state):
+            return
         vm.sent_at_ms = self.clock.now_ms()
-        self._later(NETWORK_MS, self._arrive)
-
-    def _arrive(self):
+        connected_ms = vm.connected_ms
+        self._later(NETWORK_MS, lambda: self._arrive(connected_ms))
+
+    def _connect(self, vm, state):
+        """Open a connection; return whether the known start accepted it."""
+        vm.connected_ms = self.clock.now_ms()
+        vm.sent_at_ms = vm.connected_ms
+        incarnation = state.upstream.incarnation
+        vm.restarts.record_connect(incarnation)
+        is_known = state.upstream.born_ms == self.entry.born_ms
+        if not is_known:
+            vm.restarts.expect(incarnation)
+        return is_known
+
+    def _arrive(self, connected_ms):
+        """Receive a request, unless a restart has broken its connection."""
+        if connected_ms < self.upstream_started_ms:
+            return
         now_ms = self.clock.now_ms()
         age_ms = now_ms - self.upstream_started_ms
         is_first = self.upstream_started_ms == 100_000
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -238,7 +238,7 @@
         for other in self.vms:
             if other is not vm and not other.cut_off_steps:
                 vm.harness.watch.merge_reports(
-                    other.harness.watch.next_crashes()
+                    other.harness.watch.reports.next_crashes()
                 )
 
     def _send_requests(self):
@@ -352,7 +352,7 @@
             if not vm.has_new_crash and self.step % HEARTBEAT_STEPS:
                 continue
             vm.has_new_crash = False
-            crashes = vm.harness.watch.next_crashes()
+            crashes = vm.harness.watch.reports.next_crashes()
             cleared = vm.harness.watch.reports.newest_cleared()
             for other in self.vms:
                 is_lost = self.has_faults and self._happens(LOSS_PROBABILITY)
--- a/tests/test_cold_rate.py
+++ b/tests/test_cold_rate.py
@@ -27,6 +27,22 @@
         assert simulation.most_in_a_second() <= ALLOWED
 
 
+@pytest.mark.parametrize('vm_count', [11, 84])
+@pytest.mark.parametrize('has_late_news', [True, False])
+def test_restarted_upstream_gets_the_cold_rate_before_its_entry_arrives(
+    vm_count, has_late_news
+):
+    """Guard against a start that is taken for the one before it."""
+    for seed in SEEDS:
+        simulation = ColdSimulation(
+            seed,
+            vm_count,
+            has_late_news=has_late_news,
+            restarts_upstream=True,
+        ).run()
+        assert simulation.most_in_a_second() <= ALLOWED
+
+
 @pytest.mark.parametrize('vm_count', [11, 84])
 def test_most_of_the_cold_rate_is_used(vm_count):
     """Guard against shares that nobody may use."""
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -16,7 +16,9 @@
 REQUESTS_PER_SECOND = 150
 # The sample configuration and bounds: 7.7 a second, 1.5 times that, 5 more.
 ALLOWED = 7.7 * 1.5 + 5
+# Time for which an upstream stays cold, by its entry and by the service.
 COLD_S = 30
+COLD_START_S = 3
 BORN_MS = 1_790_000_000_000
 
 
@@ -113,13 +115,16 @@
             await asyncio.sleep(3)
             await send_evenly(deployment, 1)
             upstream = deployment.upstreams[0]
-            deployment.store.is_silent = True
-            deployment.restart_after_crash(0)
             upstream.end()
-            await asyncio.sleep(0)
+            upstream.born_ms += 60_000
             restarted_s = time.monotonic()
-            await send_evenly(deployment, 3)
-            late_s = [at for at in upstream.arrivals_s if at > restarted_s]
-            assert most_in_a_second(late_s) <= ALLOWED
+            await upstream.start(upstream.port)
+            await send_evenly(deployment, COLD_START_S)
+            cold_s = [
+                at
+                for at in upstream.arrivals_s
+                if 0 < at - restarted_s < COLD_START_S
+            ]
+            assert 0 < most_in_a_second(cold_s) <= ALLOWED
 
     run(scenario())
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -10,7 +10,7 @@
 from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._upstream_check import Liveness
-from catkindrift.steering import Upstream
+from catkindrift.steering import UnseenRestarts, Upstream, UpstreamRegistry
 from tests.platform_deployment import eventually
 
 
@@ -51,15 +51,23 @@
     clock: ManualClock = attrs.field(factory=ManualClock)
     check: ScriptedCheck = attrs.field(factory=ScriptedCheck)
     confirmed_crashes: int = 0
+    reported: list = attrs.field(factory=list)
     known: dict = attrs.field(factory=dict)
     on_confirmed_crash: Callable = attrs.field(default=lambda: None)
+    restarts: UnseenRestarts = attrs.field(init=False)
     watch: CrashWatch = attrs.field(init=False)
 
     def __attrs_post_init__(self):
+        self.restarts = UnseenRestarts(
+            self.clock, UpstreamRegistry(self.clock), lambda _service: 3000
+        )
         self.watch = CrashWatch(
             self.clock,
-            IncarnationCheck(self.clock, self.check, self.known.get),
+            IncarnationCheck(
+                self.clock, self.check, self.known.get, self.restarts
+            ),
             GatewayMetrics(),
+            self.reported.append,
             self.note_confirmed_crash,
         )
 
@@ -70,7 +78,9 @@
 
     def reported_fingerprints(self):
         """Return the fingerprints that are reported to other entry VMs."""
-        return sorted(crash.fingerprint for crash in self.watch.next_crashes())
+        return sorted(
+            crash.fingerprint for crash in self.watch.reports.next_crashes()
+        )
 
     async def crash(self, at, fingerprint):
         """Report a disconnect during a request, and wait for the check."""
@@ -175,7 +185,7 @@
             await harness.crash(upstream(f'v{number}'), f'beside-{number}')
         newcomer = CrashWatchHarness()
         for _ in range(20):
-            newcomer.watch.merge_reports(harness.watch.next_crashes())
+            newcomer.watch.merge_reports(harness.watch.reports.next_crashes())
         assert newcomer.watch.is_quarantined('poison')
         assert len(newcomer.watch._suspects.crashes()) > 20
 
@@ -203,7 +213,7 @@
     async def scenario():
         here, elsewhere = CrashWatchHarness(), CrashWatchHarness()
         await here.crash(U1, 'innocent')
-        elsewhere.watch.merge_reports(here.watch.next_crashes())
+        elsewhere.watch.merge_reports(here.watch.reports.next_crashes())
         elsewhere.clock.advance(100)
         elsewhere.watch.clear_suspect('innocent')
         here.clock.advance(100)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -226,7 +226,7 @@
             crash_on_target(deployment)
             await send(deployment, *repeats()[:MAX_CRASHED])
             newcomer = await deployment.add_gateway('front-2', 'gij-b')
-            await eventually(newcomer._parts.crashes.next_crashes)
+            await eventually(newcomer._parts.crashes.reports.next_crashes)
             status, _, _ = await ask(deployment.address(index=1), repeats()[0])
             assert status == 503
 
@@ -338,7 +338,10 @@
                 await eventually(lambda: connecting)
                 assert await poison == [502]
             assert (
-                len(deployment.gateways[0]._parts.crashes.next_crashes()) == 1
+                len(
+                    deployment.gateways[0]._parts.crashes.reports.next_crashes()
+                )
+                == 1
             )
             beside.cancel()
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -472,7 +472,9 @@
                 await wait_for_health_checks(deployment)
             assert len(arrivals(deployment)) == 2
             async with asyncio.timeout(10):
-                while not deployment.gateways[1]._parts.crashes.next_crashes():
+                while not deployment.gateways[
+                    1
+                ]._parts.crashes.reports.next_crashes():
                     await asyncio.sleep(0.05)
             status, _, _ = await ask(
                 deployment.address(index=1),
@@ -496,7 +498,9 @@
                     deployment.address(), head('/unsafe/x', 'POST', attempt)
                 )
                 await wait_for_health_checks(deployment)
-            assert not deployment.gateways[0]._parts.crashes.next_crashes()
+            assert not deployment.gateways[
+                0
+            ]._parts.crashes.reports.next_crashes()
 
     run(scenario())
 
