Give no part of common limits to a VM that can't know the others

Both now use the names under which the cold rate is divided, none while they can't be known. The test fails without the change (by reading: both gave the whole) and passes with it; test_upstream_limits and test_server_limit pass.

--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -43,13 +43,12 @@
     def run(self) -> None:
         """Apply the current members, upstreams and rules."""
         self._members.forget_silent()
-        names = self._members.names
         sharers = self._members.sharers
         self._report(len(sharers))
         self._cold_limiter.update_members(sharers)
         self._cold_limiter.keep_only(self._state.registry.ids)
-        self._budget.update_member_count(len(names))
-        self._limits.update_members(names)
+        self._budget.update_member_count(len(sharers))
+        self._limits.update_members(sharers)
         self._limits.keep_only(self._state.registry.incarnations)
         self._placement.rules = self._state.rules
 
--- a/src/catkindrift/steering/_shared_retry_budget.py
+++ b/src/catkindrift/steering/_shared_retry_budget.py
@@ -31,7 +31,7 @@
 
     _clock: Clock
     bounds: SteeringBounds
-    _member_count: int = attrs.field(init=False, default=1)
+    _member_count: int = attrs.field(init=False, default=0)
     _request_times_ms: dict[str, deque[int]] = attrs.field(
         init=False, factory=dict
     )
@@ -43,9 +43,10 @@
         """Set the number of entry VMs that share the fixed part of the limit.
 
         Args:
-            count: Number of entry VMs; counts below 1 are taken as 1.
+            count: Number of entry VMs; 0 if it isn't known, and then this VM
+                has no share.
         """
-        self._member_count = max(1, count)
+        self._member_count = count
 
     def count_request(self, service: str) -> None:
         """Count a caller's request to a service."""
@@ -58,12 +59,16 @@
         extras = self._recent(self._extra_times_ms, service)
         requests = self._recent(self._request_times_ms, service)
         earned = self.bounds.retry_ratio * _RATIO_FRACTION * len(requests)
-        slack = self.bounds.retry_slack * _SLACK_FRACTION / self._member_count
-        if len(extras) + 1 > earned + slack:
+        if len(extras) + 1 > earned + self._slack():
             return False
         extras.append(self._clock.now_ms())
         return True
 
+    def _slack(self) -> float:
+        if not self._member_count:
+            return 0
+        return self.bounds.retry_slack * _SLACK_FRACTION / self._member_count
+
     def _recent(
         self,
         counted: dict[str, deque[int]],
--- a/src/catkindrift/steering/_upstream_limits.py
+++ b/src/catkindrift/steering/_upstream_limits.py
@@ -20,6 +20,8 @@
 _MAX_NOTICES = 8
 _MAX_NOTICE_AGE_MS = 60_000
 _HASH_BITS = 64
+# Interval at which a VM that doesn't know the others looks for its share.
+_UNKNOWN_SHARE_WAIT_MS = 1000
 
 
 @final
@@ -70,7 +72,8 @@
     def update_members(self, members: tuple[str, ...]) -> None:
         """Set the names of all entry VMs that share the limits.
 
-        Include VMs that are silent: they may still send requests.
+        Include VMs that are silent: they may still send requests. Without
+        names this VM has no share.
         """
         if members != self._members:
             self._members = members
@@ -97,7 +100,8 @@
             # VMs that learn of a limit together don't probe together.
             sent_ms = known.since_ms
             interval_ms *= self._own_fraction(incarnation)
-        return max(0, sent_ms + interval_ms - self._clock.now_ms())
+        wait_ms = sent_ms + interval_ms - self._clock.now_ms()
+        return max(0 if self._members else _UNKNOWN_SHARE_WAIT_MS, wait_ms)
 
     def retry_after_ms(self, incarnation: str) -> float:
         """Return when some entry VM is expected to take a request."""
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -46,6 +46,7 @@
         self.cold_limiter = ColdRateLimiter(self.clock, BOUNDS, 'one')
         self.cold_limiter.update_members(members)
         self.limits = UpstreamLimits(self.clock, 'one')
+        self.limits.update_members(members)
         distances = ZoneDistances(zone, REGIONS)
         self.placement = Placement(
             self.clock,
@@ -252,6 +253,19 @@
     assert not bench.registry.find('i-ovd-a-0').is_cold(bench.clock.now_ms())
 
 
+def test_vm_that_does_not_know_the_others_has_no_part_of_common_limits():
+    """Guard against VMs that each take the whole of what all share."""
+    clock = ManualClock(100_000)
+    budget = SharedRetryBudget(clock, BOUNDS)
+    assert not budget.try_spend('tariffs')
+    limits = UpstreamLimits(clock, 'one')
+    limits.record('i-1', 9, clock.now_ms())
+    clock.advance(60_000)
+    assert limits.wait_ms('i-1')
+    limits.update_members(('one', 'two'))
+    assert not limits.wait_ms('i-1')
+
+
 @pytest.mark.parametrize('vms', [1, 5, 12])
 def test_retry_budget_holds_over_all_entry_vms(vms):
     """All entry VMs together stay within the ratio and the slack."""
