--- /dev/null
+++ b/tests/stranded.py
@@ -0,0 +1,58 @@
+"""Cuts one entry VM off from all upstreams, inside the test process."""
+
+import asyncio
+
+import attrs
+
+from catkindrift.http1 import ClientConnection, ConnectionPool
+
+
+@attrs.define(eq=False)
+class UpstreamCut:
+    """Partitions entry VMs from all upstreams, and from nothing else.
+
+    Args:
+        how: ``refuse`` (connections are reset, new ones refused), ``hang``
+            (connections and connects hang) or ``live`` (connections live on,
+            new ones are refused).
+    """
+
+    how: str
+    pools: set = attrs.field(factory=set)
+
+    def apply(self, monkeypatch):
+        """Replace connects and writes of the VMs that are cut off."""
+        connect = ConnectionPool.connect
+        write = ClientConnection.write
+
+        async def connect_unless_cut(pool, *address):
+            if pool not in self.pools:
+                return await connect(pool, *address)
+            if self.how == 'hang':
+                await asyncio.sleep(address[-1] / 1000)
+                raise TimeoutError
+            raise ConnectionRefusedError
+
+        def write_unless_cut(connection, chunk):
+            if not any(self._owns(pool, connection) for pool in self.pools):
+                write(connection, chunk)
+
+        monkeypatch.setattr(ConnectionPool, 'connect', connect_unless_cut)
+        if self.how == 'hang':
+            monkeypatch.setattr(ClientConnection, 'write', write_unless_cut)
+
+    def begin(self, gateway):
+        """Cut an entry VM off."""
+        pool = gateway._parts.pool._connections
+        self.pools.add(pool)
+        if self.how == 'refuse':
+            for connections in tuple(pool._open.values()):
+                for connection in tuple(connections):
+                    connection.abort()
+
+    def end(self):
+        """Heal the cut."""
+        self.pools.clear()
+
+    def _owns(self, pool, connection):
+        return any(connection in each for each in pool._open.values())
