--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -36,7 +36,12 @@
     is_misdirected,
     reports_not_run,
 )
-from catkindrift.steering import UnseenRestarts, Upstream, UpstreamState
+from catkindrift.steering import (
+    ResponseSilence,
+    UnseenRestarts,
+    Upstream,
+    UpstreamState,
+)
 
 # How a response fails when the upstream crashes while it is running.
 _DISCONNECT_FAILURES = frozenset(
@@ -59,6 +64,7 @@
         crashes: Tracks which requests crash upstreams.
         check: Health checks of upstreams.
         restarts: Restarts of upstreams that may not have been seen.
+        silence: Silence of all upstreams.
     """
 
     _clock: Clock
@@ -67,6 +73,7 @@
     _crashes: CrashWatch
     _check: UpstreamCheck
     _restarts: UnseenRestarts
+    _silence: ResponseSilence
     _tokens: Iterator[int] = attrs.field(
         init=False,
         factory=itertools.count,
@@ -92,6 +99,8 @@
         state.record_request(token, pending.key, now_ms)
         with contextlib.ExitStack() as stack:
             stack.callback(state.record_end, token)
+            self._silence.record_request()
+            stack.callback(self._silence.record_end)
             running = self._crashes.running
             incarnation = state.upstream.incarnation
             running.assign(incarnation, token, pending.fingerprint)
@@ -176,6 +185,7 @@
         head = receiver.head
         if head is None or receiver.failure:
             return self._handle_broken_response(attempt, receiver.failure)
+        self._silence.record_response()
         self._observer.record_head(state, head)
         if not is_misdirected(head):
             self._observer.record_limit(attempt, head)
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -146,6 +146,7 @@
     async def _run_short_ticks(self) -> None:
         while True:
             self._parts.heartbeats.set_ready(is_ready=self.is_ready)
+            self._parts.probes.run()
             self._parts.watches.health.detect_stall()
             self._parts.state.remove_expired()
             await asyncio.sleep(_SHORT_TICK_SECONDS)
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -19,6 +19,7 @@
     MemberFacts,
     Members,
     UpstreamLimits,
+    UpstreamReachability,
 )
 
 # A VM counts as failed after several missed heartbeats.
@@ -49,6 +50,7 @@
         crashes: Crashes to report to other VMs.
         health: Reachability of the store from this VM.
         limits: Limits of upstreams, to report to other VMs.
+        reachability: When this VM has reached an upstream.
         on_heartbeat: Called with each heartbeat received.
     """
 
@@ -59,6 +61,7 @@
     _crashes: CrashWatch
     _health: StoreHealth
     _limits: UpstreamLimits
+    _reachability: UpstreamReachability
     _on_heartbeat: Callable[[Heartbeat], None]
     _seeds: set[str] = attrs.field(init=False, factory=set)
     _transport: asyncio.DatagramTransport | None = attrs.field(
@@ -157,6 +160,7 @@
             self._crashes.reports.newest_cleared(),
             self._limits.notices(),
             self._sample_unheard(),
+            self._reachability.reached_age_ms,
         )
 
     def _sample_unheard(self) -> tuple[tuple[str, int], ...]:
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -21,6 +21,8 @@
     limited_upstreams: Gauge = attrs.field(init=False)
     sharing_vms: Gauge = attrs.field(init=False)
     cold_upstreams: Gauge = attrs.field(init=False)
+    cut_off: Gauge = attrs.field(init=False)
+    probes: Counter = attrs.field(init=False)
     extra_attempts: Counter = attrs.field(init=False)
     connections_opened: Counter = attrs.field(init=False)
     store_calls: Gauge = attrs.field(init=False)
@@ -52,6 +54,14 @@
         self.cold_upstreams = self._gauge(
             'cold_upstreams', 'Upstreams that get requests at the cold rate'
         )
+        self.cut_off = self._gauge(
+            'cut_off', 'Whether this entry VM reaches no upstream, others do'
+        )
+        self.probes = self._counter(
+            'reachability_probes',
+            'Probes of several upstreams at a time',
+            'reached',
+        )
         self.extra_attempts = self._counter(
             'extra_attempts',
             'Attempts beyond the first of a request',
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -29,6 +29,7 @@
 from catkindrift.gateway._upstream_check import UpstreamCheck
 from catkindrift.gateway._upstream_observer import UpstreamObserver
 from catkindrift.gateway._upstream_pool import UpstreamPool
+from catkindrift.gateway._upstream_probes import UpstreamProbes
 from catkindrift.gateway._zone_changes_page import ZoneChangesPage
 from catkindrift.http1 import HttpServer
 from catkindrift.platform import StoreClient
@@ -42,11 +43,13 @@
     MemberFacts,
     Members,
     Placement,
+    ResponseSilence,
     SharedRetryBudget,
     SteeringBounds,
     UnseenRestarts,
     Upstream,
     UpstreamLimits,
+    UpstreamReachability,
     UpstreamRegistry,
     ZoneDistances,
 )
@@ -82,6 +85,8 @@
     log: RequestLog = attrs.field(init=False)
     distances: ZoneDistances = attrs.field(init=False)
     pool: UpstreamPool = attrs.field(init=False)
+    reachability: UpstreamReachability = attrs.field(init=False)
+    probes: UpstreamProbes = attrs.field(init=False)
     registry: UpstreamRegistry = attrs.field(init=False)
     restarts: UnseenRestarts = attrs.field(init=False)
     check: UpstreamCheck = attrs.field(init=False)
@@ -103,6 +108,9 @@
         self.log = RequestLog(clock, vm.name, BoundedOutput(clock), self.limits)
         self.distances = ZoneDistances(vm.zone, self.regions)
         self.registry = UpstreamRegistry(clock)
+        self.reachability = UpstreamReachability(
+            clock, lambda: len(self.registry.states), ResponseSilence(clock)
+        )
         self.restarts = UnseenRestarts(
             clock, self.registry, self._cold_start_ms
         )
@@ -112,6 +120,10 @@
             self.metrics,
             self.restarts.record_connect,
             self._handle_idle_loss,
+            self.reachability,
+        )
+        self.probes = UpstreamProbes(
+            self.pool, self.registry, self.reachability, self.metrics
         )
         self.check = UpstreamCheck(self.pool, self._health_path)
         self.crashes = CrashWatch(
@@ -157,6 +169,7 @@
             self.crashes,
             health,
             self.limits,
+            self.reachability,
             self._handle_heartbeat,
         )
         records = EntryVmRecords(
@@ -179,6 +192,7 @@
             self.limits,
         )
         self.tick = SteeringTick(
+            clock,
             self.state,
             self.members,
             placement,
@@ -210,6 +224,7 @@
                 self.crashes,
                 self.check,
                 self.restarts,
+                self.reachability.silence,
             ),
             self.budget,
             self.cold_limiter,
@@ -248,6 +263,7 @@
         self.watches.handle_heartbeat(heartbeat)
         self.crashes.merge_reports(heartbeat.crashes, heartbeat.cleared)
         self.limits.merge(heartbeat.limits)
+        self.reachability.record_peer(heartbeat.reached_age_ms)
 
     def _broadcast_heartbeat(self) -> None:
         self.heartbeats.send_heartbeat(to_all_regions=True)
--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -5,6 +5,7 @@
 import attrs
 from absl import logging
 
+from catkindrift.clock import Clock
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.steering import (
@@ -22,6 +23,7 @@
     """Updates placement, cold rate limit and retry budget from the state.
 
     Args:
+        clock: Source of time.
         state: Configuration and upstreams.
         members: Entry VMs that share the limits.
         placement: Chooses upstreams.
@@ -31,6 +33,7 @@
         metrics: Shows how the limits are divided.
     """
 
+    _clock: Clock
     _state: PlatformState
     _members: Members
     _placement: Placement
@@ -64,4 +67,6 @@
             )
         self._sharing = sharing
         self._metrics.sharing_vms.set(sharing)
-        self._metrics.cold_upstreams.set(self._state.registry.cold_count)
+        now_ms = self._clock.now_ms()
+        cold = [each.is_cold(now_ms) for each in self._state.registry.states]
+        self._metrics.cold_upstreams.set(sum(cold))
--- a/src/catkindrift/gateway/_upstream_pool.py
+++ b/src/catkindrift/gateway/_upstream_pool.py
@@ -8,7 +8,7 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.http1 import ClientConnection, ConnectionPool
-from catkindrift.steering import Upstream, ZoneDistances
+from catkindrift.steering import Upstream, UpstreamReachability, ZoneDistances
 
 # Connect timeout: a connect takes one round trip, and somewhat longer at a
 # busy upstream.
@@ -29,6 +29,7 @@
             accepted a connection.
         on_idle_loss: Called with the incarnation of an upstream that has
             closed an idle connection before its idle timeout.
+        reachability: Evidence of connects that succeed or fail.
     """
 
     _clock: Clock
@@ -36,6 +37,7 @@
     _metrics: GatewayMetrics
     _on_connect: Callable[[str], None]
     _on_idle_loss: Callable[[str], None]
+    _reachability: UpstreamReachability
     _connections: ConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -75,10 +77,12 @@
             )
         except OSError:
             self._metrics.connections_opened.labels('failed').inc()
+            self._reachability.record_failed_connect(upstream.incarnation)
             raise
         self._metrics.connections_opened.labels('opened').inc()
         took_ms = self._clock.now_ms() - began_ms
         self._distances.add_sample(upstream.zone, took_ms)
+        self._reachability.record_connect()
         self._on_connect(upstream.incarnation)
         return connection
 
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -23,6 +23,7 @@
     Placed,
 )
 from catkindrift.steering._request_kind import RequestKind
+from catkindrift.steering._response_silence import ResponseSilence
 from catkindrift.steering._rotation import WeightedRotation
 from catkindrift.steering._route import Route, WeightedService
 from catkindrift.steering._service_latency import ServiceLatency
@@ -32,6 +33,7 @@
 from catkindrift.steering._unseen_restarts import UnseenRestarts
 from catkindrift.steering._upstream import Upstream
 from catkindrift.steering._upstream_limits import UpstreamLimits
+from catkindrift.steering._upstream_reachability import UpstreamReachability
 from catkindrift.steering._upstream_registry import UpstreamRegistry
 from catkindrift.steering._upstream_state import UpstreamState
 
@@ -54,6 +56,7 @@
     'Placement',
     'PlacementRequest',
     'RequestKind',
+    'ResponseSilence',
     'Route',
     'RoutingConfiguration',
     'ServiceLatency',
@@ -64,6 +67,7 @@
     'UnseenRestarts',
     'Upstream',
     'UpstreamLimits',
+    'UpstreamReachability',
     'UpstreamRegistry',
     'UpstreamState',
     'WeightedRotation',
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -56,6 +56,8 @@
         limits: Limits of upstreams that the sender has seen itself.
         unheard: Names of some VMs that the sender knows from the store only,
             with the ages of their records in milliseconds.
+        reached_age_ms: Time since the sender has reached an upstream; None if
+            it has not, or is cut off from all.
     """
 
     sender: MemberFacts
@@ -66,3 +68,4 @@
     cleared: tuple[Cleared, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     unheard: tuple[tuple[str, int], ...] = ()
+    reached_age_ms: int | None = None
--- a/src/catkindrift/steering/_upstream_registry.py
+++ b/src/catkindrift/steering/_upstream_registry.py
@@ -48,10 +48,9 @@
         )
 
     @property
-    def cold_count(self) -> int:
-        """Number of upstreams that count as cold."""
-        now_ms = self._clock.now_ms()
-        return sum(state.is_cold(now_ms) for state in self._states.values())
+    def states(self) -> tuple[UpstreamState, ...]:
+        """All known upstreams."""
+        return tuple(self._states.values())
 
     def of_service(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service, including draining ones."""
