--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -21,15 +21,14 @@
 from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
 from catkindrift.gateway._upstream_observer import UpstreamObserver
 from catkindrift.gateway._upstream_pool import UpstreamPool
+from catkindrift.gateway._upstream_response import (
+    MAX_BUFFERED_BYTES,
+    build_response,
+)
 from catkindrift.http1 import (
     Exchange,
-    Response,
-    ResponseBodyStream,
     ResponseFailure,
-    ResponseHead,
-    body_length,
     end_to_end,
-    without_framing,
 )
 from catkindrift.platform import (
     forwarded_headers,
@@ -47,9 +46,6 @@
 _DISCONNECT_FAILURES = frozenset(
     (ResponseFailure.CLOSED, ResponseFailure.TRUNCATED)
 )
-# Responses up to this size are read whole before they are forwarded, so that
-# a truncated or malformed one can still be replaced by another attempt.
-_MAX_BUFFERED_BYTES = 131_072
 
 
 @final
@@ -175,7 +171,7 @@
         exchange = attempt.exchange
         exchange.send_head(request.target, headers)
         await exchange.send_until(
-            exchange.receiver.wait_for_body(_MAX_BUFFERED_BYTES)
+            exchange.receiver.wait_for_body(MAX_BUFFERED_BYTES)
         )
         return self._evaluate_response(attempt)
 
@@ -207,7 +203,8 @@
             state.record_refusal()
         else:
             self._observer.record_response(attempt)
-        return Answered(self._build_response(attempt, head), is_failure)
+        finish = functools.partial(self._finish_response, attempt)
+        return Answered(build_response(receiver, head, finish), is_failure)
 
     def _handle_broken_response(
         self,
@@ -219,27 +216,6 @@
         self._report_disconnect(attempt, seen)
         return self._observer.record_failure(attempt.state, seen)
 
-    def _build_response(
-        self, attempt: RunningAttempt, head: ResponseHead
-    ) -> Response:
-        receiver = attempt.exchange.receiver
-        body_stream = None
-        body = receiver.take_buffered()
-        if receiver.is_complete:
-            self._finish_response(attempt, is_whole=True)
-        else:
-            body_stream = ResponseBodyStream(
-                receiver,
-                functools.partial(self._finish_response, attempt),
-            )
-        return Response(
-            head.status,
-            without_framing(head.headers),
-            body,
-            body_length(head.headers),
-            body_stream,
-        )
-
     def _finish_response(self, attempt: RunningAttempt, is_whole: bool) -> None:
         """Record the end of a response and release its connection.
 
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -1,8 +1,6 @@
 """Forwards callers' requests to upstreams."""
 
 import asyncio
-import itertools
-from collections.abc import Iterator
 from http import HTTPStatus
 from typing import final
 
@@ -16,6 +14,7 @@
     NotRun,
 )
 from catkindrift.gateway._final_response import final_response
+from catkindrift.gateway._handover import Handover
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._pending_request import (
     PendingRequest,
@@ -64,6 +63,8 @@
         refusals: Builds and records refusals.
         metrics: Counts outcomes.
         log: Log of failed and refused requests.
+        handover: Hands requests over while this VM is cut off; None to keep
+            all.
     """
 
     _clock: Clock
@@ -76,10 +77,8 @@
     _refusals: Refusals
     _metrics: GatewayMetrics
     _log: RequestLog
-    _keyless_counter: Iterator[int] = attrs.field(
-        init=False,
-        factory=itertools.count,
-    )
+    _handover: Handover | None = None
+    _keyless_count: int = attrs.field(init=False, default=0)
 
     async def __call__(self, request: CallerRequest) -> Response:
         """Return the response to one request."""
@@ -111,7 +110,6 @@
             + response_timeout_ms(route, request),
             is_urgent=configuration.is_most_urgent(route, service),
         )
-        self._budget.count_request(service)
         response = await self._serve_before_deadline(pending)
         if (
             pending.has_failed_attempt
@@ -137,6 +135,9 @@
             )
 
     async def _serve(self, pending: PendingRequest) -> Response:
+        if self._handover and self._handover.is_needed:
+            return await self._handover.forward(pending)
+        self._budget.count_request(pending.service)
         refusal = await self._set_fingerprint(pending)
         if refusal:
             return refusal
@@ -232,4 +233,5 @@
         return is_allowed
 
     def _next_keyless_key(self) -> str:
-        return f'keyless-{next(self._keyless_counter) % _KEYLESS_BUCKETS}'
+        self._keyless_count += 1
+        return f'keyless-{self._keyless_count % _KEYLESS_BUCKETS}'
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -137,6 +137,7 @@
             )
             incarnations = self._parts.state.registry.incarnations
             self._parts.pool.prune(incarnations)
+            self._parts.handover.prune()
             self._parts.crashes.retain_upstreams(incarnations)
             await asyncio.sleep(_TICK_SECONDS)
             self._parts.watches.assign_roles()
--- /dev/null
+++ b/src/catkindrift/gateway/_handed_over_requests.py
@@ -0,0 +1,67 @@
+"""Requests that other entry VMs hand over to this one."""
+
+import contextlib
+from http import HTTPStatus
+from typing import Final, final
+
+import attrs
+
+from catkindrift.gateway._metrics import GatewayMetrics
+from catkindrift.http1 import CallerRequest, Handler, Response
+from catkindrift.steering import UpstreamReachability
+
+# IP address of the caller; marks a request that is handed over.
+CALLER_HEADER: Final = b'catkindrift-caller'
+# In a refusal by a VM that is cut off itself.
+CUT_OFF_HEADER: Final = b'catkindrift-cut-off'
+# More at a time would delay this VM's own callers.
+_MAX_IN_FLIGHT = 256
+
+
+@final
+@attrs.define(eq=False)
+class HandedOverRequests:
+    """Serves requests from other entry VMs, and all other internal pages.
+
+    Args:
+        forwarder: Forwards requests to upstreams, without a further hop.
+        other_pages: Handler of requests that are not handed over.
+        reachability: Whether this VM is cut off from all upstreams.
+        metrics: Counts the requests.
+    """
+
+    _forwarder: Handler
+    _other_pages: Handler
+    _reachability: UpstreamReachability
+    _metrics: GatewayMetrics
+    _in_flight: int = attrs.field(init=False, default=0)
+
+    async def __call__(self, request: CallerRequest) -> Response:
+        """Handle one request of another entry VM."""
+        caller = request.header(CALLER_HEADER)
+        if not caller:
+            return await self._other_pages(request)
+        is_full = self._in_flight >= _MAX_IN_FLIGHT
+        if self._reachability.is_cut_off or is_full:
+            self._metrics.handed_over.labels('refused').inc()
+            return Response(
+                HTTPStatus.SERVICE_UNAVAILABLE, [(CUT_OFF_HEADER, b'1')]
+            )
+        self._metrics.handed_over.labels('taken').inc()
+        with contextlib.ExitStack() as stack:
+            self._in_flight += 1
+            stack.callback(self._record_end)
+            return await self._forwarder(_as_sent(request, caller))
+
+    def _record_end(self) -> None:
+        self._in_flight -= 1
+
+
+def _as_sent(request: CallerRequest, caller: bytes) -> CallerRequest:
+    """Return a request as its caller sent it to the other entry VM."""
+    headers = [
+        each for each in request.headers if each[0].lower() != CALLER_HEADER
+    ]
+    return attrs.evolve(
+        request, headers=headers, caller=caller.decode('latin-1')
+    )
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -23,6 +23,8 @@
     cold_upstreams: Gauge = attrs.field(init=False)
     cut_off: Gauge = attrs.field(init=False)
     probes: Counter = attrs.field(init=False)
+    handovers: Counter = attrs.field(init=False)
+    handed_over: Counter = attrs.field(init=False)
     extra_attempts: Counter = attrs.field(init=False)
     connections_opened: Counter = attrs.field(init=False)
     store_calls: Gauge = attrs.field(init=False)
@@ -62,6 +64,14 @@
             'Probes of several upstreams at a time',
             'reached',
         )
+        self.handovers = self._counter(
+            'handovers', 'Requests handed to other entry VMs', 'outcome'
+        )
+        self.handed_over = self._counter(
+            'handed_over_requests',
+            'Requests that other entry VMs hand over',
+            'decision',
+        )
         self.extra_attempts = self._counter(
             'extra_attempts',
             'Attempts beyond the first of a request',
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -11,6 +11,8 @@
 from catkindrift.gateway._directory import Directory
 from catkindrift.gateway._entry_vm_records import EntryVmRecords
 from catkindrift.gateway._forwarder import Forwarder
+from catkindrift.gateway._handed_over_requests import HandedOverRequests
+from catkindrift.gateway._handover import Handover
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
@@ -83,6 +85,7 @@
     distances: ZoneDistances = attrs.field(init=False)
     pool: UpstreamPool = attrs.field(init=False)
     reachability: UpstreamReachability = attrs.field(init=False)
+    handover: Handover = attrs.field(init=False)
     probes: UpstreamProbes = attrs.field(init=False)
     registry: UpstreamRegistry = attrs.field(init=False)
     restarts: UnseenRestarts = attrs.field(init=False)
@@ -198,7 +201,8 @@
             self.limits,
             self.metrics,
         )
-        forwarder = Forwarder(
+        refusals = Refusals(self.state, self.metrics, self.log)
+        own_forwarder = Forwarder(
             clock,
             self.state,
             SuspectIsolation(
@@ -226,13 +230,25 @@
             self.budget,
             self.cold_limiter,
             self.limits,
-            Refusals(self.state, self.metrics, self.log),
+            refusals,
             self.metrics,
             self.log,
         )
-        self._listen(forwarder)
+        self.handover = Handover(
+            clock,
+            self.heartbeats.own_member,
+            self.members,
+            self.reachability,
+            self.budget,
+            refusals,
+            self.metrics,
+            self.log,
+        )
+        self._listen(
+            attrs.evolve(own_forwarder, handover=self.handover), own_forwarder
+        )
 
-    def _listen(self, forwarder: Forwarder) -> None:
+    def _listen(self, forwarder: Forwarder, last_hop: Forwarder) -> None:
         clock = self._clock
         listen = self._settings.listen
         directory = Directory(
@@ -241,6 +257,12 @@
             self._settings.bounds.directory_lifetime_s,
         )
         readiness = Readiness(lambda: self.heartbeats.own_member.can_serve)
+        internal_pages = HandedOverRequests(
+            last_hop,
+            ZoneChangesPage(clock, self.watches.find_shared_watch),
+            self.reachability,
+            self.metrics,
+        )
         self.caller_server = HttpServer(clock, forwarder, self._caller_limits)
         self.servers = [
             (self.caller_server, listen.callers),
@@ -248,10 +270,7 @@
             (HttpServer(clock, readiness), listen.readiness),
             (HttpServer(clock, MetricsPage(self.metrics)), listen.metrics),
             (
-                HttpServer(
-                    clock,
-                    ZoneChangesPage(clock, self.watches.find_shared_watch),
-                ),
+                HttpServer(clock, internal_pages, self._caller_limits),
                 listen.peers,
             ),
         ]
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -99,6 +99,24 @@
             **self._upstream_fields(choice.state, now_ms),
         )
 
+    def log_handover(
+        self, pending: PendingRequest, receiver: str, outcome: str
+    ) -> None:
+        """Log a hand-over to another entry VM that brought no response.
+
+        Args:
+            pending: The request.
+            receiver: Name of the other entry VM.
+            outcome: Text of the outcome.
+        """
+        self._log.info(
+            'handover_failed',
+            id=pending.request_id,
+            outcome=outcome,
+            receiver=receiver,
+            left_ms=pending.deadline_ms - self._clock.now_ms(),
+        )
+
     def log_final_response(self, pending: PendingRequest, status: int) -> None:
         """Log the final response to a request that failed or was retried.
 
--- a/src/catkindrift/gateway/_upstream_probes.py
+++ b/src/catkindrift/gateway/_upstream_probes.py
@@ -88,4 +88,6 @@
                 self._reachability.unreachable_count,
             )
         else:
+            for state in self._registry.states:
+                state.end_ejection()
             logging.info('reaches upstreams again')
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -28,6 +28,7 @@
     remaining_ms,
     request_id,
     retry_after,
+    with_deadline,
 )
 from catkindrift.platform._response_messages import (
     cold_remaining_ms,
@@ -76,4 +77,5 @@
     'request_limit',
     'retry_after',
     'stated_start_ms',
+    'with_deadline',
 ]
--- a/src/catkindrift/platform/_request_messages.py
+++ b/src/catkindrift/platform/_request_messages.py
@@ -39,6 +39,13 @@
     return int(deadline) if deadline.isdigit() else None
 
 
+def with_deadline(headers: Headers, timeout_ms: int) -> Headers:
+    """Return headers with the time in which the recipient has to respond."""
+    replaced = [each for each in headers if each[0].lower() != DEADLINE]
+    replaced.append((DEADLINE.title(), b'%d' % timeout_ms))
+    return replaced
+
+
 def forwarded_headers(
     headers: Headers,
     timeout_ms: int,
@@ -51,9 +58,11 @@
         timeout_ms: Time in which the upstream has to respond.
         upstream_id: Id of the only upstream that may run the request.
     """
-    replaced = (DEADLINE, EXPECTED_UPSTREAM)
-    forwarded = [each for each in headers if each[0].lower() not in replaced]
-    forwarded.append((DEADLINE.title(), b'%d' % timeout_ms))
+    forwarded = [
+        each
+        for each in with_deadline(headers, timeout_ms)
+        if each[0].lower() != EXPECTED_UPSTREAM
+    ]
     forwarded.append((EXPECTED_UPSTREAM.title(), upstream_id.encode(_ENCODING)))
     return forwarded
 
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -6,7 +6,7 @@
 from catkindrift.steering._cold_rate_limiter import ColdRateLimiter
 from catkindrift.steering._configuration import RoutingConfiguration
 from catkindrift.steering._cost import CostModel
-from catkindrift.steering._directory_list import addresses_for
+from catkindrift.steering._directory_list import addresses_for, nearest
 from catkindrift.steering._distances import ZoneDistances
 from catkindrift.steering._entry_vm_record import EntryVmRecord
 from catkindrift.steering._heartbeat import Heartbeat, MemberFacts
@@ -74,4 +74,5 @@
     'WeightedService',
     'ZoneDistances',
     'addresses_for',
+    'nearest',
 ]
--- a/src/catkindrift/steering/_directory_list.py
+++ b/src/catkindrift/steering/_directory_list.py
@@ -10,6 +10,23 @@
 _MAX_ADDRESSES = 64
 
 
+def nearest(
+    members: list[MemberFacts], zone: str, region: str, min_count: int
+) -> list[MemberFacts]:
+    """Return the entry VMs of a zone, or else those of its region, or all.
+
+    Args:
+        members: Entry VMs to choose from.
+        zone: Availability zone.
+        region: Region of that zone.
+        min_count: With fewer in the zone, all of the region are returned.
+    """
+    near = [each for each in members if each.zone == zone]
+    if len(near) < min_count:
+        near = [each for each in members if each.region == region]
+    return near or members
+
+
 def addresses_for(
     members: Iterable[MemberFacts],
     zone: str,
@@ -31,9 +48,6 @@
         Sorted addresses, ``IP:port``; empty if no entry VM is ready.
     """
     ready = [each for each in members if each.is_ready]
-    ready = [each for each in ready if each.reaches_upstreams] or ready
-    near = [each for each in ready if each.zone == zone]
-    if len(near) < _MIN_ADDRESSES:
-        near = [each for each in ready if each.region == region]
-    chosen = near or ready
+    able = [each for each in ready if each.can_serve] or ready
+    chosen = nearest(able, zone, region, _MIN_ADDRESSES)
     return sorted(each.callers for each in chosen)[:_MAX_ADDRESSES]
--- a/src/catkindrift/steering/_upstream_state.py
+++ b/src/catkindrift/steering/_upstream_state.py
@@ -163,6 +163,11 @@
         time_ms = min(_FIRST_EJECTION_MS << doublings, _MAX_EJECTION_MS)
         self.ejected_until_ms = max(self.ejected_until_ms, now_ms + time_ms)
 
+    def end_ejection(self) -> None:
+        """Allow requests again, as the failures were not the upstream's."""
+        self._consecutive_failures = 0
+        self.ejected_until_ms = 0
+
     def _overdue_ms(self, now_ms: int, average_ms: float) -> float:
         oldest_ms = next(iter(self._in_flight.values()), now_ms)
         return now_ms - oldest_ms - 3 * average_ms
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -7,7 +7,14 @@
 
 import pytest
 
-from tests.platform_deployment import ask, deployed, eventually, head
+from tests.platform_deployment import (
+    SAFE,
+    UNSAFE,
+    ask,
+    deployed,
+    eventually,
+    head,
+)
 from tests.stranded import UpstreamCut
 
 VMS = 3
@@ -114,3 +121,157 @@
         return own.reaches_upstreams
 
     run(scenario())
+
+
+def test_handed_over_request_keeps_its_identity(tmp_path, monkeypatch):
+    """The upstream sees what the caller sent, once, with the time left."""
+
+    async def scenario():
+        async with stranded(tmp_path, monkeypatch, 'refuse') as (deployment, _):
+            await cut_off(deployment)
+            body = b'x' * 100_000
+            request = head(
+                '/unsafe/moved?a=1',
+                'POST',
+                'moved-1',
+                extra=f'Content-Length: {len(body)}\r\nX-Own: kept\r\n',
+            )
+            status, headers, answer = await ask(
+                deployment.address(), request + body
+            )
+            assert (status, answer) == (200, b'hello')
+            assert headers['server-signature'] == 's'
+            assert headers['attempt-id'] == 'moved-1'
+            (line, seen, seen_body), *repeated = arrivals(deployment, b'moved')
+            assert not repeated
+            assert line == b'POST /unsafe/moved?a=1 HTTP/1.1'
+            assert seen[b'attempt-id'] == b'moved-1'
+            assert seen[b'x-own'] == b'kept'
+            assert 1000 < int(seen[b'deadline-remaining']) < 1500
+            assert seen_body == body
+            assert b'catkindrift-caller' not in seen
+
+    run(scenario())
+
+
+def test_hand_over_is_one_hop(tmp_path, monkeypatch):
+    """VMs that are cut off do not pass a request on and on."""
+
+    async def scenario():
+        async with stranded(tmp_path, monkeypatch, 'refuse') as (
+            deployment,
+            cut,
+        ):
+            await cut_off(deployment)
+            for gateway in deployment.gateways[1:]:
+                cut.begin(gateway)
+            status, headers, _ = await ask(
+                deployment.address(), head('/unsafe/x', 'POST')
+            )
+            assert status == 503
+            assert headers['retry-after']
+            for other in deployment.gateways[1:]:
+                handed = other._parts.metrics.handovers.labels('answered')
+                assert not handed._value.get()
+
+    run(scenario())
+
+
+def test_body_is_not_handed_over_to_another_region(tmp_path, monkeypatch):
+    """A route with homes is refused if no VM there reaches upstreams."""
+    homes = {**UNSAFE, 'home_regions': ['cantabria']}
+
+    async def scenario():
+        async with stranded(
+            tmp_path, monkeypatch, 'refuse', routes=(SAFE, homes)
+        ) as (deployment, _):
+            await cut_off(deployment)
+            before = taken_requests(deployment)
+            status, _, _ = await ask(
+                deployment.address(), head('/unsafe/x', 'POST')
+            )
+            assert status == 503
+            assert taken_requests(deployment) == before
+
+    run(scenario())
+
+
+def test_caller_that_leaves_ends_a_handed_over_request(tmp_path, monkeypatch):
+    """The upstream's connection is closed through both entry VMs."""
+
+    async def scenario():
+        async with stranded(tmp_path, monkeypatch, 'refuse') as (deployment, _):
+            await cut_off(deployment)
+            for upstream in deployment.upstreams:
+                upstream.delay_s = 5
+            _, writer = await asyncio.open_connection(*deployment.address())
+            writer.write(head('/safe/left'))
+            await eventually(lambda: arrivals(deployment, b'left'))
+            writer.transport.abort()
+            await eventually(
+                lambda: any(each.cut for each in deployment.upstreams)
+            )
+
+    run(scenario())
+
+
+def test_lost_response_of_a_handed_over_request_promises_nothing(
+    tmp_path, monkeypatch
+):
+    """A request that may have run is not refused as one that did not."""
+
+    async def scenario():
+        async with stranded(tmp_path, monkeypatch, 'refuse') as (deployment, _):
+            await cut_off(deployment)
+            deployment.answer_with(None)
+            status, _, _ = await ask(
+                deployment.address(), head('/unsafe/lost', 'POST')
+            )
+            assert status == 502
+            assert len(arrivals(deployment, b'lost')) == 1
+
+    run(scenario())
+
+
+def test_upstreams_that_all_crashed_cut_no_vm_off(tmp_path, monkeypatch):
+    """Guard against hand-overs between VMs that all reach nothing."""
+
+    async def scenario():
+        async with stranded(tmp_path, monkeypatch, 'refuse') as (
+            deployment,
+            cut,
+        ):
+            cut.end()
+            for upstream in deployment.upstreams:
+                upstream.end()
+            await send(deployment, 2)
+            assert not any(
+                each._parts.reachability.is_cut_off
+                for each in deployment.gateways
+            )
+
+    run(scenario())
+
+
+async def cut_off(deployment):
+    """Send requests until the first VM knows that it is cut off."""
+    await send(deployment, STABLE_WINDOW_S)
+    assert deployment.gateways[0]._parts.reachability.is_cut_off
+
+
+def taken_requests(deployment):
+    """Return how many requests VMs have taken from others."""
+    return sum(
+        each._parts.metrics.handed_over.labels('taken')._value.get()
+        for each in deployment.gateways
+    )
+
+
+def arrivals(deployment, part):
+    """Return the requests at all upstreams whose target has a part."""
+    return [
+        request
+        for upstream in deployment.upstreams
+        for request in upstream.requests
+        if part in request[0]
+    ]
