--- a/src/catkindrift/gateway/_incarnation_check.py
+++ b/src/catkindrift/gateway/_incarnation_check.py
@@ -8,7 +8,11 @@
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
-from catkindrift.steering import UnseenRestarts, Upstream
+from catkindrift.steering import (
+    UnseenRestarts,
+    Upstream,
+    UpstreamReachability,
+)
 
 # Pauses before each further health check of an unreachable upstream.
 _CHECK_PAUSES_SECONDS = (0.1, 0.4, 1.5)
@@ -16,6 +20,11 @@
 # change arrives within about a second.
 _RESTART_NOTICE_MS = 3000
 _RESTART_POLL_SECONDS = 0.1
+# In a cut, connects to other upstreams fail within this time too.
+_OTHER_FAILURES_MS = 100
+# By then a cut shows, since other entry VMs tell what they reach.
+_CUT_NOTICE_MS = 1500
+_CUT_POLL_SECONDS = 0.02
 
 
 @final
@@ -31,21 +40,42 @@
         check: Sends health checks to upstreams.
         find_current: Returns what is known now of an upstream, by its id.
         restarts: Told that an upstream may have restarted, or has not.
+        reachability: Whether this VM reaches other upstreams.
     """
 
     _clock: Clock
     _check: UpstreamCheck
     _find_current: Callable[[str], Upstream | None]
     _restarts: UnseenRestarts
+    _reachability: UpstreamReachability
 
     async def run(self, upstream: Upstream) -> Liveness:
         """Return whether the incarnation has ended, as far as can be known."""
         self._restarts.expect(upstream.incarnation)
+        began_ms = self._clock.now_ms()
         liveness = await self._probe(upstream)
         if liveness is Liveness.ALIVE:
             self._restarts.rule_out(upstream.incarnation)
+        if liveness is Liveness.ENDED and await self._is_cut_off(began_ms):
+            return Liveness.UNKNOWN
         return liveness
 
+    async def _is_cut_off(self, began_ms: int) -> bool:
+        """Return whether refused connects come from a cut of this VM.
+
+        Any upstream that is reached since rules that out.
+        """
+        wait_ms = _OTHER_FAILURES_MS
+        while self._clock.now_ms() < began_ms + wait_ms:
+            if self._reachability.has_reached_since(began_ms):
+                return False
+            if self._reachability.is_suspicious:
+                wait_ms = _CUT_NOTICE_MS
+            if self._reachability.is_cut_off:
+                return True
+            await asyncio.sleep(_CUT_POLL_SECONDS)
+        return False
+
     async def _probe(self, upstream: Upstream) -> Liveness:
         liveness = await self._check.probe(upstream)
         for pause_s in _CHECK_PAUSES_SECONDS:
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -129,7 +129,11 @@
         self.crashes = CrashWatch(
             clock,
             IncarnationCheck(
-                clock, self.check, self._find_upstream, self.restarts
+                clock,
+                self.check,
+                self._find_upstream,
+                self.restarts,
+                self.reachability,
             ),
             self.metrics,
             self.restarts.expect,
--- a/src/catkindrift/steering/_upstream_reachability.py
+++ b/src/catkindrift/steering/_upstream_reachability.py
@@ -50,6 +50,11 @@
         """Number of upstreams that have failed since the last connect."""
         return len(self._failed_ms)
 
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether several upstreams have failed since the last connect."""
+        return len(self._failed_ms) >= _MIN_SUSPICIOUS
+
     @property
     def failed_since_ms(self) -> int | None:
         """Time of the first failure since the last connect; None if none."""
@@ -84,8 +89,7 @@
         probe_age_ms = self._clock.now_ms() - self._probed_ms
         if self.is_cut_off:
             return probe_age_ms >= _CUT_OFF_PROBE_MS
-        has_failures = len(self._failed_ms) >= _MIN_SUSPICIOUS
-        is_in_doubt = has_failures or self.silence.is_suspicious
+        is_in_doubt = self.is_suspicious or self.silence.is_suspicious
         return is_in_doubt and probe_age_ms >= _DOUBT_PROBE_MS
 
     def has_reached_since(self, at_ms: int) -> bool:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -10,10 +10,21 @@
 from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._upstream_check import Liveness
-from catkindrift.steering import UnseenRestarts, Upstream, UpstreamRegistry
+from catkindrift.steering import (
+    UnseenRestarts,
+    Upstream,
+    UpstreamRegistry,
+)
 from tests.platform_deployment import eventually
 
 
+class ReachesOthers:
+    """Reachability of an entry VM that reaches other upstreams."""
+
+    def has_reached_since(self, _at_ms):
+        return True
+
+
 @attrs.define(eq=False)
 class ScriptedCheck:
     """Stand-in for health checks that returns the liveness that was set."""
@@ -64,7 +75,11 @@
         self.watch = CrashWatch(
             self.clock,
             IncarnationCheck(
-                self.clock, self.check, self.known.get, self.restarts
+                self.clock,
+                self.check,
+                self.known.get,
+                self.restarts,
+                ReachesOthers(),
             ),
             GatewayMetrics(),
             self.reported.append,
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -275,3 +275,24 @@
         for request in upstream.requests
         if part in request[0]
     ]
+
+
+def test_cut_is_not_taken_for_crashes_of_upstreams(tmp_path, monkeypatch):
+    """Guard against requests that are blamed for connections of a cut."""
+
+    async def scenario():
+        async with stranded(tmp_path, monkeypatch, 'refuse') as (
+            deployment,
+            cut,
+        ):
+            cut.end()
+            for upstream in deployment.upstreams:
+                upstream.delay_s = 0.3
+            traffic = asyncio.create_task(send(deployment, 3))
+            await asyncio.sleep(1)
+            cut.begin(deployment.gateways[0])
+            await traffic
+            for gateway in deployment.gateways:
+                assert not gateway._parts.crashes.reports.count
+
+    run(scenario())
