Send nothing more to an upstream that states that it leaves (DRAIN)

Only the entry in the store counted. Now a response with that header ends requests to that start of the upstream at once. Health checks' answers are not read for it; test_steering and test_gateway pass.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -182,8 +182,8 @@
         if head is None or receiver.failure:
             return self._handle_broken_response(attempt, receiver.failure)
         self._silence.record_response()
-        self._observer.record_head(state, head)
         if not is_misdirected(head):
+            self._observer.record_head(state, head)
             self._observer.record_limit(attempt, head)
             self._crashes.record_alive(
                 attempt.upstream,
--- a/src/catkindrift/gateway/_upstream_observer.py
+++ b/src/catkindrift/gateway/_upstream_observer.py
@@ -15,6 +15,7 @@
 from catkindrift.platform import (
     cold_remaining_ms,
     is_from_upstream,
+    is_leaving,
     is_misdirected,
     parse_load_report,
     request_limit,
@@ -69,7 +70,10 @@
         return OutcomeUnknown(failure)
 
     def record_head(self, state: UpstreamState, head: ResponseHead) -> None:
-        """Record the load and remaining cold time that a response states."""
+        """Record what a response states about its upstream.
+
+        That is its load, its remaining cold time, and whether it leaves.
+        """
         now_ms = self._clock.now_ms()
         report = parse_load_report(head)
         if report:
@@ -77,6 +81,9 @@
         cold_ms = cold_remaining_ms(head)
         if cold_ms:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
+        if is_leaving(head) and not state.is_leaving:
+            state.is_leaving = True
+            logging.info('upstream %s states that it leaves', state.upstream.id)
 
     def record_limit(self, attempt: RunningAttempt, head: ResponseHead) -> None:
         """Record the limit that a response names, or that it names none.
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -33,6 +33,7 @@
 from catkindrift.platform._response_messages import (
     cold_remaining_ms,
     is_from_upstream,
+    is_leaving,
     is_misdirected,
     is_other_upstream,
     matches_attempt,
@@ -66,6 +67,7 @@
     'forwarded_headers',
     'health_headers',
     'is_from_upstream',
+    'is_leaving',
     'is_misdirected',
     'is_other_upstream',
     'matches_attempt',
--- a/src/catkindrift/platform/_headers.py
+++ b/src/catkindrift/platform/_headers.py
@@ -20,6 +20,8 @@
 LOAD: Final = b'server-load'
 # Requests per second that the upstream takes from all entry VMs together.
 LIMIT: Final = b'server-limit'
+# Set on all responses of an upstream that is shutting down.
+LEAVING: Final = b'server-leaving'
 # Set if the upstream did not start the request.
 NOT_RUN: Final = b'not-executed'
 RETRY_AFTER: Final = b'Retry-After'
--- a/src/catkindrift/platform/_response_messages.py
+++ b/src/catkindrift/platform/_response_messages.py
@@ -9,6 +9,7 @@
 from catkindrift.http1 import ResponseHead, find_header
 from catkindrift.platform._headers import (
     COLD_REMAINING,
+    LEAVING,
     LIMIT,
     LOAD,
     NOT_RUN,
@@ -46,6 +47,11 @@
     return is_marked or head.status == _MISDIRECTED
 
 
+def is_leaving(head: ResponseHead) -> bool:
+    """Return whether the upstream states that it is shutting down."""
+    return find_header(head.headers, LEAVING).strip() == b'1'
+
+
 def is_misdirected(head: ResponseHead) -> bool:
     """Return whether the address now belongs to another upstream."""
     return head.status == _MISDIRECTED
--- a/src/catkindrift/steering/_placement_request.py
+++ b/src/catkindrift/steering/_placement_request.py
@@ -32,10 +32,10 @@
     def admits(self, state: UpstreamState) -> bool:
         """Return whether the request may be sent to an upstream.
 
-        It may not go to an excluded upstream or outside the home regions of
-        its route.
+        It may not go to an excluded or leaving upstream, or outside the home
+        regions of its route.
         """
-        if state.upstream.id in self.excluded:
+        if state.is_leaving or state.upstream.id in self.excluded:
             return False
         homes = self.route.home_regions
         return not homes or state.upstream.region in homes
--- a/src/catkindrift/steering/_upstream_state.py
+++ b/src/catkindrift/steering/_upstream_state.py
@@ -38,6 +38,7 @@
         restart_until_ms: Time until which it may have been restarted unseen,
             so that it counts as cold too.
         ejected_until_ms: Time until which it gets no requests after failures.
+        is_leaving: Whether its own responses state that it is shutting down.
         failure_rate: Moving average of failures per request, from 0 to 1.
     """
 
@@ -46,6 +47,7 @@
     cold_until_ms: int = 0
     restart_until_ms: int = 0
     ejected_until_ms: int = 0
+    is_leaving: bool = False
     failure_rate: float = 0
     _consecutive_failures: int = 0
     _other_load: float = 0
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -31,6 +31,7 @@
         on_end: Called with the upstream when its process has ended.
         born_ms: Unix time of the process start; 0 to state none.
         limit: Requests per second that each response names; empty for none.
+        is_leaving: Whether each response states that it is shutting down.
         arrivals_s: Times at which requests arrived.
         port: Port that it listens on.
     """
@@ -53,6 +54,7 @@
     on_end: Callable = attrs.field(default=lambda _upstream: None)
     born_ms: int = 0
     limit: str = ''
+    is_leaving: bool = False
     arrivals_s: list = attrs.field(factory=list)
     port: int = 0
     _server: asyncio.Server | None = None
@@ -97,6 +99,8 @@
 
     def ok(self, attempt, body=b'hello', extra=b''):
         """Return the bytes of a complete, signed response."""
+        if self.is_leaving:
+            extra = b'%bServer-Leaving: 1\r\n' % extra
         if self.limit:
             extra += b'Server-Limit: %b\r\n' % self.limit.encode()
         return (
