--- a/src/catkindrift/gateway/_upstream_observer.py
+++ b/src/catkindrift/gateway/_upstream_observer.py
@@ -19,6 +19,7 @@
     is_misdirected,
     parse_load_report,
     request_limit,
+    requested_pause_ms,
 )
 from catkindrift.steering import (
     LimitChange,
@@ -72,7 +73,8 @@
     def record_head(self, state: UpstreamState, head: ResponseHead) -> None:
         """Record what a response states about its upstream.
 
-        That is its load, its remaining cold time, and whether it leaves.
+        That is its load, its remaining cold time, the pause that it asks for,
+        and whether it leaves.
         """
         now_ms = self._clock.now_ms()
         report = parse_load_report(head)
@@ -81,6 +83,10 @@
         cold_ms = cold_remaining_ms(head)
         if cold_ms:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
+        pause_ms = requested_pause_ms(head)
+        if pause_ms:
+            state.paused_until_ms = now_ms + pause_ms
+            self._metrics.failures.labels('paused').inc()
         if is_leaving(head) and not state.is_leaving:
             state.is_leaving = True
             logging.info('upstream %s states that it leaves', state.upstream.id)
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -40,6 +40,7 @@
     parse_load_report,
     reports_not_run,
     request_limit,
+    requested_pause_ms,
     stated_start_ms,
 )
 from catkindrift.platform._store_client import StoreClient
@@ -77,6 +78,7 @@
     'reports_not_run',
     'request_id',
     'request_limit',
+    'requested_pause_ms',
     'retry_after',
     'stated_start_ms',
     'with_deadline',
--- a/src/catkindrift/platform/_response_messages.py
+++ b/src/catkindrift/platform/_response_messages.py
@@ -13,6 +13,7 @@
     LIMIT,
     LOAD,
     NOT_RUN,
+    RETRY_AFTER,
     SIGNATURE,
     UPSTREAM_ID,
 )
@@ -21,6 +22,10 @@
 from catkindrift.steering import LoadReport
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_MILLISECONDS_PER_SECOND = 1000
+# A longer pause is an error of the upstream.
+_MAX_PAUSE_MS = 600_000
 _LOAD_FIELD_COUNT = 3
 _DECIMAL = re.compile(rb'\d+(\.\d*)?|\.\d+')
 # Malformed values are shown in the log up to this length.
@@ -108,6 +113,16 @@
     return float(stated)
 
 
+def requested_pause_ms(head: ResponseHead) -> int:
+    """Return for how long a refusal asks for no requests, 0 if it does not."""
+    stated = find_header(head.headers, RETRY_AFTER.lower()).strip()
+    is_refusal = head.status == _UNAVAILABLE
+    if not is_refusal or not _DECIMAL.fullmatch(stated):
+        return 0
+    pause_ms = min(float(stated) * _MILLISECONDS_PER_SECOND, _MAX_PAUSE_MS)
+    return math.ceil(pause_ms)
+
+
 def cold_remaining_ms(head: ResponseHead) -> int:
     """Return the time until the upstream is warm, 0 if it is not cold."""
     remaining = find_header(head.headers, COLD_REMAINING).strip()
--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -94,8 +94,13 @@
         now_ms: int,
     ) -> Iterator[UpstreamState]:
         for state in self._admitted(request):
+            is_paused = state.paused_until_ms > now_ms
             is_limited = self._limits.wait_ms(state.upstream.incarnation) > 0
-            if not is_limited and self._within_cold_rate(state, now_ms):
+            if (
+                not is_paused
+                and not is_limited
+                and self._within_cold_rate(state, now_ms)
+            ):
                 yield state
 
     def _admitted(self, request: PlacementRequest) -> Iterator[UpstreamState]:
@@ -168,7 +173,7 @@
         It gets one request at a time.
         """
         if not ejected:
-            return self._refuse_without_upstream(request)
+            return self._refuse_without_upstream(request, now_ms)
         first = min(ejected, key=_ejection_end)
         if first.in_flight:
             ejection_ms = first.ejected_until_ms - now_ms
@@ -179,9 +184,15 @@
         cost_ms = self._cost.total_ms(first, now_ms, average_ms)
         return Placed(first, ChoiceReason.LAST_RESORT, cost_ms)
 
-    def _refuse_without_upstream(self, request: PlacementRequest) -> NotPlaced:
+    def _refuse_without_upstream(
+        self, request: PlacementRequest, now_ms: int
+    ) -> NotPlaced:
         waits_ms = [
-            self._limits.retry_after_ms(state.upstream.incarnation)
+            max(
+                self._limits.retry_after_ms(state.upstream.incarnation),
+                state.paused_until_ms - now_ms,
+                0,
+            )
             for state in self._admitted(request)
         ]
         limited_ms = min(filter(None, waits_ms), default=None)
--- a/src/catkindrift/steering/_upstream_state.py
+++ b/src/catkindrift/steering/_upstream_state.py
@@ -39,6 +39,7 @@
             so that it counts as cold too.
         ejected_until_ms: Time until which it gets no requests after failures.
         is_leaving: Whether its own responses state that it is shutting down.
+        paused_until_ms: Time until which it wants no requests from this VM.
         failure_rate: Moving average of failures per request, from 0 to 1.
     """
 
@@ -48,6 +49,7 @@
     restart_until_ms: int = 0
     ejected_until_ms: int = 0
     is_leaving: bool = False
+    paused_until_ms: int = 0
     failure_rate: float = 0
     _consecutive_failures: int = 0
     _other_load: float = 0
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -36,3 +36,41 @@
             assert len(leaving.requests) == 1
 
     run(scenario())
+
+
+def busy(_upstream, _attempt):
+    """Return a refusal that asks for a pause."""
+    return (
+        b'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n'
+        b'Retry-After: 1.5\r\nContent-Length: 0\r\n\r\n'
+    )
+
+
+def test_upstream_that_asks_for_a_pause_gets_one(tmp_path):
+    """Guard against requests while an upstream wants none from this VM."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=2) as deployment:
+            paused = deployment.upstreams[0]
+            paused.script = [busy]
+            assert set(await ask_often(deployment, 12)) == {200}
+            assert len(paused.requests) == 1
+
+    run(scenario())
+
+
+def test_refusal_tells_when_the_pause_ends(tmp_path):
+    """No upstream takes a request before then."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=1) as deployment:
+            deployment.upstreams[0].script = [busy]
+            request = head('/safe/x')
+            await ask(deployment.address(), request)
+            status, headers, _ = await ask(deployment.address(), request)
+            assert status == 503
+            assert len(deployment.upstreams[0].requests) == 1
+            await asyncio.sleep(float(headers['retry-after']))
+            assert (await ask(deployment.address(), request))[0] == 200
+
+    run(scenario())
