Compare revisions of the store by its era first

Revisions go back and are given out again, and Store-Era rises by one. Revisions alone were compared, so all news counted as old until the numbers had passed those known: upstreams, reports of stalled watches, records. Now platform/ puts the era above the revision, and refuses to watch from a revision of an older era; every place that compares revisions does so by era first. When a new era begins, missing entries get the grace of an outage, which no peer can rule out, and the VM writes its record again. Not done: an upstream that was removed in the lost seconds counts as new until its entry lapses again.

--- a/src/catkindrift/gateway/_missing_entries.py
+++ b/src/catkindrift/gateway/_missing_entries.py
@@ -64,6 +64,15 @@
             self._grace_ends_ms, outage.ended_ms + _REAPPEAR_GRACE_MS
         )
 
+    def record_rollback(self) -> None:
+        """Start the grace period after the store has lost its last changes.
+
+        What upstreams wrote is written again. Responses to peers can't rule
+        the loss out.
+        """
+        self._is_outage_span_known = False
+        self._grace_ends_ms = self._clock.now_ms() + _REAPPEAR_GRACE_MS
+
     def should_remove(self, name: str, known_count: int) -> bool:
         """Return whether to remove a missing entry now, or else schedule it.
 
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -3,6 +3,7 @@
 from typing import final
 
 import attrs
+from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._attempt import AttemptSender
@@ -185,6 +186,7 @@
         self.watches.watch_entry_vms(
             self.registration.load, records.apply_change
         )
+        client.era.on_change = self._handle_new_era
 
     def _wire_data_path(self) -> None:
         clock = self._clock
@@ -285,6 +287,14 @@
         self.limits.merge(heartbeat.limits)
         self.reachability.record_peer(heartbeat.reached_age_ms)
 
+    def _handle_new_era(self) -> None:
+        logging.warning(
+            'the store is back from an older copy, era %d; reading all again',
+            self.store_client.era.number,
+        )
+        self.state.missing.record_rollback()
+        self.registration.publish()
+
     def _broadcast_heartbeat(self) -> None:
         self.heartbeats.send_heartbeat(to_all_regions=True)
 
--- a/src/catkindrift/gateway/_zone_client.py
+++ b/src/catkindrift/gateway/_zone_client.py
@@ -44,16 +44,16 @@
         """
         path = f'/changes/{kind}/{revision}/{wait_ms}'
         try:
-            status, content = await self._client.request(
+            head, content = await self._client.request(
                 'GET', path, b'', timeout_s, on_chunk
             )
         except (OSError, AnswerTooLargeError) as broken:
             raise ZoneWatchError(
                 f'{self.address} sent no complete response; ask the store',
             ) from broken
-        if status != HTTPStatus.OK:
+        if head.status != HTTPStatus.OK:
             raise ZoneWatchError(
-                f'{self.address} returned status {status}; ask the store',
+                f'{self.address} returned status {head.status}; ask the store',
             )
         try:
             return ZoneMessage.from_json(content)
--- a/src/catkindrift/http1/_http_client.py
+++ b/src/catkindrift/http1/_http_client.py
@@ -11,6 +11,7 @@
 from catkindrift.http1._client_connection import ClientConnection
 from catkindrift.http1._headers import encode_head
 from catkindrift.http1._receiver import ResponseReceiver
+from catkindrift.http1._response_head import ResponseHead
 
 # Responses are pages of at most one megabyte, plus the framing around them.
 _MAX_RESPONSE_BYTES = 2_097_152
@@ -49,8 +50,8 @@
         body: bytes,
         timeout_s: float,
         on_chunk: Callable[[], None] = _ignore_chunk,
-    ) -> tuple[int, bytes]:
-        """Send a request and return the status and body of the response.
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a request and return the head and body of the response.
 
         Args:
             method: HTTP method.
@@ -73,7 +74,7 @@
             raise ConnectionResetError(
                 'the server closed the connection before the response ended'
             )
-        return receiver.head.status, content
+        return receiver.head, content
 
     def close(self) -> None:
         """Abort all idle connections."""
--- a/src/catkindrift/platform/_headers.py
+++ b/src/catkindrift/platform/_headers.py
@@ -24,6 +24,8 @@
 LEAVING: Final = b'server-leaving'
 # Set if the upstream did not start the request.
 NOT_RUN: Final = b'not-executed'
+# Rises by one each time the store comes back from an older copy of itself.
+ERA: Final = b'store-era'
 RETRY_AFTER: Final = b'Retry-After'
 # Milliseconds until the upstream is warm.
 COLD_REMAINING: Final = b'cold-remaining-ms'
--- a/src/catkindrift/platform/_store_client.py
+++ b/src/catkindrift/platform/_store_client.py
@@ -1,6 +1,6 @@
 """HTTP client of the platform's store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, final
 from urllib.parse import quote
@@ -14,6 +14,7 @@
     PlatformUnavailableError,
 )
 from catkindrift.http1 import HttpClient
+from catkindrift.platform._store_era import StoreEra
 from catkindrift.platform._store_object import StoreObject
 from catkindrift.platform._store_page import StorePage
 
@@ -34,11 +35,13 @@
         host: IP address of the store.
         port: Its TCP port.
         call_counts: Calls so far by HTTP method.
+        era: Era of the store.
     """
 
     _host: str
     _port: int
     call_counts: dict[str, int] = attrs.field(init=False, factory=dict)
+    era: StoreEra = attrs.field(init=False, factory=StoreEra)
     _client: HttpClient = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -70,8 +73,8 @@
             StoreObject.from_document(each) for each in _listed_items(reply)
         ]
         return StorePage(
-            tuple(each for each in objects if each),
-            _revision(reply),
+            self._qualify(objects),
+            self.era.qualify(_revision(reply)),
             bool(reply.get('has_more')),
         )
 
@@ -97,16 +100,17 @@
             HistoryGoneError: The store has dropped changes since `revision`.
             PlatformUnavailableError: There was no usable response.
         """
-        path = f'/objects/{kind}?watch={revision}&wait_ms={wait_ms}'
+        since = self.era.plain(revision)
+        path = f'/objects/{kind}?watch={since}&wait_ms={wait_ms}'
         status, reply = await self._call(_READ, path, None, timeout_s, on_chunk)
+        self.era.plain(revision)
         if status == HTTPStatus.GONE:
             raise HistoryGoneError(
                 f'the store dropped changes of {kind}; list the kind again',
             )
         changes = [_decode_event(each) for each in reply.get('events', ())]
         return StorePage(
-            tuple(each for each in changes if each),
-            _revision(reply),
+            self._qualify(changes), self.era.qualify(_revision(reply))
         )
 
     async def put(
@@ -149,13 +153,24 @@
         self.call_counts[method] = self.call_counts.get(method, 0) + 1
         body = b'' if document is None else msgspec.json.encode(document)
         try:
-            status, content = await self._client.request(
+            head, content = await self._client.request(
                 method, path, body, timeout_s, on_chunk
             )
         except OSError as broken:
             # TimeoutError is a subclass of OSError.
             raise _no_response_error(method) from broken
-        return _decode_response(method, status, content)
+        self.era.record(head)
+        return _decode_response(method, head.status, content)
+
+    def _qualify(
+        self, found: Iterable[StoreObject | None]
+    ) -> tuple[StoreObject, ...]:
+        """Return the objects that are not malformed, with the era."""
+        return tuple(
+            attrs.evolve(each, revision=self.era.qualify(each.revision))
+            for each in found
+            if each
+        )
 
 
 def _no_response_error(method: str) -> Exception:
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -31,6 +31,7 @@
     part_pause_s: float = 0
     revision: int = 1
     oldest_revision: int = 0
+    era: int = 0
     calls: list = attrs.field(factory=list)
     _objects: dict = attrs.field(factory=dict)
     _log: list = attrs.field(factory=list)
@@ -62,6 +63,20 @@
         """Return the names of all objects of a kind."""
         return sorted(name for each, name in self._objects if each == kind)
 
+    def copy(self):
+        """Return a copy of the present state, for `restore`."""
+        return dict(self._objects), list(self._log), self.revision
+
+    async def restore(self, copied):
+        """Come back from a copy: later changes are lost, a new era begins."""
+        objects, log, revision = copied
+        self._objects = objects
+        self._log = log
+        self.revision = revision
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def compact(self):
         """Drop the history; watches of older revisions get 410."""
         self.oldest_revision = self.revision
@@ -75,6 +90,11 @@
             self._changed.notify_all()
 
     async def handle(self, request):
+        response = await self._handle(request)
+        response.headers.append((b'Store-Era', b'%d' % self.era))
+        return response
+
+    async def _handle(self, request):
         query = {
             key: found[0]
             for key, found in parse_qs(request.query.decode()).items()
@@ -113,10 +133,11 @@
                 await self._changed.wait_for(
                     lambda: (
                         since < self.oldest_revision
+                        or since > self.revision
                         or self._events_since(kind, since)
                     ),
                 )
-        if since < self.oldest_revision:
+        if since < self.oldest_revision or since > self.revision:
             return _json(HTTPStatus.GONE, {})
         answer = _json(
             HTTPStatus.OK,
