Switch off the mechanisms of FAILBACK and RECOVER, and lease tests' ports

Two older ones (shares of the cold rate and of the retry budget) set no names, which now means no share at all; they set the VM's own name only, as strict as before. The soak of entry VMs cuts VMs off from all upstreams too, and checks the cold rate of upstreams that restart.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,10 @@
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 
+from catkindrift.demo import _ports
 from catkindrift.domain import Vm, VmRole
 from tests.deployment import RunningDeployment
+from tests.ports import leased_ports
 from tests.raw_upstream import RawUpstream
 
 UPSTREAM_TIMEOUT_SECONDS = 10
@@ -34,6 +36,11 @@
 settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
 
 
+def pytest_configure():
+    """Use ports that no other run on this machine uses."""
+    _ports._untried_ports = leased_ports()
+
+
 def known_red():
     """Return the node ids of the tests listed in `KNOWN-RED.txt`."""
     prefix = 'test: '
--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -14,7 +14,13 @@
 import attrs
 import pytest
 
-from catkindrift.gateway import _attempt, _forwarder, _upstream_check
+from catkindrift.gateway import (
+    _attempt,
+    _forwarder,
+    _handover,
+    _upstream_check,
+    _upstream_observer,
+)
 from catkindrift.gateway._change_log import ChangeLog
 from catkindrift.gateway._crash_reports import CrashReports
 from catkindrift.gateway._entry_vm_records import EntryVmRecords
@@ -39,14 +45,19 @@
     _response_messages,
     forwarded_headers,
 )
+from catkindrift.platform._store_era import StoreEra
 from catkindrift.retries import Suspects
 from catkindrift.retries._crash_records import CrashRecords
 from catkindrift.steering import (
     ColdRateLimiter,
+    MemberFacts,
     Members,
     Placement,
+    ResponseSilence,
     SharedRetryBudget,
+    UnseenRestarts,
     UpstreamLimits,
+    UpstreamReachability,
     UpstreamRegistry,
     WeightedRotation,
     _upstream_registry,
@@ -55,6 +66,9 @@
 
 GATEWAY = 'tests/test_gateway.py::test_'
 _NUMBERS = itertools.count()
+COLD = 'tests/test_cold_rate.py::test_'
+STRANDED = 'tests/test_stranded_vms.py::test_'
+REACH = 'tests/test_upstream_reachability.py::test_'
 STORE_CUT = 'tests/test_store_cut.py::test_'
 CRASHING = 'tests/test_crashing_requests.py::test_'
 STEERING = 'tests/test_steering.py::test_'
@@ -105,6 +119,51 @@
     )
 
 
+def know_only_itself(limits, _names):
+    """Divide a limit as if no other entry VM existed."""
+    limits._members = (limits._own_name,)
+
+
+def count_only_itself(budget, _count):
+    """Divide the budget as if no other entry VM existed."""
+    budget._member_count = 1
+
+
+def forget_counts(limiter, upstream_ids):
+    """Drop the counts of unlisted upstreams at once."""
+    for removed in limiter._send_times_ms.keys() - upstream_ids:
+        limiter._send_times_ms.pop(removed)
+
+
+def fail_with_probe(reachability, incarnation):
+    """Take any failed connect for a failed probe too."""
+    now_ms = reachability._clock.now_ms()
+    reachability._failed_ms.setdefault(incarnation, now_ms)
+    reachability.record_failed_probe()
+
+
+def reached_by_peer(record_peer):
+    """Return `record_peer` that takes any heartbeat for a reached upstream."""
+    return lambda reachability, _age_ms: record_peer(reachability, 0)
+
+
+def any_vm(_able, _zone, _region, _min_count):
+    """Return a VM that may be in any region."""
+    return [
+        MemberFacts('any', 1, 'x', 'y', '127.0.0.1:9', '127.0.0.1:9', True, 1)
+    ]
+
+
+async def start_is_known(_sender, _upstream):
+    """Return that the start of an upstream is known to run."""
+    return True
+
+
+async def never_cut_off(_check, _began_ms):
+    """Return that a refused connect shows the end of an upstream."""
+    return False
+
+
 async def return_immediately(_self):
     """Return without waiting for running requests."""
 
@@ -184,7 +243,7 @@
         'the retry slack is shared among entry VMs',
         SharedRetryBudget,
         'update_member_count',
-        always(None),
+        count_only_itself,
         f'{STEERING}retry_budget_holds_over_all_entry_vms',
     ),
     PlatformBreakage(
@@ -450,9 +509,133 @@
         'the cold rate limit is shared among entry VMs',
         ColdRateLimiter,
         'update_members',
-        always(None),
+        know_only_itself,
         f'{STEERING}cold_pace_holds_over_all_entry_vms',
     ),
+    PlatformBreakage(
+        'FAILBACK',
+        'a VM that cannot know the others has no share',
+        Members,
+        'sharers',
+        Members.names,
+        f'{COLD}sum_over_all_vms_stays_within_the_cold_rate',
+    ),
+    PlatformBreakage(
+        'FAILBACK',
+        'names known from the store are passed on',
+        Members,
+        'unheard_records',
+        (),
+        f'{COLD}names_known_from_the_store_are_passed_on',
+    ),
+    PlatformBreakage(
+        'FAILBACK',
+        'counts outlive the entry of an upstream',
+        ColdRateLimiter,
+        'keep_only',
+        forget_counts,
+        f'{STEERING}requests_of_the_last_second_count_after_an_upstream_'
+        'became_cold',
+    ),
+    PlatformBreakage(
+        'FAILBACK',
+        'an upstream that may have restarted counts as cold',
+        UnseenRestarts,
+        'expect',
+        always(None),
+        f'{COLD}restarted_upstream_gets_the_cold_rate_before_its_entry_arrives',
+    ),
+    PlatformBreakage(
+        'FAILBACK',
+        'a first connection is asked for the start of the upstream',
+        _attempt.AttemptSender,
+        '_confirm_start',
+        start_is_known,
+        'tests/test_cold_upstreams.py::test_idle_vm_asks_for_the_start_before_it_'
+        'sends',
+    ),
+    PlatformBreakage(
+        'RECOVER',
+        'requests are handed over while the VM is cut off',
+        _handover.Handover,
+        'is_needed',
+        property(always(False)),
+        f'{STRANDED}callers_of_a_stranded_vm_are_served_like_others',
+    ),
+    PlatformBreakage(
+        'RECOVER',
+        'directories leave out VMs that reach no upstream',
+        MemberFacts,
+        'can_serve',
+        property(lambda facts: facts.is_ready),
+        f'{STRANDED}directories_leave_a_stranded_vm_out',
+    ),
+    PlatformBreakage(
+        'RECOVER',
+        'silence of all upstreams calls for a probe',
+        ResponseSilence,
+        'is_suspicious',
+        property(always(False)),
+        f'{REACH}silence_of_all_upstreams_calls_for_a_probe',
+    ),
+    PlatformBreakage(
+        'RECOVER',
+        'a probe has to fail before a VM counts as cut off',
+        UpstreamReachability,
+        'record_failed_connect',
+        fail_with_probe,
+        f'{REACH}many_failures_are_no_cut_before_a_probe_has_failed',
+    ),
+    PlatformBreakage(
+        'RECOVER',
+        'other VMs have to reach upstreams',
+        UpstreamReachability,
+        'record_peer',
+        reached_by_peer(UpstreamReachability.record_peer),
+        f'{REACH}upstreams_that_all_crashed_are_no_cut',
+    ),
+    PlatformBreakage(
+        'RECOVER, HOME',
+        'a body is handed over to its home regions only',
+        _handover,
+        'nearest',
+        any_vm,
+        f'{STRANDED}body_is_not_handed_over_to_another_region',
+    ),
+    PlatformBreakage(
+        'RECOVER, BUDGET',
+        'a cut is not taken for crashes',
+        IncarnationCheck,
+        '_is_cut_off',
+        never_cut_off,
+        f'{STRANDED}cut_is_not_taken_for_crashes_of_upstreams',
+    ),
+    PlatformBreakage(
+        'DRAIN',
+        'an upstream that states that it leaves gets nothing more',
+        _upstream_observer,
+        'is_leaving',
+        always(False),
+        'tests/test_leaving_upstreams.py::test_upstream_that_says_it_leaves_gets_'
+        'no_further_request',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'an upstream gets the pause that it asks for',
+        _upstream_observer,
+        'requested_pause_ms',
+        always(0),
+        'tests/test_leaving_upstreams.py::test_refusal_tells_when_the_pause_'
+        'ends',
+    ),
+    PlatformBreakage(
+        'CONFIG, DRAIN',
+        'revisions of a newer era are greater',
+        StoreEra,
+        'qualify',
+        lambda _era, revision: revision,
+        'tests/test_store_era.py::test_changes_of_a_new_era_are_applied',
+    ),
     PlatformBreakage(
         'LIMIT',
         'the limit of an upstream is shared among entry VMs',
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -25,6 +25,8 @@
     head,
     read_answer,
 )
+from tests.stranded import UpstreamCut
+from tests.test_cold_upstreams import most_in_a_second
 
 VMS = 5
 UPSTREAMS = 8
@@ -38,6 +40,9 @@
 MAX_LATE_REPEATS = 3
 LIMITS = ('4.2', '1.6', '0.5')
 ANSWERS = frozenset((200, 502, 503, 504))
+COLD_START_S = 3
+# 7.7 a second, 1.5 times that, 5 more.
+COLD_ALLOWED = 16.55
 # What a client sees of a VM that has stopped.
 GONE = (OSError, asyncio.IncompleteReadError, TimeoutError)
 
@@ -62,6 +67,7 @@
     named_s: dict = attrs.field(factory=dict)
     cuts: set = attrs.field(factory=set)
     poison_runs_s: dict = attrs.field(factory=dict)
+    upstream_cut: UpstreamCut = attrs.field(init=False)
     deployment: PlatformDeployment = attrs.field(init=False)
     rng: random.Random = attrs.field(init=False)
     _vms: dict = attrs.field(factory=dict)
@@ -70,14 +76,17 @@
     async def run(self):
         """Run to the end and return the breaches."""
         self.rng = random.Random(self.seed)
+        self.upstream_cut = UpstreamCut(self.rng.choice(('refuse', 'hang')))
         self.deployment = PlatformDeployment(self.folder)
         async with contextlib.AsyncExitStack() as stack:
             stack.enter_context(
                 mock.patch.object(Heartbeats, '_send', self._guarded_send())
             )
+            self.upstream_cut.apply(stack)
             stack.push_async_callback(self.deployment.stop)
             await self._play()
         self._check_limits()
+        self._check_cold_rates()
         self._check_repeats()
         return self.breaches
 
@@ -183,7 +192,12 @@
             await asyncio.sleep(self.rng.uniform(0.5, 3))
             self.faults += 1
             fault = self.rng.choice(
-                (self._restart_vm, self._cut, self._restart_upstream)
+                (
+                    self._restart_vm,
+                    self._cut,
+                    self._restart_upstream,
+                    self._strand,
+                )
             )
             await fault()
 
@@ -214,6 +228,15 @@
             await asyncio.sleep(self.rng.uniform(1, 6))
             self.cuts.discard(pair)
 
+    async def _strand(self):
+        """Cut a VM off from all upstreams; callers still reach it."""
+        number, gateway = self.rng.choice(list(self._vms.items()))
+        self._disturbed_s[number] = time.monotonic()
+        self.upstream_cut.begin(gateway)
+        await asyncio.sleep(self.rng.uniform(2, 8))
+        self.upstream_cut.end_for(gateway)
+        self._disturbed_s[number] = time.monotonic()
+
     async def _restart_upstream(self):
         upstream = self.rng.choice(self.deployment.upstreams)
         if not upstream.limit and not upstream.has_ended:
@@ -241,6 +264,20 @@
                     )
                     break
 
+    def _check_cold_rates(self):
+        for upstream in self.deployment.upstreams:
+            for started_s in upstream.restarts_s:
+                cold = [
+                    at
+                    for at in upstream.arrivals_s
+                    if 0 < at - started_s < COLD_START_S
+                ]
+                most = most_in_a_second(cold)
+                if most > COLD_ALLOWED:
+                    self.breaches.append(
+                        f'{upstream.id} got {most} in a second while cold'
+                    )
+
     def _check_repeats(self):
         for number, runs in self.poison_runs_s.items():
             if len(runs) <= MAX_LATE_REPEATS:
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -33,6 +33,7 @@
         limit: Requests per second that each response names; empty for none.
         is_leaving: Whether each response states that it is shutting down.
         arrivals_s: Times at which requests arrived.
+        restarts_s: Times at which its process has started again.
         port: Port that it listens on.
     """
 
@@ -56,6 +57,7 @@
     limit: str = ''
     is_leaving: bool = False
     arrivals_s: list = attrs.field(factory=list)
+    restarts_s: list = attrs.field(factory=list)
     port: int = 0
     _server: asyncio.Server | None = None
     _writers: set = attrs.field(factory=set)
@@ -80,6 +82,8 @@
         }
 
     async def start(self, port=0):
+        if self.has_ended:
+            self.restarts_s.append(time.monotonic())
         self._server = await asyncio.start_server(self._serve, self.host, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
--- a/tests/stranded.py
+++ b/tests/stranded.py
@@ -1,6 +1,7 @@
 """Cuts one entry VM off from all upstreams, inside the test process."""
 
 import asyncio
+from unittest import mock
 
 import attrs
 
@@ -20,8 +21,12 @@
     how: str
     pools: set = attrs.field(factory=set)
 
-    def apply(self, monkeypatch):
-        """Replace connects and writes of the VMs that are cut off."""
+    def apply(self, stack):
+        """Replace connects and writes of the VMs that are cut off.
+
+        Args:
+            stack: Exit stack that puts them back.
+        """
         connect = ConnectionPool.connect
         write = ClientConnection.write
 
@@ -37,9 +42,14 @@
             if not any(self._owns(pool, connection) for pool in self.pools):
                 write(connection, chunk)
 
-        monkeypatch.setattr(ConnectionPool, 'connect', connect_unless_cut)
+        patch = mock.patch.object
+        stack.enter_context(
+            patch(ConnectionPool, 'connect', connect_unless_cut)
+        )
         if self.how == 'hang':
-            monkeypatch.setattr(ClientConnection, 'write', write_unless_cut)
+            stack.enter_context(
+                patch(ClientConnection, 'write', write_unless_cut)
+            )
 
     def begin(self, gateway):
         """Cut an entry VM off."""
@@ -54,5 +64,9 @@
         """Heal the cut."""
         self.pools.clear()
 
+    def end_for(self, gateway):
+        """Heal the cut of one entry VM."""
+        self.pools.discard(gateway._parts.pool._connections)
+
     def _owns(self, pool, connection):
         return any(connection in each for each in pool._open.values())
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -105,6 +105,21 @@
     run(scenario())
 
 
+def test_idle_vm_asks_for_the_start_before_it_sends(tmp_path):
+    """Guard against a restart that broke no connection of this VM."""
+
+    async def scenario():
+        async with started_together(tmp_path, born_ms=BORN_MS) as deployment:
+            await asyncio.sleep(3)
+            upstream = deployment.upstreams[0]
+            upstream.born_ms += 60_000
+            status, _, _ = await ask(deployment.address(), head('/safe/x'))
+            assert status == 503
+            assert not upstream.requests
+
+    run(scenario())
+
+
 def test_upstream_that_restarts_under_its_id_is_cold_before_the_store_says_so(
     tmp_path,
 ):
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -31,12 +31,15 @@
 
 
 @contextlib.asynccontextmanager
-async def stranded(folder, monkeypatch, how, **options):
+async def stranded(folder, how, **options):
     """Run entry VMs of which the first is cut off from all upstreams."""
     cut = UpstreamCut(how)
-    cut.apply(monkeypatch)
     options.setdefault('upstreams', UPSTREAMS)
-    async with deployed(folder, **options) as deployment:
+    async with contextlib.AsyncExitStack() as stack:
+        cut.apply(stack)
+        deployment = await stack.enter_async_context(
+            deployed(folder, **options)
+        )
         for number in range(1, VMS):
             await deployment.add_gateway(f'front-{number + 1}')
         await asyncio.sleep(1)
@@ -87,13 +90,11 @@
 
 
 @pytest.mark.parametrize('how', ['refuse', 'hang', 'live'])
-def test_callers_of_a_stranded_vm_are_served_like_others(
-    tmp_path, monkeypatch, how
-):
+def test_callers_of_a_stranded_vm_are_served_like_others(tmp_path, how):
     """Guard against first tries that fail at a VM without upstreams."""
 
     async def scenario():
-        async with stranded(tmp_path, monkeypatch, how) as (deployment, _):
+        async with stranded(tmp_path, how) as (deployment, _):
             await send(deployment, STABLE_WINDOW_S)
             cut_off, *others = await send(deployment, 3)
             assert served(cut_off) >= MIN_RATIO * served(others[0])
@@ -102,11 +103,11 @@
 
 
 @pytest.mark.parametrize('how', ['refuse', 'hang'])
-def test_directories_leave_a_stranded_vm_out(tmp_path, monkeypatch, how):
+def test_directories_leave_a_stranded_vm_out(tmp_path, how):
     """Guard against callers that are sent to a VM without upstreams."""
 
     async def scenario():
-        async with stranded(tmp_path, monkeypatch, how) as (deployment, cut):
+        async with stranded(tmp_path, how) as (deployment, cut):
             await send(deployment, STABLE_WINDOW_S)
             host, port = deployment.address()
             for index in range(VMS):
@@ -123,11 +124,11 @@
     run(scenario())
 
 
-def test_handed_over_request_keeps_its_identity(tmp_path, monkeypatch):
+def test_handed_over_request_keeps_its_identity(tmp_path):
     """The upstream sees what the caller sent, once, with the time left."""
 
     async def scenario():
-        async with stranded(tmp_path, monkeypatch, 'refuse') as (deployment, _):
+        async with stranded(tmp_path, 'refuse') as (deployment, _):
             await cut_off(deployment)
             body = b'x' * 100_000
             request = head(
@@ -154,11 +155,11 @@
     run(scenario())
 
 
-def test_hand_over_is_one_hop(tmp_path, monkeypatch):
+def test_hand_over_is_one_hop(tmp_path):
     """VMs that are cut off do not pass a request on and on."""
 
     async def scenario():
-        async with stranded(tmp_path, monkeypatch, 'refuse') as (
+        async with stranded(tmp_path, 'refuse') as (
             deployment,
             cut,
         ):
@@ -177,14 +178,15 @@
     run(scenario())
 
 
-def test_body_is_not_handed_over_to_another_region(tmp_path, monkeypatch):
+def test_body_is_not_handed_over_to_another_region(tmp_path):
     """A route with homes is refused if no VM there reaches upstreams."""
     homes = {**UNSAFE, 'home_regions': ['cantabria']}
 
     async def scenario():
-        async with stranded(
-            tmp_path, monkeypatch, 'refuse', routes=(SAFE, homes)
-        ) as (deployment, _):
+        async with stranded(tmp_path, 'refuse', routes=(SAFE, homes)) as (
+            deployment,
+            _,
+        ):
             await cut_off(deployment)
             before = taken_requests(deployment)
             status, _, _ = await ask(
@@ -196,11 +198,11 @@
     run(scenario())
 
 
-def test_caller_that_leaves_ends_a_handed_over_request(tmp_path, monkeypatch):
+def test_caller_that_leaves_ends_a_handed_over_request(tmp_path):
     """The upstream's connection is closed through both entry VMs."""
 
     async def scenario():
-        async with stranded(tmp_path, monkeypatch, 'refuse') as (deployment, _):
+        async with stranded(tmp_path, 'refuse') as (deployment, _):
             await cut_off(deployment)
             for upstream in deployment.upstreams:
                 upstream.delay_s = 5
@@ -215,13 +217,11 @@
     run(scenario())
 
 
-def test_lost_response_of_a_handed_over_request_promises_nothing(
-    tmp_path, monkeypatch
-):
+def test_lost_response_of_a_handed_over_request_promises_nothing(tmp_path):
     """A request that may have run is not refused as one that did not."""
 
     async def scenario():
-        async with stranded(tmp_path, monkeypatch, 'refuse') as (deployment, _):
+        async with stranded(tmp_path, 'refuse') as (deployment, _):
             await cut_off(deployment)
             deployment.answer_with(None)
             status, _, _ = await ask(
@@ -233,11 +233,11 @@
     run(scenario())
 
 
-def test_upstreams_that_all_crashed_cut_no_vm_off(tmp_path, monkeypatch):
+def test_upstreams_that_all_crashed_cut_no_vm_off(tmp_path):
     """Guard against hand-overs between VMs that all reach nothing."""
 
     async def scenario():
-        async with stranded(tmp_path, monkeypatch, 'refuse') as (
+        async with stranded(tmp_path, 'refuse') as (
             deployment,
             cut,
         ):
@@ -277,11 +277,11 @@
     ]
 
 
-def test_cut_is_not_taken_for_crashes_of_upstreams(tmp_path, monkeypatch):
+def test_cut_is_not_taken_for_crashes_of_upstreams(tmp_path):
     """Guard against requests that are blamed for connections of a cut."""
 
     async def scenario():
-        async with stranded(tmp_path, monkeypatch, 'refuse') as (
+        async with stranded(tmp_path, 'refuse') as (
             deployment,
             cut,
         ):
