Let the breakage of home regions choose a receiver itself

Its first form was green: without a VM in the home regions the choice was empty before the function that it replaced was called with a VM that takes requests.

--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -147,11 +147,10 @@
     return lambda reachability, _age_ms: record_peer(reachability, 0)
 
 
-def any_vm(_able, _zone, _region, _min_count):
-    """Return a VM that may be in any region."""
-    return [
-        MemberFacts('any', 1, 'x', 'y', '127.0.0.1:9', '127.0.0.1:9', True, 1)
-    ]
+def choose_any(handover, _pending, tried):
+    """Return a receiver without regard to home regions."""
+    alive = handover._members.alive()
+    return next((each for each in alive if each.name not in tried), None)
 
 
 async def start_is_known(_sender, _upstream):
@@ -597,9 +596,9 @@
     PlatformBreakage(
         'RECOVER, HOME',
         'a body is handed over to its home regions only',
-        _handover,
-        'nearest',
-        any_vm,
+        _handover.Handover,
+        '_choose',
+        choose_any,
         f'{STRANDED}body_is_not_handed_over_to_another_region',
     ),
     PlatformBreakage(
