--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -193,7 +193,8 @@
                 deployment.address(), head('/unsafe/x', 'POST')
             )
             assert status == 503
-            assert taken_requests(deployment) == before
+            after = taken_requests(deployment)
+            assert after == before
 
     run(scenario())
 
