Let Retry-After cover the time until a VM knows its share

What callers saw: an entry VM that had just started refused a request because the only upstream was at its limit, with a Retry-After of 2.1 to 2.7 s, and refused it again when the caller came back after that time.

Cause: since a VM has no share of a limit until it can know the other VMs (2.5 s after the record list, seen by an update each second). The refusal named the time until the share would admit a request and ignored that there was no share yet.

Change: Members tells from when it can name the sharers, and the limits add that time to the wait while they have no names.

--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -51,7 +51,7 @@
         self._cold_limiter.update_members(sharers)
         self._cold_limiter.keep_only(self._state.registry.ids)
         self._budget.update_member_count(len(sharers))
-        self._limits.update_members(sharers)
+        self._limits.update_members(sharers, self._members.sharing_from_ms)
         self._limits.keep_only(self._state.registry.incarnations)
         self._placement.rules = self._state.rules
 
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -31,6 +31,15 @@
     facts: MemberFacts
     updated_ms: int
 
+    def update(self, facts: MemberFacts, now_ms: int) -> bool:
+        """Take newer facts and return whether the VM has become alive."""
+        if facts.version <= self.facts.version:
+            return False
+        was_silent = now_ms - self.updated_ms > _HEARTBEAT_TIMEOUT_MS
+        self.facts = facts
+        self.updated_ms = now_ms
+        return was_silent
+
 
 @final
 @attrs.define(eq=False)
@@ -77,7 +86,7 @@
         without contact.
         """
         now_ms = self._clock.now_ms()
-        if self._listed_ms is None or now_ms - self._listed_ms < _SETTLING_MS:
+        if now_ms < self.sharing_from_ms:
             return ()
         if self.hears_all:
             self._known_to_others_ms = now_ms
@@ -85,6 +94,14 @@
             return ()
         return self.names
 
+    @property
+    def sharing_from_ms(self) -> int:
+        """Time from which this VM can share the limits after its start."""
+        listed_ms = self._listed_ms
+        if listed_ms is None:
+            listed_ms = self._clock.now_ms()
+        return listed_ms + _SETTLING_MS
+
     @property
     def unheard_records(self) -> tuple[tuple[str, int], ...]:
         """Names of registered VMs that are not heard, and ages of records."""
@@ -137,8 +154,8 @@
                 continue
             if known is None:
                 self._members[each.name] = _Member(each, now_ms)
-            elif each.version > known.facts.version:
-                self._update(known, each, now_ms)
+            elif known.update(each, now_ms):
+                self.last_recovery_ms = now_ms
 
     def record_registration(self, name: str, age_ms: int) -> None:
         """Record that a VM has written its record in the store.
@@ -181,9 +198,3 @@
         ]
         for name in silent:
             self._members.pop(name)
-
-    def _update(self, known: _Member, facts: MemberFacts, now_ms: int) -> None:
-        if now_ms - known.updated_ms > _HEARTBEAT_TIMEOUT_MS:
-            self.last_recovery_ms = now_ms
-        known.facts = facts
-        known.updated_ms = now_ms
--- a/src/catkindrift/steering/_upstream_limits.py
+++ b/src/catkindrift/steering/_upstream_limits.py
@@ -51,6 +51,7 @@
     _clock: Clock
     _own_name: str
     _members: tuple[str, ...] = attrs.field(init=False, default=())
+    _sharing_from_ms: int = attrs.field(init=False, default=0)
     _known: dict[str, _KnownLimit] = attrs.field(init=False, factory=dict)
     _sent_ms: dict[str, int] = attrs.field(init=False, factory=dict)
     _shares: dict[tuple[str, float], LimitShare] = attrs.field(
@@ -69,12 +70,17 @@
             known.per_second is not None for known in self._known.values()
         )
 
-    def update_members(self, members: tuple[str, ...]) -> None:
+    def update_members(
+        self, members: tuple[str, ...], sharing_from_ms: int = 0
+    ) -> None:
         """Set the names of all entry VMs that share the limits.
 
-        Include VMs that are silent: they may still send requests. Without
-        names this VM has no share.
+        Args:
+            members: Names of all VMs that may send requests, also of silent
+                ones. Without names this VM has no share.
+            sharing_from_ms: Time from which the names can be known.
         """
+        self._sharing_from_ms = sharing_from_ms
         if members != self._members:
             self._members = members
             self._shares.clear()
@@ -100,8 +106,12 @@
             # VMs that learn of a limit together don't probe together.
             sent_ms = known.since_ms
             interval_ms *= self._own_fraction(incarnation)
-        wait_ms = sent_ms + interval_ms - self._clock.now_ms()
-        return max(0 if self._members else _UNKNOWN_SHARE_WAIT_MS, wait_ms)
+        now_ms = self._clock.now_ms()
+        wait_ms = sent_ms + interval_ms - now_ms
+        if self._members:
+            return max(0, wait_ms)
+        settling_ms = max(0, self._sharing_from_ms - now_ms)
+        return max(settling_ms + _UNKNOWN_SHARE_WAIT_MS, wait_ms)
 
     def retry_after_ms(self, incarnation: str) -> float:
         """Return when some entry VM is expected to take a request."""
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -9,6 +9,7 @@
 from catkindrift.steering import (
     LimitChange,
     LimitNotice,
+    Members,
     NotPlacedReason,
     UpstreamLimits,
 )
@@ -80,6 +81,24 @@
     assert limits.wait_ms(UPSTREAM) >= 4000
 
 
+def test_retry_after_covers_the_time_without_a_share():
+    """Guard against callers that come back before the VM may send."""
+    clock = ManualClock()
+    clock.advance(60_000)
+    members = Members(clock, 'one')
+    members.record_list({})
+    limits = UpstreamLimits(clock, 'one')
+    limits.update_members(members.sharers, members.sharing_from_ms)
+    limits.count_request(UPSTREAM)
+    limits.record(UPSTREAM, 8, clock.now_ms())
+    clock.advance(int(limits.retry_after_ms(UPSTREAM)))
+    # Entry VMs update the members once a second.
+    clock.advance(-1000)
+    limits.update_members(members.sharers, members.sharing_from_ms)
+    clock.advance(1000)
+    assert not limits.wait_ms(UPSTREAM)
+
+
 def test_newest_statement_counts():
     """Answers that were under way can't undo what is newer."""
     clock = ManualClock()
