--- a/src/catkindrift/http1/_response_parser.py
+++ b/src/catkindrift/http1/_response_parser.py
@@ -14,6 +14,9 @@
 # Statuses of responses without a body (RFC 9110, section 6.4.1).
 _BODILESS_STATUSES = frozenset((204, 304))
 _MILLISECONDS_PER_SECOND = 1000
+# Limit on heads, interim responses, chunk sizes, trailers and responses to
+# other requests, between bytes of the body.
+_MAX_OVERHEAD_BYTES = 262_144
 
 
 @final
@@ -37,6 +40,7 @@
     _parser: httptools.HttpResponseParser = attrs.field(init=False)
     _headers: Headers = attrs.field(init=False, factory=list)
     _is_accepted: bool = attrs.field(init=False, default=False)
+    _overhead_bytes: int = attrs.field(init=False, default=0)
 
     def __attrs_post_init__(self) -> None:
         """Create the parser."""
@@ -44,11 +48,13 @@
 
     def feed(self, chunk: bytes) -> None:
         """Parse bytes of the response."""
+        self._overhead_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
-            self.prevents_reuse = True
-            self._receiver.fail(ResponseFailure.MALFORMED)
+            self._fail_as_malformed()
+        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
+            self._fail_as_malformed()
 
     def feed_eof(self) -> None:
         """Complete a response that is delimited by the close."""
@@ -94,12 +100,17 @@
         """Pass a chunk of the body to the receiver."""
         if self._is_accepted and not self._receiver.has_ended:
             self._receiver.add_chunk(body)
+            self._overhead_bytes = 0
 
     def on_message_complete(self) -> None:
         """Complete the response."""
         if self._is_accepted and not self._receiver.has_ended:
             self._receiver.complete()
 
+    def _fail_as_malformed(self) -> None:
+        self.prevents_reuse = True
+        self._receiver.fail(ResponseFailure.MALFORMED)
+
     def _ends_with_close(self, status: int) -> bool:
         """Return whether the body ends with the connection."""
         return not (
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -31,6 +31,8 @@
         on_end: Called with the upstream when its process has ended.
         born_ms: Unix time of the process start; 0 to state none.
         limit: Requests per second that each response names; empty for none.
+        endless: Bytes that follow each response again and again.
+        endless_bytes: Number of such bytes that were sent.
         is_leaving: Whether each response states that it is shutting down.
         arrivals_s: Times at which requests arrived.
         restarts_s: Times at which its process has started again.
@@ -55,6 +57,8 @@
     on_end: Callable = attrs.field(default=lambda _upstream: None)
     born_ms: int = 0
     limit: str = ''
+    endless: bytes = b''
+    endless_bytes: int = 0
     is_leaving: bool = False
     arrivals_s: list = attrs.field(factory=list)
     restarts_s: list = attrs.field(factory=list)
@@ -171,6 +175,10 @@
             writer.transport.abort()
             raise ConnectionResetError
         writer.write(reply)
+        while self.endless:
+            writer.write(self.endless)
+            await writer.drain()
+            self.endless_bytes += len(self.endless)
         if b'Connection: close' in reply:
             await writer.drain()
             writer.close()
