Send news by at most ten heartbeats a second

Two VMs watch these records for all others and sent a heartbeat to 16 VMs for each record that brought a new crash. 32 upstreams of a zone crashed, all VMs wrote their records, and each of the two sent 1,378 and 1,489 datagrams, some 2 MB, within a second: twice what their link takes.

Not the cause: uploads (below 0.3 MB a second there), the event loop (connect timeouts fired on time), lists of the store (0.26 MB).

Change: news share the next heartbeat, at intervals of 100 ms at least. A confirmed crash and a named limit go the same way; the first one is still sent at once.

--- a/src/catkindrift/gateway/_entry_vm_records.py
+++ b/src/catkindrift/gateway/_entry_vm_records.py
@@ -7,6 +7,7 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._heartbeats import Heartbeats
+from catkindrift.gateway._urgent_heartbeats import UrgentHeartbeats
 from catkindrift.platform import StoreObject, decode_entry_vm
 from catkindrift.steering import EntryVmRecord, Members
 
@@ -18,13 +19,15 @@
 
     Args:
         clock: Source of time.
-        heartbeats: Contacts the registered VMs and passes news on to them.
+        heartbeats: Contacts the registered VMs.
+        urgent: Passes news on to them.
         crashes: Crashes that this VM knows.
         members: Entry VMs.
     """
 
     _clock: Clock
     _heartbeats: Heartbeats
+    _urgent: UrgentHeartbeats
     _crashes: CrashWatch
     _members: Members
 
@@ -74,4 +77,4 @@
         known = self._crashes.reports.count
         self._crashes.merge_reports(record.crashes, record.cleared)
         if self._crashes.reports.count > known:
-            self._heartbeats.send_heartbeat(to_all_regions=True)
+            self._urgent.send()
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -32,6 +32,7 @@
 from catkindrift.gateway._upstream_observer import UpstreamObserver
 from catkindrift.gateway._upstream_pool import UpstreamPool
 from catkindrift.gateway._upstream_probes import UpstreamProbes
+from catkindrift.gateway._urgent_heartbeats import UrgentHeartbeats
 from catkindrift.gateway._zone_changes_page import ZoneChangesPage
 from catkindrift.http1 import HttpServer
 from catkindrift.platform import StoreClient
@@ -75,6 +76,7 @@
     state: PlatformState = attrs.field(init=False)
     members: Members = attrs.field(init=False)
     heartbeats: Heartbeats = attrs.field(init=False)
+    urgent: UrgentHeartbeats = attrs.field(init=False)
     watches: StoreWatches = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
     regions: dict[str, str] = attrs.field(init=False)
@@ -177,8 +179,9 @@
             self.reachability,
             self._handle_heartbeat,
         )
+        self.urgent = UrgentHeartbeats(clock, self.heartbeats)
         records = EntryVmRecords(
-            clock, self.heartbeats, self.crashes, self.members
+            clock, self.heartbeats, self.urgent, self.crashes, self.members
         )
         self.registration = Registration(
             clock, client, settings, self.heartbeats, records, self.members
@@ -226,7 +229,7 @@
                     placement,
                     self.metrics,
                     self.limits,
-                    self._broadcast_heartbeat,
+                    self.urgent.send,
                 ),
                 self.crashes,
                 self.check,
@@ -295,9 +298,6 @@
         self.state.missing.record_rollback()
         self.registration.publish()
 
-    def _broadcast_heartbeat(self) -> None:
-        self.heartbeats.send_heartbeat(to_all_regions=True)
-
     def _handle_idle_loss(self, incarnation: str) -> None:
         known = self.registry.find_incarnation(incarnation)
         if known:
@@ -305,7 +305,7 @@
 
     def _handle_confirmed_crash(self, upstream: Upstream) -> None:
         self.restarts.expect(upstream.incarnation)
-        self._broadcast_heartbeat()
+        self.urgent.send()
         self.registration.publish()
 
     def _find_upstream(self, upstream_id: str) -> Upstream | None:
--- a/tests/test_entry_vm_records.py
+++ b/tests/test_entry_vm_records.py
@@ -9,6 +9,10 @@
 from tests.platform_deployment import deployed, eventually
 
 CRASH = Crash('poison', 'i-1@1', 50)
+VMS = 72
+# Two regular ones, and news at intervals of 100 ms.
+HEARTBEATS_PER_SECOND = 12
+RUN_SECONDS = 2
 
 
 def test_record_survives_the_store():
@@ -63,3 +67,25 @@
             )
 
     asyncio.run(scenario())
+
+
+def test_records_that_come_together_do_not_flood_the_link(tmp_path):
+    """Guard against a heartbeat to many VMs for each record of a page."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            parts = deployment.gateways[0]._parts
+            await eventually(lambda: stored_crashes(deployment) is not None)
+            sent_before = parts.heartbeats.own_member.count
+            for number in range(VMS):
+                crash = Crash(f'request-{number}', f'i-{number}@1', 50)
+                record = EntryVmRecord('', (crash,))
+                await deployment.store.put(
+                    'entry-vms', f'vm-{number}', encode_entry_vm(record)
+                )
+            await eventually(lambda: parts.crashes.reports.count == VMS)
+            await asyncio.sleep(1)
+            sent = parts.heartbeats.own_member.count - sent_before
+            assert sent <= HEARTBEATS_PER_SECOND * RUN_SECONDS
+
+    asyncio.run(scenario())
