Hand a request over only once if it may have been sent

What callers saw: a safe request at a VM that is cut off could run on twice as many upstreams as its route's max_attempts allows.

Cause: when the first receiver broke off, the request went to a second one, which makes all attempts of the route again; nothing tells how many the first has made.

Change: a hand-over that breaks off ends with 502. One that was not sent, or that the receiver refused as cut off itself, still goes to a second VM. The retry budget of the VM that hands over is no longer involved.

--- a/src/catkindrift/gateway/_handover.py
+++ b/src/catkindrift/gateway/_handover.py
@@ -35,7 +35,6 @@
 from catkindrift.steering import (
     MemberFacts,
     Members,
-    SharedRetryBudget,
     UpstreamReachability,
     nearest,
 )
@@ -62,7 +61,6 @@
         own: Facts about this VM.
         members: Other entry VMs.
         reachability: Whether this VM is cut off.
-        budget: Limits hand-overs that are repeated.
         refusals: Refuses what no VM takes.
         metrics: Counts outcomes.
         log: Log of requests.
@@ -72,7 +70,6 @@
     _own: MemberFacts
     _members: Members
     _reachability: UpstreamReachability
-    _budget: SharedRetryBudget
     _refusals: Refusals
     _metrics: GatewayMetrics
     _log: RequestLog
@@ -101,7 +98,9 @@
                 break
             tried.add(receiver.name)
             response = await self._try_receiver(pending, receiver)
-        return response or self._fallback_or_refusal(pending)
+        if response is None:
+            return self._refusals.refuse(pending.request, 'cut_off', _RETRY_MS)
+        return response
 
     def prune(self) -> None:
         """Close connections to VMs that are no longer alive."""
@@ -110,15 +109,7 @@
 
     def _may_try(self, pending: PendingRequest, tried: set[str]) -> bool:
         is_last = len(tried) == _MAX_TRIES
-        if is_last or not pending.can_resend:
-            return not tried
-        may_have_run = pending.fallback is not None
-        return not may_have_run or self._budget.try_spend(pending.service)
-
-    def _fallback_or_refusal(self, pending: PendingRequest) -> Response:
-        if pending.fallback:
-            return pending.fallback
-        return self._refusals.refuse(pending.request, 'cut_off', _RETRY_MS)
+        return not tried or (pending.can_resend and not is_last)
 
     def _choose(
         self, pending: PendingRequest, tried: set[str]
@@ -184,8 +175,8 @@
         is_broken = head is None or bool(exchange.receiver.failure)
         if head is None or is_broken or not _may_forward(pending, head):
             exchange.connection.abort()
-            pending.fallback = Response(HTTPStatus.BAD_GATEWAY)
-            return 'broken', None if pending.may_retry else pending.fallback
+            # The receiver may have made all attempts that the route allows.
+            return 'broken', Response(HTTPStatus.BAD_GATEWAY)
         finish = functools.partial(self._finish, receiver, exchange)
         response = build_response(exchange.receiver, head, finish)
         if any(name.lower() == CUT_OFF_HEADER for name, _ in head.headers):
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -248,7 +248,6 @@
             self.heartbeats.own_member,
             self.members,
             self.reachability,
-            self.budget,
             refusals,
             self.metrics,
             self.log,
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -23,6 +23,8 @@
 # Callers are owed service from this time after the cut began.
 STABLE_WINDOW_S = 3
 MIN_RATIO = 2 / 3
+# Of the route for safe requests.
+MAX_ATTEMPTS = 2
 
 
 def run(test):
@@ -234,6 +236,30 @@
     run(scenario())
 
 
+def test_broken_hand_over_keeps_the_limit_on_attempts(tmp_path):
+    """Guard against two receivers that each use all attempts of a route."""
+
+    async def scenario():
+        async with stranded(tmp_path, 'refuse') as (deployment, _):
+            await cut_off(deployment)
+            for upstream in deployment.upstreams:
+                upstream.delay_s = 0.3
+                upstream.script = [None for _ in range(MAX_ATTEMPTS)]
+            answer = asyncio.create_task(
+                ask(deployment.address(), head('/safe/broken'))
+            )
+            await eventually(
+                lambda: len(arrivals(deployment, b'broken')) == MAX_ATTEMPTS
+            )
+            abort_hand_overs(deployment)
+            status, _, _ = await answer
+            assert status == 502
+            attempts = len(arrivals(deployment, b'broken'))
+            assert attempts == MAX_ATTEMPTS
+
+    run(scenario())
+
+
 def test_upstreams_that_all_crashed_cut_no_vm_off(tmp_path):
     """Guard against hand-overs between VMs that all reach nothing."""
 
@@ -260,6 +286,14 @@
     assert deployment.gateways[0]._parts.reachability.is_cut_off
 
 
+def abort_hand_overs(deployment):
+    """Abort all connections of the first VM to other entry VMs."""
+    pool = deployment.gateways[0]._parts.handover._connections
+    for connections in tuple(pool._open.values()):
+        for connection in tuple(connections):
+            connection.abort()
+
+
 def taken_requests(deployment):
     """Return how many requests VMs have taken from others."""
     return sum(
