Write only a VM's own crashes into its record

Cause: each VM wrote all crashes that it knew into its record, up to 256 of some 70 bytes, and each VM that starts lists all records: 72 times the same reports, up to 1.3 MB for each VM, a second on a link of 10 Mbit/s.

Change: a record holds the crashes that this VM has confirmed, in this or an earlier process of it, and those of quarantined requests, which stay in several records. All others stand in the records of the VMs that saw them.

--- a/src/catkindrift/gateway/_crash_reports.py
+++ b/src/catkindrift/gateway/_crash_reports.py
@@ -1,6 +1,7 @@
 """Selection of the crash reports for each heartbeat."""
 
 import itertools
+from collections.abc import Iterable
 from typing import final
 
 import attrs
@@ -28,6 +29,7 @@
     """
 
     _suspects: Suspects
+    _own: set[tuple[str, str]] = attrs.field(init=False, factory=set)
     _round: int = attrs.field(init=False, default=0)
 
     @property
@@ -51,10 +53,40 @@
         self._round += 1
         return tuple(reported)
 
-    def all_crashes(self) -> tuple[Crash, ...]:
-        """Return the newest crashes, as many as fit into a stored record."""
-        by_age = sorted(self._suspects.crashes(), key=_age_ms)
-        return tuple(by_age[:_MAX_STORED_REPORTS])
+    def confirm(self, fingerprints: Iterable[str], incarnation: str) -> None:
+        """Confirm a crash that this VM has seen, so that it is reported.
+
+        Args:
+            fingerprints: Requests that are blamed for it.
+            incarnation: Incarnation of the upstream.
+        """
+        blamed = tuple(fingerprints)
+        self._suspects.confirm(blamed, incarnation)
+        self.record_own((each, incarnation) for each in blamed)
+
+    def record_own(self, crashes: Iterable[tuple[str, str]]) -> None:
+        """Add crashes that this VM has seen, in this or an earlier process.
+
+        Args:
+            crashes: Fingerprint and incarnation of each.
+        """
+        self._own.update(crashes)
+
+    def stored_crashes(self) -> tuple[Crash, ...]:
+        """Return the crashes for this VM's record in the store.
+
+        Only those that it has seen itself, since each VM writes its own, and
+        those of quarantined requests.
+        """
+        known = {_crash_key(each): each for each in self._suspects.crashes()}
+        self._own.intersection_update(known)
+        stored = [
+            crash
+            for key, crash in known.items()
+            if key in self._own or self._is_quarantined(crash)
+        ]
+        stored.sort(key=_age_ms)
+        return tuple(stored[:_MAX_STORED_REPORTS])
 
     def newest_cleared(self) -> tuple[Cleared, ...]:
         """Return the suspects that were cleared last."""
--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -207,7 +207,7 @@
             checks.pop(incarnation, None)
         if liveness is Liveness.ENDED:
             self._crashed_upstreams.add(incarnation)
-            self._suspects.confirm(blamed, incarnation)
+            self.reports.confirm(blamed, incarnation)
             self._metrics.blame.labels('confirmed').inc(len(blamed))
             self._on_confirmed_crash(upstream)
             logging.warning(
--- a/src/catkindrift/gateway/_entry_vm_records.py
+++ b/src/catkindrift/gateway/_entry_vm_records.py
@@ -35,7 +35,7 @@
         """Return what this VM has to tell."""
         return EntryVmRecord(
             self._heartbeats.own_member.peers,
-            self._crashes.reports.all_crashes(),
+            self._crashes.reports.stored_crashes(),
             self._crashes.reports.newest_cleared(),
             self._clock.wall_ms(),
         )
@@ -47,6 +47,10 @@
             age_ms, record = self._register(stored)
             ages_ms[stored.name] = age_ms
             self._merge(record.aged(age_ms))
+            if stored.name == self._heartbeats.own_member.name:
+                self._crashes.reports.record_own(
+                    (each.fingerprint, each.upstream) for each in record.crashes
+                )
         self._members.record_list(ages_ms)
 
     def apply_change(self, stored: StoreObject) -> None:
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -1,7 +1,6 @@
 """Simulation of crashing requests at several entry VMs in virtual time."""
 
 import asyncio
-import itertools
 import random
 from fractions import Fraction
 
@@ -10,6 +9,7 @@
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.gateway._upstream_check import Liveness
 from catkindrift.steering import (
+    EntryVmRecord,
     Members,
     NotPlacedReason,
     Placed,
@@ -136,6 +136,7 @@
     _running: list = attrs.field(factory=list)
     _down: dict = attrs.field(factory=dict)
     _stated_at: dict = attrs.field(factory=dict)
+    _records: dict = attrs.field(factory=dict)
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
@@ -194,11 +195,27 @@
 
     def _read_store(self):
         """Let each VM read the records that all VMs have written."""
-        for vm, other in itertools.permutations(self.vms, 2):
-            reports = other.harness.watch.reports
-            vm.harness.watch.merge_reports(
-                reports.all_crashes(), reports.newest_cleared()
+        for vm in self.vms:
+            reports = vm.harness.watch.reports
+            self._records[vm.name] = EntryVmRecord(
+                '',
+                reports.stored_crashes(),
+                reports.newest_cleared(),
+                self.bench.clock.now_ms(),
             )
+        for vm in self.vms:
+            self._read_records(vm)
+
+    def _read_records(self, vm):
+        """Let a VM read all records, with its own from before a restart."""
+        now_ms = self.bench.clock.now_ms()
+        for name, written in self._records.items():
+            record = written.aged(now_ms - written.written_ms)
+            vm.harness.watch.merge_reports(record.crashes, record.cleared)
+            if name == vm.name:
+                vm.harness.watch.reports.record_own(
+                    (each.fingerprint, each.upstream) for each in record.crashes
+                )
 
     def _refresh_members(self):
         """Keep all members alive, since the member list lags behind cuts."""
@@ -240,6 +257,7 @@
                 vm.harness.watch.merge_reports(
                     other.harness.watch.reports.next_crashes()
                 )
+        self._read_records(vm)
 
     def _send_requests(self):
         for vm in self.vms:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -10,6 +10,7 @@
 from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._upstream_check import Liveness
+from catkindrift.retries import Crash
 from catkindrift.steering import (
     UnseenRestarts,
     Upstream,
@@ -207,6 +208,38 @@
     run(scenario())
 
 
+def test_stored_record_does_not_repeat_those_of_other_vms():
+    """Guard against lists of records that grow with the VMs squared."""
+
+    async def scenario():
+        harness = CrashWatchHarness()
+        await harness.crash(U1, 'own')
+        harness.watch.merge_reports(
+            (
+                Crash('other', 'elsewhere@1', 0),
+                Crash('poison', 'elsewhere@1', 0),
+                Crash('poison', 'elsewhere@2', 0),
+            )
+        )
+        stored = harness.watch.reports.stored_crashes()
+        assert sorted({each.fingerprint for each in stored}) == [
+            'own',
+            'poison',
+        ]
+
+    run(scenario())
+
+
+def test_stored_record_keeps_what_an_earlier_process_has_seen():
+    """A VM overwrites its record, so it has to carry the earlier one."""
+    earlier = Crash('own', 'u-1@1', 50)
+    reports = CrashWatchHarness().watch.reports
+    reports._suspects.merge((earlier,))
+    assert not reports.stored_crashes()
+    reports.record_own([(earlier.fingerprint, earlier.upstream)])
+    assert reports.stored_crashes() == (earlier,)
+
+
 def test_crash_is_told_at_once():
     """A retry may reach any VM before the next regular heartbeat."""
 
