--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -33,9 +33,15 @@
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._store_watch import StoreWatch
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
+from catkindrift.gateway._urgent_heartbeats import UrgentHeartbeats
 from catkindrift.gateway._zone_changes_page import ZoneChangesPage
 from catkindrift.gateway._zone_message import ZoneMessage
-from catkindrift.http1 import ClientConnection, Response, ResponseBodyStream
+from catkindrift.http1 import (
+    ClientConnection,
+    Response,
+    ResponseBodyStream,
+    _response_parser,
+)
 from catkindrift.http1._head_collector import HeadCollector
 from catkindrift.http1._request_body import RequestBody
 from catkindrift.http1._response_queue import ResponseQueue
@@ -72,6 +78,8 @@
 STORE_CUT = 'tests/test_store_cut.py::test_'
 CRASHING = 'tests/test_crashing_requests.py::test_'
 STEERING = 'tests/test_steering.py::test_'
+ENDLESS = 'tests/test_endless_responses.py::test_'
+RECORDS = 'tests/test_entry_vm_records.py::test_'
 LIMITS = 'tests/test_upstream_limits.py::test_'
 RESTARTED = 'tests/test_restarted_upstreams.py::test_'
 WATCH = 'tests/test_store_watch.py::test_'
@@ -124,6 +132,16 @@
     limits._members = (limits._own_name,)
 
 
+def send_for_each(urgent):
+    """Send a heartbeat at once, however many there are."""
+    urgent._heartbeats.send_heartbeat(to_all_regions=True)
+
+
+def all_crashes(reports):
+    """Return all crashes that a VM knows."""
+    return reports._suspects.crashes()
+
+
 def count_only_itself(budget, _count):
     """Divide the budget as if no other entry VM existed."""
     budget._member_count = 1
@@ -351,6 +369,39 @@
         always(None),
         f'{RESTARTED}vms_that_hear_only_the_store_share_crashes',
     ),
+    PlatformBreakage(
+        'CONFIG, DRAIN',
+        'news share the next heartbeat',
+        UrgentHeartbeats,
+        'send',
+        send_for_each,
+        f'{RECORDS}records_that_come_together_do_not_flood_the_link',
+    ),
+    PlatformBreakage(
+        'CONFIG, DRAIN',
+        'a record holds what its VM has seen itself',
+        CrashReports,
+        'stored_crashes',
+        all_crashes,
+        'tests/test_crash_watch.py::test_stored_record_does_not_repeat_those_of_'
+        'other_vms',
+    ),
+    PlatformBreakage(
+        'bytes without end',
+        'a response that consists of framing is ended',
+        _response_parser,
+        '_MAX_OVERHEAD_BYTES',
+        1_000_000_000_000,
+        f'{ENDLESS}endless_bytes_are_not_read_until_the_deadline',
+    ),
+    PlatformBreakage(
+        'bytes without end',
+        'a body ends at the deadline',
+        _attempt.AttemptSender,
+        '_limit_body_time',
+        always(None),
+        f'{ENDLESS}endless_body_ends_at_the_deadline',
+    ),
     PlatformBreakage(
         'GONE',
         'a caller that disconnects cancels its requests',
