Log target and caller of failed requests

Callers' repeats of one crashing request could not be told from different requests: log lines held a fingerprint and nothing of what is in it.

Lines of failed attempts and final failures now hold the target (200 characters at most) and the caller's IP address. No decision changes.

--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -12,6 +12,9 @@
 from catkindrift.gateway._pending_request import PendingRequest
 from catkindrift.steering import Placed, UpstreamLimits, UpstreamState
 
+# Characters of a target in a log line; uploads may have long queries.
+_MAX_TARGET_CHARS = 200
+
 
 def _to_json(document: Any, **_options: Any) -> str:
     return msgspec.json.encode(document).decode()
@@ -92,7 +95,7 @@
             id=pending.request_id,
             outcome=outcome,
             service=pending.service,
-            fingerprint=pending.fingerprint,
+            **_identity_fields(pending),
             choice=choice.reason.value,
             expected_ms=round(choice.cost_ms),
             left_ms=pending.deadline_ms - now_ms,
@@ -134,7 +137,7 @@
             id=pending.request_id,
             status=status,
             route=pending.route.name,
-            fingerprint=pending.fingerprint,
+            **_identity_fields(pending),
             took_ms=now_ms - pending.request.arrived_ms,
             arrivals=pending.delivered_attempts,
             tried=sorted(pending.excluded),
@@ -178,3 +181,14 @@
             'is_cold': state.is_cold(now_ms),
             'is_ejected': state.ejected_until_ms > now_ms,
         }
+
+
+def _identity_fields(pending: PendingRequest) -> dict[str, str]:
+    """Return by what repeats of a request can be recognized."""
+    request = pending.request
+    target = request.target.decode('latin-1')
+    return {
+        'fingerprint': pending.fingerprint,
+        'target': target[:_MAX_TARGET_CHARS],
+        'caller': request.caller,
+    }
