Add failing tests of crashing requests from other addresses

- repeats from eight addresses end eight of nine upstreams, GET and POST;
- a 500 or 504 that an upstream answers instead of running the request clears it, and the next repeats end all nine;
- three requests whose crashes overlap in a ring acquit one another, and a request whose crashes others explain runs as a plain one;

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -287,9 +287,11 @@
     return status, headers, await reader.readexactly(length)
 
 
-async def ask(address, request):
+async def ask(address, request, local_address=None):
     """Send one request on its own connection and return the response."""
-    reader, writer = await asyncio.open_connection(*address)
+    reader, writer = await asyncio.open_connection(
+        *address, local_addr=local_address
+    )
     with contextlib.ExitStack() as stack:
         stack.callback(writer.close)
         writer.write(request)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -152,6 +152,48 @@
     run(scenario())
 
 
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_repeats_from_other_addresses_reach_two_upstreams(tmp_path, method):
+    """Guard against repeats that are new requests by their IP address."""
+
+    async def scenario():
+        async with long_timeout_deployment(tmp_path) as deployment:
+            crash_on_target(deployment)
+            for number in range(REPEATS):
+                host = f'127.0.0.{number + 2}'
+                repeat = request(POISON, method, f'a{number}')
+                await ask(deployment.address(), repeat, (host, 0))
+                await wait_for_checks(deployment)
+            assert crashed_count(deployment) == MAX_CRASHED
+
+    run(scenario())
+
+
+@pytest.mark.parametrize('status', [b'500 Error', b'504 Late'])
+def test_failure_of_an_upstream_takes_no_blame_back(tmp_path, status):
+    """Guard against blame that is lost while the request waits in a queue.
+
+    An upstream that gives up on a waiting request states no more than that.
+    """
+
+    def fail(_upstream, _attempt):
+        return b'HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n' % status
+
+    async def scenario():
+        async with long_timeout_deployment(tmp_path) as deployment:
+            for poison in repeats():
+                crash_on_target(deployment)
+                await send(deployment, poison)
+                crash_on_target(deployment, b'')
+                deployment.answer_with(fail)
+                await send(deployment, poison)
+                for upstream in deployment.upstreams:
+                    upstream.script = []
+            assert crashed_count(deployment) == MAX_CRASHED
+
+    run(scenario())
+
+
 def test_callers_do_not_share_blame():
     """Fingerprints differ by caller, so one caller's blame affects no other.
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -81,6 +81,29 @@
     assert suspects.is_quarantined('other')
 
 
+def test_crashing_requests_do_not_acquit_one_another(suspects):
+    """Guard against acquittal by requests that are acquitted themselves."""
+    crash(suspects, 'first', 'u1', 'u2')
+    crash(suspects, 'second', 'u2', 'u3')
+    crash(suspects, 'third', 'u3', 'u1')
+    for fingerprint in ('first', 'second', 'third'):
+        assert suspects.is_quarantined(fingerprint)
+
+
+def test_request_whose_crashes_others_explain_stays_a_suspect(suspects):
+    """Guard against a crashing request that runs beside others again.
+
+    Two plain requests that were each caught in another crash too look as if
+    they explained its crashes.
+    """
+    crash(suspects, 'plain', 'u1', 'v1')
+    crash(suspects, 'other', 'u2', 'v2')
+    crash(suspects, 'poison', 'u1', 'u2')
+    assert suspects.is_suspect('poison')
+    crash(suspects, 'poison', 'u3')
+    assert suspects.is_quarantined('poison')
+
+
 def test_upstream_that_answers_has_not_crashed(suspects, clock):
     """A response removes the crash, and older reports don't add it again."""
     crash(suspects, 'plain', 'u1', 'u2')
