--- a/src/catkindrift/core/_selector.py
+++ b/src/catkindrift/core/_selector.py
@@ -10,6 +10,7 @@
 from catkindrift.core._slots import Slots
 from catkindrift.core._state import CoreState
 from catkindrift.domain import Shift
+from catkindrift.retries import without_caller
 from catkindrift.routing import Candidate, Chooser
 
 # With this many free slots or fewer in the target region of a shift, more
@@ -134,8 +135,8 @@
         """Return the upstreams that may run a suspect.
 
         This VM must be primary there and no other suspect may be in flight.
-        There are none while a request with the same fingerprint is in flight:
-        if repeats ran together, each could crash an upstream.
+        There are none while the same request is in flight, of any caller: if
+        repeats ran together, each could crash an upstream.
         """
         running = [
             other
@@ -143,8 +144,11 @@
             if other.is_running
             and self._state.suspects.is_suspect(other.request.fingerprint)
         ]
-        own = pending.request.fingerprint
-        if any(other.request.fingerprint == own for other in running):
+        own = without_caller(pending.request.fingerprint)
+        if any(
+            without_caller(other.request.fingerprint) == own
+            for other in running
+        ):
             return []
         occupied = {other.upstream for other in running}
         return [
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -167,7 +167,7 @@
                 return choice
         pending.fingerprint = request_fingerprint(
             request.caller,
-            request.target,
+            f'{pending.service} '.encode() + request.target,
             await request.body.read_prefix(BODY_PREFIX_BYTES),
         )
         return None
--- a/src/catkindrift/gateway/_running_requests.py
+++ b/src/catkindrift/gateway/_running_requests.py
@@ -5,6 +5,7 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.retries import without_caller
 
 # After its caller disconnects, a request may run on for about a service time.
 _ABANDONED_LIFETIME_MS = 1000
@@ -67,10 +68,12 @@
         return {*running, *self.abandoned_at(incarnation)}
 
     def is_assigned(self, fingerprint: str) -> bool:
-        """Return whether a request is assigned to any upstream."""
+        """Return whether a request of any caller is assigned to an upstream."""
+        own = without_caller(fingerprint)
         return any(
-            fingerprint in assigned.values()
+            without_caller(other) == own
             for assigned in self._assigned.values()
+            for other in assigned.values()
         )
 
     def busy_upstreams(self) -> frozenset[str]:
--- a/src/catkindrift/retries/__init__.py
+++ b/src/catkindrift/retries/__init__.py
@@ -16,6 +16,7 @@
 from catkindrift.retries._fingerprint import (
     BODY_PREFIX_BYTES,
     request_fingerprint,
+    without_caller,
 )
 from catkindrift.retries._suspects import Cleared, Crash, Suspects
 
@@ -37,4 +38,5 @@
     'RetryRule',
     'Suspects',
     'request_fingerprint',
+    'without_caller',
 ]
--- a/src/catkindrift/retries/_crash_records.py
+++ b/src/catkindrift/retries/_crash_records.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from catkindrift.retries._fingerprint import without_caller
+
 # Number of crashes after which a fingerprint is quarantined.
 CRASHES_TO_QUARANTINE: Final = 2
 _MAX_FINGERPRINTS = 10_000
@@ -47,13 +49,17 @@
     Args:
         can_crash_again: Whether an upstream keeps its name across restarts,
             so that one name may crash twice.
+        explanations: Records whose fingerprints may explain crashes of those
+            in this; this itself by default.
     """
 
     _can_crash_again: bool
+    _explanations: 'CrashRecords | None' = attrs.field(default=None, repr=False)
     _by_request: dict[str, dict[str, CrashRecord]] = attrs.field(
         init=False,
         factory=dict,
     )
+    _cleared_ms: dict[str, int] = attrs.field(init=False, factory=dict)
 
     def has_crashes(self, fingerprint: str) -> bool:
         """Return whether the fingerprint has any crash records."""
@@ -70,22 +76,51 @@
             Zero if other fingerprints explain all of its crashes.
         """
         own = self._by_request.get(fingerprint, {})
-        if all(self._is_explained(own, upstream) for upstream in own):
+        source = self._explanations or self
+        explanations = source.may_explain(fingerprint, own)
+        if all(
+            any(upstream in records for records in explanations)
+            for upstream in own
+        ):
             return 0
         return _crashes(own)
 
-    def last_crash_ms(self, fingerprint: str) -> int:
-        """Return the time of the newest crash.
+    def may_explain(
+        self, fingerprint: str, own: dict[str, CrashRecord]
+    ) -> list[dict[str, CrashRecord]]:
+        """Return the records of other requests that may explain crashes.
+
+        Such a request has enough crashes for quarantine. It must also have
+        crashed an upstream that isn't in `own`: otherwise two fingerprints
+        with the same crashes would explain each other.
 
-        Raises:
-            KeyError: The fingerprint has no crash records.
+        Args:
+            fingerprint: Fingerprint with the crashes; the same request of
+                other callers explains nothing.
+            own: Its records.
         """
-        records = self._by_request[fingerprint].values()
-        return max(record.last_ms for record in records)
+        request = without_caller(fingerprint)
+        return [
+            records
+            for other, records in self._by_request.items()
+            if _crashes(records) >= CRASHES_TO_QUARANTINE
+            and not records.keys() <= own.keys()
+            and without_caller(other) != request
+        ]
 
-    def find(self, fingerprint: str, upstream: str) -> CrashRecord | None:
-        """Return the record of a fingerprint at an upstream, or None."""
-        return self._by_request.get(fingerprint, {}).get(upstream)
+    def confirm(self, fingerprint: str, upstream: str) -> bool:
+        """Confirm a crash, and return whether it is known."""
+        record = self._by_request.get(fingerprint, {}).get(upstream)
+        if record is None:
+            return False
+        record.is_confirmed = True
+        return True
+
+    def dismiss(self, fingerprint: str, upstream: str) -> None:
+        """Remove a crash unless it is confirmed."""
+        record = self._by_request.get(fingerprint, {}).get(upstream)
+        if record and not record.is_confirmed:
+            self.remove(fingerprint, upstream)
 
     def for_upstream(self, upstream: str) -> list[tuple[str, CrashRecord]]:
         """Return each fingerprint with a record at an upstream, and it."""
@@ -101,6 +136,27 @@
             for upstream, seen_ms in _confirmed_times(records):
                 yield fingerprint, upstream, seen_ms
 
+    def cleared(self) -> Iterator[tuple[str, int]]:
+        """Yield each fingerprint that was cleared, and when it last was."""
+        yield from self._cleared_ms.items()
+
+    def clear(self, fingerprint: str, answered_ms: int) -> None:
+        """Remove the crashes of a fingerprint that has got a response.
+
+        Quarantined fingerprints keep their crashes.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            answered_ms: Time of the response; later crashes are kept.
+        """
+        if self.is_quarantined(fingerprint):
+            return
+        last_ms = self._cleared_ms.get(fingerprint, answered_ms)
+        self._cleared_ms[fingerprint] = max(last_ms, answered_ms)
+        records = self._by_request.get(fingerprint, {})
+        if all(each.last_ms <= answered_ms for each in records.values()):
+            self._by_request.pop(fingerprint, None)
+
     def record(
         self,
         fingerprint: str,
@@ -111,12 +167,16 @@
     ) -> None:
         """Add a crash, or another report of a known crash.
 
+        A crash from before the fingerprint was cleared isn't added.
+
         Args:
             fingerprint: Fingerprint of a request that the upstream ran.
             upstream: Name of the upstream.
             seen_ms: Time of the crash.
             is_confirmed: Whether the upstream process is known to have ended.
         """
+        if seen_ms <= self._cleared_ms.get(fingerprint, seen_ms - 1):
+            return
         self._evict_oldest()
         records = self._by_request.setdefault(fingerprint, {})
         record = records.setdefault(
@@ -134,29 +194,14 @@
         if not records:
             self._by_request.pop(fingerprint, None)
 
-    def remove_fingerprint(self, fingerprint: str) -> None:
-        """Remove all records of a fingerprint, if any."""
-        self._by_request.pop(fingerprint, None)
-
     def remove_older_than(self, oldest_ms: int) -> None:
         """Remove fingerprints whose newest crash is before `oldest_ms`."""
-        for fingerprint in tuple(self._by_request):
-            if self.last_crash_ms(fingerprint) < oldest_ms:
-                self.remove_fingerprint(fingerprint)
-
-    def _is_explained(self, own: dict[str, CrashRecord], upstream: str) -> bool:
-        """Return whether another fingerprint explains a crash of `upstream`.
-
-        It does if it crashed there too and has enough crashes for quarantine.
-        It must also have crashed an upstream that isn't in `own`: otherwise
-        two fingerprints with the same crashes would explain each other.
-        """
-        return any(
-            upstream in records
-            and _crashes(records) >= CRASHES_TO_QUARANTINE
-            and not records.keys() <= own.keys()
-            for records in self._by_request.values()
-        )
+        for fingerprint, records in tuple(self._by_request.items()):
+            if all(each.last_ms < oldest_ms for each in records.values()):
+                self._by_request.pop(fingerprint, None)
+        for fingerprint, cleared_ms in tuple(self._cleared_ms.items()):
+            if cleared_ms < oldest_ms:
+                self._cleared_ms.pop(fingerprint)
 
     def _evict_oldest(self) -> None:
         """Remove the oldest fingerprint if full, quarantined ones last."""
@@ -164,7 +209,7 @@
             return
         oldest = next(iter(self._by_request))
         others = itertools.filterfalse(self.is_quarantined, self._by_request)
-        self.remove_fingerprint(next(others, oldest))
+        self._by_request.pop(next(others, oldest), None)
 
 
 def _crashes(records: dict[str, CrashRecord]) -> int:
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -7,6 +7,7 @@
 
 from catkindrift.clock import Clock
 from catkindrift.retries._crash_records import CrashRecords
+from catkindrift.retries._fingerprint import without_caller
 
 _RETENTION_MS = 600_000
 
@@ -49,10 +50,12 @@
     Two crashes put a fingerprint into quarantine: it must not run again. A
     fingerprint with one crash is a suspect and runs only at an upstream that
     runs no other suspect. When an upstream crashes, each entry VM records the
-    crash for all requests that it had in flight there. A fingerprint isn't a
-    suspect if each of its crashes is explained by another fingerprint that
-    has at least two crashes, not all of them shared: it was merely in flight
-    at the same time.
+    crash for all requests that it had in flight there.
+
+    Crashes count for the request of that caller and for the same request of
+    any caller, since repeats may come from other addresses. A response clears
+    both, so a request that most callers run whole is held against none but
+    the caller with whom it crashes upstreams.
 
     Args:
         clock: Source of time.
@@ -65,22 +68,31 @@
 
     _clock: Clock
     _can_crash_again: bool = True
-    _records: CrashRecords = attrs.field(init=False)
-    _cleared: dict[str, int] = attrs.field(init=False, factory=dict)
+    _by_caller: CrashRecords = attrs.field(init=False)
+    _of_all_callers: CrashRecords = attrs.field(init=False)
     _alive_ms: dict[str, int] = attrs.field(init=False, factory=dict)
     confirmed_count: int = attrs.field(init=False, default=0)
 
     def __attrs_post_init__(self) -> None:
         """Create the empty crash records."""
-        self._records = CrashRecords(self._can_crash_again)
+        self._of_all_callers = CrashRecords(self._can_crash_again)
+        self._by_caller = CrashRecords(
+            self._can_crash_again, self._of_all_callers
+        )
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether the fingerprint may have caused a crash."""
-        return self._records.crash_count(fingerprint) > 0
+        return any(
+            records.crash_count(key) > 0
+            for records, key in self._scopes(fingerprint)
+        )
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request must not run again."""
-        return self._records.is_quarantined(fingerprint)
+        return any(
+            records.is_quarantined(key)
+            for records, key in self._scopes(fingerprint)
+        )
 
     def record_crash(
         self,
@@ -113,10 +125,11 @@
             upstream: Name of the upstream.
         """
         for fingerprint in fingerprints:
-            record = self._records.find(fingerprint, upstream)
-            if record:
-                record.is_confirmed = True
-                self.confirmed_count += 1
+            confirmed = [
+                records.confirm(key, upstream)
+                for records, key in self._scopes(fingerprint)
+            ]
+            self.confirmed_count += any(confirmed)
 
     def dismiss(self, fingerprints: Iterable[str], upstream: str) -> None:
         """Remove an unconfirmed crash: only a connection failed.
@@ -126,17 +139,18 @@
             upstream: Name of the upstream, which is still alive.
         """
         for fingerprint in fingerprints:
-            record = self._records.find(fingerprint, upstream)
-            if record and not record.is_confirmed:
-                self._records.remove(fingerprint, upstream)
+            for records, key in self._scopes(fingerprint):
+                records.dismiss(key, upstream)
 
     def clear(self, fingerprint: str) -> None:
         """Remove the crashes of a fingerprint that has got a response.
 
         Quarantined fingerprints keep their crashes.
         """
-        if self._records.has_crashes(fingerprint):
-            self._clear_at(fingerprint, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        for records, key in self._scopes(fingerprint):
+            if records.has_crashes(key):
+                records.clear(key, now_ms)
 
     def record_alive(
         self,
@@ -155,11 +169,14 @@
                 keep the name; None if it never does. Crashes before that
                 time are kept, because another process may have responded.
         """
-        for fingerprint, record in self._records.for_upstream(upstream):
-            is_proven = connected_ms is None or connected_ms < record.first_ms
-            if is_proven and record.last_ms < since_ms:
-                self._alive_ms[upstream] = since_ms
-                self._records.remove(fingerprint, upstream)
+        for records in (self._by_caller, self._of_all_callers):
+            for key, record in records.for_upstream(upstream):
+                is_proven = (
+                    connected_ms is None or connected_ms < record.first_ms
+                )
+                if is_proven and record.last_ms < since_ms:
+                    self._alive_ms[upstream] = since_ms
+                    records.remove(key, upstream)
 
     def merge(
         self,
@@ -174,7 +191,8 @@
         """
         now_ms = self._clock.now_ms()
         for response in cleared:
-            self._clear_at(response.fingerprint, now_ms - response.age_ms)
+            for records, key in self._scopes(response.fingerprint):
+                records.clear(key, now_ms - response.age_ms)
         for crash in crashes:
             if crash.age_ms < _RETENTION_MS:
                 seen_ms = now_ms - crash.age_ms
@@ -191,7 +209,7 @@
         now_ms = self._clock.now_ms()
         return tuple(
             Crash(fingerprint, upstream, now_ms - seen_ms)
-            for fingerprint, upstream, seen_ms in self._records.confirmed()
+            for fingerprint, upstream, seen_ms in self._by_caller.confirmed()
         )
 
     def cleared(self) -> tuple[Cleared, ...]:
@@ -199,19 +217,16 @@
         now_ms = self._clock.now_ms()
         return tuple(
             Cleared(fingerprint, now_ms - answered_ms)
-            for fingerprint, answered_ms in self._cleared.items()
+            for fingerprint, answered_ms in self._by_caller.cleared()
             if now_ms - answered_ms < _RETENTION_MS
         )
 
-    def _clear_at(self, fingerprint: str, answered_ms: int) -> None:
-        if self.is_quarantined(fingerprint):
-            return
-        last_ms = self._cleared.get(fingerprint, answered_ms)
-        self._cleared[fingerprint] = max(last_ms, answered_ms)
-        if not self._records.has_crashes(fingerprint):
-            return
-        if self._records.last_crash_ms(fingerprint) <= answered_ms:
-            self._records.remove_fingerprint(fingerprint)
+    def _scopes(self, fingerprint: str) -> tuple[tuple[CrashRecords, str], ...]:
+        """Return the records that a fingerprint counts in, and its key."""
+        return (
+            (self._by_caller, fingerprint),
+            (self._of_all_callers, without_caller(fingerprint)),
+        )
 
     def _record(
         self,
@@ -221,21 +236,15 @@
         *,
         is_confirmed: bool,
     ) -> None:
-        if seen_ms <= self._cleared.get(fingerprint, seen_ms - 1):
-            return
         if seen_ms <= self._alive_ms.get(upstream, seen_ms - 1):
             return
-        self._records.record(
-            fingerprint,
-            upstream,
-            seen_ms,
-            is_confirmed=is_confirmed,
-        )
+        for records, key in self._scopes(fingerprint):
+            records.record(key, upstream, seen_ms, is_confirmed=is_confirmed)
 
     def _remove_expired(self) -> None:
         oldest_ms = self._clock.now_ms() - _RETENTION_MS
-        self._records.remove_older_than(oldest_ms)
-        for times in (self._cleared, self._alive_ms):
-            for key, seen_ms in tuple(times.items()):
-                if seen_ms < oldest_ms:
-                    times.pop(key)
+        self._by_caller.remove_older_than(oldest_ms)
+        self._of_all_callers.remove_older_than(oldest_ms)
+        for upstream, seen_ms in tuple(self._alive_ms.items()):
+            if seen_ms < oldest_ms:
+                self._alive_ms.pop(upstream)
--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -331,8 +331,8 @@
         'BUDGET',
         'requests that ran beside a known crasher are not suspects',
         CrashRecords,
-        '_is_explained',
-        always(False),
+        'may_explain',
+        always([]),
         'tests/test_suspects.py',
     ),
     PlatformBreakage(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -7,7 +7,7 @@
 
 from catkindrift.gateway import _heartbeats
 from catkindrift.http1 import ConnectionPool
-from catkindrift.retries import Crash, request_fingerprint
+from catkindrift.retries import Crash, request_fingerprint, without_caller
 from tests.platform_deployment import (
     SAFE,
     UNSAFE,
@@ -194,15 +194,27 @@
     run(scenario())
 
 
-def test_callers_do_not_share_blame():
-    """Fingerprints differ by caller, so one caller's blame affects no other.
-
-    They also differ by target.
-    """
+def test_fingerprint_has_a_part_without_the_caller():
+    """Repeats may come from other addresses; other requests differ anyway."""
     own = request_fingerprint('10.0.0.1', b'/x', b'body')
     assert own == request_fingerprint('10.0.0.1', b'/x', b'body')
-    assert own != request_fingerprint('10.0.0.2', b'/x', b'body')
-    assert own != request_fingerprint('10.0.0.1', b'/x?page=2', b'body')
+    repeat = request_fingerprint('10.0.0.2', b'/x', b'body')
+    assert own != repeat
+    assert without_caller(own) == without_caller(repeat)
+    other = request_fingerprint('10.0.0.1', b'/x?page=2', b'body')
+    assert without_caller(own) != without_caller(other)
+
+
+def test_other_requests_of_a_caller_are_served(tmp_path):
+    """Blame is for one request, not for all of an address."""
+
+    async def scenario():
+        async with long_timeout_deployment(tmp_path) as deployment:
+            crash_on_target(deployment)
+            await send(deployment, *repeats()[:MAX_CRASHED])
+            assert await send(deployment, request('/unsafe/x')) == [200]
+
+    run(scenario())
 
 
 def test_crashing_request_is_not_tried_a_third_time(tmp_path):
@@ -233,7 +245,9 @@
     async def scenario():
         async with long_timeout_deployment(tmp_path) as deployment:
             parts = deployment.gateways[0]._parts
-            fingerprint = request_fingerprint('127.0.0.1', POISON.encode(), b'')
+            fingerprint = request_fingerprint(
+                '127.0.0.1', b'tariffs %b' % POISON.encode(), b''
+            )
             crashes = [Crash(fingerprint, name, 0) for name in ('x', 'y')]
             connecting = parts.pool._connections.connect
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -81,6 +81,33 @@
     assert suspects.is_quarantined('other')
 
 
+def test_crashes_count_for_all_callers_of_a_request(suspects):
+    """Guard against two crashes for each address that sends a repeat."""
+    crash(suspects, 'poison.1', 'u1')
+    assert suspects.is_suspect('poison.2')
+    crash(suspects, 'poison.2', 'u2')
+    assert suspects.is_quarantined('poison.3')
+
+
+def test_caller_that_crashes_what_others_run_is_quarantined(suspects, clock):
+    """Guard against a common request that clears what one caller crashes."""
+    for upstream in ('u1', 'u2'):
+        crash(suspects, 'common.bad', upstream)
+        clock.advance(100)
+        suspects.clear('common.good')
+        clock.advance(100)
+    assert suspects.is_quarantined('common.bad')
+    assert not suspects.is_suspect('common.good')
+
+
+def test_request_beside_repeats_of_several_callers_is_no_suspect(suspects):
+    """Guard against explanations that need all crashes of one caller."""
+    crash(suspects, 'poison.1', 'u1')
+    crash(suspects, 'poison.2', 'u2')
+    crash(suspects, 'beside.3', 'u2')
+    assert not suspects.is_suspect('beside.3')
+
+
 def test_crashing_requests_do_not_acquit_one_another(suspects):
     """Guard against acquittal by requests that are acquitted themselves."""
     crash(suspects, 'first', 'u1', 'u2')
