Keep common requests out of quarantine after a mass crash

What callers would see: since crashes count for a request of all callers, one that many callers send is caught in each crash of a mass of crashes. Two made a quarantine of ten minutes for all of them, which no response could lift.

Cause: a crash counted alike whether or not the request had run whole a moment before, and a quarantined request kept its crashes whatever responses came.

Change: crashes within a second of the first count once for a request that ran whole in the minute before it. Later ones count, since it runs alone by then. A whole response lifts a quarantine too; a request that crashes whatever runs it has none. Blame (inference) and CrashRecords (storage) are separate classes now.

--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -6,6 +6,7 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.retries._blame import Blame
 from catkindrift.retries._crash_records import CrashRecords
 from catkindrift.retries._fingerprint import without_caller
 
@@ -55,7 +56,8 @@
     Crashes count for the request of that caller and for the same request of
     any caller, since repeats may come from other addresses. A response clears
     both, so a request that most callers run whole is held against none but
-    the caller with whom it crashes upstreams.
+    the caller with whom it crashes upstreams. Crashes that come together count
+    once for a request that ran whole shortly before.
 
     Args:
         clock: Source of time.
@@ -68,30 +70,29 @@
 
     _clock: Clock
     _can_crash_again: bool = True
-    _by_caller: CrashRecords = attrs.field(init=False)
-    _of_all_callers: CrashRecords = attrs.field(init=False)
+    _by_caller: Blame = attrs.field(init=False)
+    _of_all_callers: Blame = attrs.field(init=False)
     _alive_ms: dict[str, int] = attrs.field(init=False, factory=dict)
     confirmed_count: int = attrs.field(init=False, default=0)
 
     def __attrs_post_init__(self) -> None:
         """Create the empty crash records."""
-        self._of_all_callers = CrashRecords(self._can_crash_again)
-        self._by_caller = CrashRecords(
-            self._can_crash_again, self._of_all_callers
+        self._of_all_callers = Blame(CrashRecords(self._can_crash_again))
+        self._by_caller = Blame(
+            CrashRecords(self._can_crash_again), self._of_all_callers
         )
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether the fingerprint may have caused a crash."""
         return any(
-            records.crash_count(key) > 0
-            for records, key in self._scopes(fingerprint)
+            blame.is_suspect(key) for blame, key in self._scopes(fingerprint)
         )
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request must not run again."""
         return any(
-            records.is_quarantined(key)
-            for records, key in self._scopes(fingerprint)
+            blame.is_quarantined(key)
+            for blame, key in self._scopes(fingerprint)
         )
 
     def record_crash(
@@ -126,8 +127,8 @@
         """
         for fingerprint in fingerprints:
             confirmed = [
-                records.confirm(key, upstream)
-                for records, key in self._scopes(fingerprint)
+                blame.records.confirm(key, upstream)
+                for blame, key in self._scopes(fingerprint)
             ]
             self.confirmed_count += any(confirmed)
 
@@ -139,18 +140,14 @@
             upstream: Name of the upstream, which is still alive.
         """
         for fingerprint in fingerprints:
-            for records, key in self._scopes(fingerprint):
-                records.dismiss(key, upstream)
+            for blame, key in self._scopes(fingerprint):
+                blame.records.dismiss(key, upstream)
 
     def clear(self, fingerprint: str) -> None:
-        """Remove the crashes of a fingerprint that has got a response.
-
-        Quarantined fingerprints keep their crashes.
-        """
+        """Remove the crashes of a fingerprint that has got a response."""
         now_ms = self._clock.now_ms()
-        for records, key in self._scopes(fingerprint):
-            if records.has_crashes(key):
-                records.clear(key, now_ms)
+        for blame, key in self._scopes(fingerprint):
+            blame.record_response(key, now_ms)
 
     def record_alive(
         self,
@@ -169,14 +166,14 @@
                 keep the name; None if it never does. Crashes before that
                 time are kept, because another process may have responded.
         """
-        for records in (self._by_caller, self._of_all_callers):
-            for key, record in records.for_upstream(upstream):
+        for blame in (self._by_caller, self._of_all_callers):
+            for key, record in blame.records.for_upstream(upstream):
                 is_proven = (
                     connected_ms is None or connected_ms < record.first_ms
                 )
                 if is_proven and record.last_ms < since_ms:
                     self._alive_ms[upstream] = since_ms
-                    records.remove(key, upstream)
+                    blame.records.remove(key, upstream)
 
     def merge(
         self,
@@ -191,8 +188,8 @@
         """
         now_ms = self._clock.now_ms()
         for response in cleared:
-            for records, key in self._scopes(response.fingerprint):
-                records.clear(key, now_ms - response.age_ms)
+            for blame, key in self._scopes(response.fingerprint):
+                blame.records.clear(key, now_ms - response.age_ms)
         for crash in crashes:
             if crash.age_ms < _RETENTION_MS:
                 seen_ms = now_ms - crash.age_ms
@@ -207,9 +204,10 @@
         """Return the confirmed crashes to report to other entry VMs."""
         self._remove_expired()
         now_ms = self._clock.now_ms()
+        confirmed = self._by_caller.records.confirmed()
         return tuple(
             Crash(fingerprint, upstream, now_ms - seen_ms)
-            for fingerprint, upstream, seen_ms in self._by_caller.confirmed()
+            for fingerprint, upstream, seen_ms in confirmed
         )
 
     def cleared(self) -> tuple[Cleared, ...]:
@@ -217,12 +215,12 @@
         now_ms = self._clock.now_ms()
         return tuple(
             Cleared(fingerprint, now_ms - answered_ms)
-            for fingerprint, answered_ms in self._by_caller.cleared()
+            for fingerprint, answered_ms in self._by_caller.records.cleared()
             if now_ms - answered_ms < _RETENTION_MS
         )
 
-    def _scopes(self, fingerprint: str) -> tuple[tuple[CrashRecords, str], ...]:
-        """Return the records that a fingerprint counts in, and its key."""
+    def _scopes(self, fingerprint: str) -> tuple[tuple[Blame, str], ...]:
+        """Return the blame that a fingerprint counts in, with its key there."""
         return (
             (self._by_caller, fingerprint),
             (self._of_all_callers, without_caller(fingerprint)),
@@ -238,13 +236,15 @@
     ) -> None:
         if seen_ms <= self._alive_ms.get(upstream, seen_ms - 1):
             return
-        for records, key in self._scopes(fingerprint):
-            records.record(key, upstream, seen_ms, is_confirmed=is_confirmed)
+        for blame, key in self._scopes(fingerprint):
+            blame.records.record(
+                key, upstream, seen_ms, is_confirmed=is_confirmed
+            )
 
     def _remove_expired(self) -> None:
         oldest_ms = self._clock.now_ms() - _RETENTION_MS
-        self._by_caller.remove_older_than(oldest_ms)
-        self._of_all_callers.remove_older_than(oldest_ms)
+        for blame in (self._by_caller, self._of_all_callers):
+            blame.records.remove_older_than(oldest_ms)
         for upstream, seen_ms in tuple(self._alive_ms.items()):
             if seen_ms < oldest_ms:
                 self._alive_ms.pop(upstream)
--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -53,7 +53,7 @@
 )
 from catkindrift.platform._store_era import StoreEra
 from catkindrift.retries import Suspects
-from catkindrift.retries._crash_records import CrashRecords
+from catkindrift.retries._blame import Blame
 from catkindrift.steering import (
     ColdRateLimiter,
     MemberFacts,
@@ -330,7 +330,7 @@
     PlatformBreakage(
         'BUDGET',
         'requests that ran beside a known crasher are not suspects',
-        CrashRecords,
+        Blame,
         'may_explain',
         always([]),
         'tests/test_suspects.py',
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -100,6 +100,41 @@
     assert not suspects.is_suspect('common.good')
 
 
+def test_common_request_in_a_mass_crash_is_not_quarantined(suspects, clock):
+    """Guard against refusals of a harmless request that many callers send.
+
+    It ran at several upstreams that ended together, and whole before that.
+    """
+    suspects.clear('common.1')
+    clock.advance(1000)
+    for number in range(5):
+        suspects.record_crash([f'common.{number}'], f'u{number}')
+    assert suspects.is_suspect('common.1')
+    assert not suspects.is_quarantined('common.1')
+    clock.advance(100)
+    suspects.clear('common.1')
+    assert not suspects.is_suspect('common.1')
+
+
+def test_request_that_begins_to_crash_upstreams_is_quarantined(suspects, clock):
+    """That it ran whole earlier excuses only crashes at the same time."""
+    suspects.clear('poison.1')
+    for upstream in ('u1', 'u2'):
+        clock.advance(2000)
+        suspects.record_crash(['poison.1'], upstream)
+    assert suspects.is_quarantined('poison.1')
+
+
+def test_response_elsewhere_lifts_a_quarantine(suspects, clock):
+    """A VM that did not see it run whole quarantines a common request."""
+    for upstream in ('u1', 'u2'):
+        suspects.merge([Crash('common.1', upstream, 10)])
+    assert suspects.is_quarantined('common.2')
+    clock.advance(100)
+    suspects.merge([], [Cleared('common.3', 50)])
+    assert not suspects.is_quarantined('common.2')
+
+
 def test_request_beside_repeats_of_several_callers_is_no_suspect(suspects):
     """Guard against explanations that need all crashes of one caller."""
     crash(suspects, 'poison.1', 'u1')
