--- a/src/catkindrift/core/_attempt_results.py
+++ b/src/catkindrift/core/_attempt_results.py
@@ -1,5 +1,6 @@
 """Handling of attempt results: health, crash blame, retries."""
 
+from http import HTTPStatus
 from typing import final
 
 import attrs
@@ -161,7 +162,8 @@
             case Answered():
                 upstream.record_response(attempt_result.latency_ms)
                 upstream.reported_busy_slots = attempt_result.busy_slots
-                self._state.suspects.clear(pending.request.fingerprint)
+                if attempt_result.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                    self._state.suspects.clear(pending.request.fingerprint)
             case NotStarted(reason=NotStartedReason.NOT_CONNECTED):
                 self._record_failure(upstream)
             case Interrupted():
--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -29,6 +29,7 @@
 from catkindrift.http1 import (
     Exchange,
     ResponseFailure,
+    ResponseHead,
     end_to_end,
 )
 from catkindrift.platform import (
@@ -200,7 +201,7 @@
             return self._observer.record_failure(
                 state, ResponseFailure.MALFORMED
             )
-        is_failure = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        is_failure = _is_server_error(head)
         if is_failure:
             state.record_refusal()
         else:
@@ -232,9 +233,11 @@
     def _finish_response(self, attempt: RunningAttempt, is_whole: bool) -> None:
         """Record the end of a response and release its connection.
 
-        Only for requests that have run: a whole response clears suspicion.
+        Only for requests that have run: a whole response clears suspicion,
+        but not a failure, which an upstream may send without running it.
         """
-        if is_whole:
+        head = attempt.exchange.receiver.head
+        if is_whole and head and not _is_server_error(head):
             self._crashes.clear_suspect(attempt.pending.fingerprint)
         self._report_disconnect(attempt, attempt.exchange.receiver.failure)
         self._release(attempt, is_whole=is_whole)
@@ -261,3 +264,7 @@
             self._pool.give_back(attempt.upstream, connection)
         else:
             attempt.abort()
+
+
+def _is_server_error(head: ResponseHead) -> bool:
+    return head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -18,7 +18,13 @@
     VmRole,
 )
 from catkindrift.plans import Planner, add_plan, confirm_plan
-from catkindrift.retries import Crash, Interrupted, InterruptedReason, Outcome
+from catkindrift.retries import (
+    Answered,
+    Crash,
+    Interrupted,
+    InterruptedReason,
+    Outcome,
+)
 from tests.fakes import Fleet
 
 NORTH = 'north-1-a'
@@ -340,6 +346,19 @@
         assert suspects.is_quarantined('poison')
         assert not suspects.is_quarantined('innocent')
 
+    def test_failure_takes_no_blame_back(self):
+        """An upstream may send a 5xx response without running the request."""
+        fleet = Fleet()
+        for _ in range(2):
+            fleet.arrive(NORTH, 'read', fingerprint='poison')
+        crashed, waiting = fleet.attempts
+        assert crashed.upstream != waiting.upstream
+        fleet.crash(crashed.upstream)
+        fleet.advance(1000)
+        fleet.end(waiting, Answered(504, 20))
+        suspects = fleet.vms[NORTH].core.state.suspects
+        assert suspects.is_suspect('poison')
+
     def test_suspect_without_a_place_is_refused_at_once(self):
         """A suspect is refused by a VM that is primary at no upstream."""
         fleet = Fleet(upstreams_per_zone=1)
