Let only proven requests explain the crashes of others (BUDGET)

What callers would see: several crashing requests at once end upstream after upstream; none is refused.

Cause: a crash counted as explained by any request with two crashes, also by one whose own crashes were explained in turn. Requests whose crashes overlap in a ring acquitted one another, and all of them ran as plain requests.

Change: only a request whose own crashes others don't explain explains those of another. A request with two explained crashes stays a suspect, which runs alone; a third crash quarantines it, explained or not. Verdict holds the reasons.

test_request_beside_two_crashing_ones_is_no_suspect asked that a request with two explained crashes runs as a plain one. A crashing request between two plain ones has exactly these crashes, so it asked for the fault. In its place test_request_beside_two_crashing_ones_runs_alone asks that it is not quarantined, is isolated, and is cleared by its next response.

--- a/src/catkindrift/retries/_blame.py
+++ b/src/catkindrift/retries/_blame.py
@@ -1,5 +1,6 @@
 """Inference of the requests that are to blame for crashes."""
 
+from collections.abc import Mapping
 from typing import Final, final
 
 import attrs
@@ -9,10 +10,13 @@
     RecordsByUpstream,
 )
 from catkindrift.retries._fingerprint import without_caller
+from catkindrift.retries._verdict import Verdict
 from catkindrift.retries._whole_responses import WholeResponses
 
 # Number of crashes after which a fingerprint is quarantined.
 CRASHES_TO_QUARANTINE: Final = 2
+# With this many crashes no coincidence excuses it.
+_MAX_EXPLAINED_CRASHES: Final = 2
 # A request that ran whole this long before its first crash has probably been
 # caught in a mass of crashes, if all of them come within the second time.
 _RAN_WHOLE_BEFORE_MS = 60_000
@@ -24,6 +28,12 @@
 class Blame:
     """Tells from crashes and whole responses which requests are to blame.
 
+    Two crashes make a quarantine, unless other requests explain them: each of
+    the crashes was shared with one that has enough crashes itself, and whose
+    own crashes others don't explain. Explained crashes may still be its own,
+    so a request with two of them stays a suspect, and a third one quarantines
+    it. One explained crash makes no suspect.
+
     Args:
         records: Crashes by fingerprint.
         explanations: Blame of the requests that may explain these crashes;
@@ -34,14 +44,24 @@
     records: CrashRecords
     _explanations: 'Blame | None' = None
     responses: WholeResponses = attrs.field(init=False, factory=WholeResponses)
+    _candidates: dict[str, RecordsByUpstream] = attrs.field(
+        init=False, factory=dict
+    )
+    _changes_seen: int = attrs.field(init=False, default=-1)
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Return whether the fingerprint may have caused a crash."""
-        return self._crash_count(fingerprint) > 0
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Return what the crashes show about a request.
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Return whether the fingerprint has enough crashes to quarantine."""
-        return self._crash_count(fingerprint) >= CRASHES_TO_QUARANTINE
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        own = self.records.of_request(fingerprint)
+        count = self._count(fingerprint, own)
+        explained_by: tuple[str, ...] = ()
+        if 0 < count <= _MAX_EXPLAINED_CRASHES:
+            source = self._explanations or self
+            explained_by = source.explain(fingerprint, own)
+        return Verdict(count, tuple(own), explained_by)
 
     def record_response(self, fingerprint: str, at_ms: int) -> None:
         """Record a whole response; remove the crashes before it."""
@@ -49,41 +69,54 @@
         if self.records.of_request(fingerprint):
             self.records.clear(fingerprint, at_ms)
 
-    def may_explain(
+    def explain(
         self, fingerprint: str, own: RecordsByUpstream
-    ) -> list[RecordsByUpstream]:
-        """Return the records of other requests that may explain crashes.
-
-        Such a request has enough crashes for quarantine. It must also have
-        crashed an upstream that isn't in `own`: otherwise two fingerprints
-        with the same crashes would explain each other.
+    ) -> tuple[str, ...]:
+        """Return the requests that explain all crashes of another.
 
         Args:
             fingerprint: Fingerprint with the crashes; the same request of
                 other callers explains nothing.
             own: Its records.
+
+        Returns:
+            Their fingerprints; empty if any crash is left unexplained.
+        """
+        proven = {
+            other: records
+            for other, records in self._explaining(fingerprint, own).items()
+            if not is_covered(records, self._explaining(other, records))
+        }
+        return tuple(proven) if is_covered(own, proven) else ()
+
+    def _explaining(
+        self, fingerprint: str, own: RecordsByUpstream
+    ) -> dict[str, RecordsByUpstream]:
+        """Return other requests that share a crash and have enough of them.
+
+        Such a request must also have crashed an upstream that isn't in `own`:
+        otherwise two fingerprints with the same crashes would explain each
+        other.
         """
         request = without_caller(fingerprint)
-        return [
-            records
-            for other, records in self.records.by_request.items()
-            if self._count(other, records) >= CRASHES_TO_QUARANTINE
+        return {
+            other: records
+            for other, records in self._with_enough_crashes().items()
+            if without_caller(other) != request
+            and not records.keys().isdisjoint(own)
             and not records.keys() <= own.keys()
-            and without_caller(other) != request
-        ]
-
-    def _crash_count(self, fingerprint: str) -> int:
-        """Count the crashes of a fingerprint; 0 if others explain them all."""
-        own = self.records.of_request(fingerprint)
-        explanations = (self._explanations or self).may_explain(
-            fingerprint, own
-        )
-        if all(
-            any(upstream in records for records in explanations)
-            for upstream in own
-        ):
-            return 0
-        return self._count(fingerprint, own)
+        }
+
+    def _with_enough_crashes(self) -> dict[str, RecordsByUpstream]:
+        """Return the records of requests that have enough for quarantine."""
+        if self._changes_seen != self.records.changes:
+            self._changes_seen = self.records.changes
+            self._candidates = {
+                fingerprint: records
+                for fingerprint, records in self.records.by_request.items()
+                if self._count(fingerprint, records) >= CRASHES_TO_QUARANTINE
+            }
+        return self._candidates
 
     def _count(self, fingerprint: str, records: RecordsByUpstream) -> int:
         """Count the crashes of a fingerprint, explained or not.
@@ -102,3 +135,13 @@
             return len(times_ms)
         mass_end_ms = times_ms[0] + _MASS_CRASH_MS
         return 1 + sum(at_ms > mass_end_ms for at_ms in times_ms)
+
+
+def is_covered(
+    own: RecordsByUpstream, others: Mapping[str, RecordsByUpstream]
+) -> bool:
+    """Return whether each crash is shared with any of the others."""
+    return all(
+        any(upstream in records for records in others.values())
+        for upstream in own
+    )
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -9,6 +9,7 @@
 from catkindrift.retries._blame import Blame
 from catkindrift.retries._crash_records import CrashRecords
 from catkindrift.retries._fingerprint import without_caller
+from catkindrift.retries._verdict import Verdict
 
 _RETENTION_MS = 600_000
 
@@ -84,16 +85,22 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether the fingerprint may have caused a crash."""
-        return any(
-            blame.is_suspect(key) for blame, key in self._scopes(fingerprint)
-        )
+        return self.verdict(fingerprint).is_suspect
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request must not run again."""
-        return any(
-            blame.is_quarantined(key)
-            for blame, key in self._scopes(fingerprint)
+        return self.verdict(fingerprint).is_quarantined
+
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Return what the crashes show about a request, with the reasons.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        verdicts = (
+            blame.verdict(key) for blame, key in self._scopes(fingerprint)
         )
+        return max(verdicts, key=_severity)
 
     def record_crash(
         self,
@@ -202,8 +209,15 @@
 
     def crashes(self) -> tuple[Crash, ...]:
         """Return the confirmed crashes to report to other entry VMs."""
-        self._remove_expired()
         now_ms = self._clock.now_ms()
+        oldest_ms = now_ms - _RETENTION_MS
+        for blame in (self._by_caller, self._of_all_callers):
+            blame.records.remove_older_than(oldest_ms)
+        self._alive_ms = {
+            upstream: alive_ms
+            for upstream, alive_ms in self._alive_ms.items()
+            if alive_ms >= oldest_ms
+        }
         confirmed = self._by_caller.records.confirmed()
         return tuple(
             Crash(fingerprint, upstream, now_ms - seen_ms)
@@ -241,10 +255,6 @@
                 key, upstream, seen_ms, is_confirmed=is_confirmed
             )
 
-    def _remove_expired(self) -> None:
-        oldest_ms = self._clock.now_ms() - _RETENTION_MS
-        for blame in (self._by_caller, self._of_all_callers):
-            blame.records.remove_older_than(oldest_ms)
-        for upstream, seen_ms in tuple(self._alive_ms.items()):
-            if seen_ms < oldest_ms:
-                self._alive_ms.pop(upstream)
+
+def _severity(verdict: Verdict) -> tuple[bool, bool, int]:
+    return (verdict.is_quarantined, verdict.is_suspect, verdict.crash_count)
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import random
+from collections import Counter
 from fractions import Fraction
 
 import attrs
 
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.gateway._upstream_check import Liveness
+from catkindrift.retries import without_caller
 from catkindrift.steering import (
     EntryVmRecord,
     Members,
@@ -113,6 +115,14 @@
             their new start up to a second later.
         has_store: Whether VMs that hear no others still hear the store, and
             so stay in touch.
+        vm_count: Number of entry VMs.
+        upstream_count: Number of upstreams.
+        steps: Number of steps.
+        poison_count: Number of requests that crash upstreams.
+        poison_probability: Probability of a repeat of each, in one step.
+        poison_steps: Steps that such a request runs before the crash.
+        plain_probability: Probability of a plain request at a VM, in one step.
+        has_one_address: Whether repeats come from one address.
     """
 
     seed: int
@@ -123,10 +133,16 @@
     vm_count: int = 6
     upstream_count: int = 14
     steps: int = 300
+    poison_count: int = 3
+    poison_probability: Fraction = POISON_PROBABILITY
+    poison_steps: int = 1
+    plain_probability: Fraction = PLAIN_PROBABILITY
+    has_one_address: bool = True
     crash_times_ms: dict = attrs.field(factory=dict)
     late_runs: list = attrs.field(factory=list)
     needless_runs: list = attrs.field(factory=list)
     quarantined_plain: set = attrs.field(factory=set)
+    refusals: Counter = attrs.field(factory=Counter)
     served: int = 0
     step: int = 0
     rng: random.Random = attrs.field(init=False)
@@ -261,34 +277,39 @@
 
     def _send_requests(self):
         for vm in self.vms:
-            if self._happens(PLAIN_PROBABILITY):
+            if self._happens(self.plain_probability):
                 self._send(vm, f'plain-{self.rng.randrange(200)}', RUN_STEPS)
-        for number in range(3):
-            if self._happens(POISON_PROBABILITY):
-                self._send(self.rng.choice(self.vms), f'poison-{number}', 1)
+        for number in range(self.poison_count):
+            if self._happens(self.poison_probability):
+                sender = self.rng.choice(self.vms)
+                self._send(sender, f'poison-{number}', self.poison_steps)
 
     def _send(self, vm, fingerprint, run_steps):
         now_ms = self.bench.clock.now_ms()
         key = str(self.rng.randrange(20))
+        sent = fingerprint
+        if not self.has_one_address:
+            sent = f'{fingerprint}.{self.rng.randrange(1000)}'
         request = PlacementRequest(
             sample_route(), 'tariffs', key, 8000, is_urgent=True
         )
-        choice = vm.isolation.choose(request, fingerprint)
+        choice = vm.isolation.choose(request, sent)
         is_plain = fingerprint.startswith('plain')
         if not isinstance(choice, Placed):
+            self.refusals[is_plain, choice.reason] += 1
             if is_plain and choice.reason is NotPlacedReason.QUARANTINED:
                 self.quarantined_plain.add(fingerprint)
             return
         self._tokens += 1
         upstream = choice.state.upstream
         running = vm.harness.watch.running
-        running.assign(upstream.incarnation, self._tokens, fingerprint)
+        running.assign(upstream.incarnation, self._tokens, sent)
         running.mark_sent(self._tokens)
         choice.state.record_request(self._tokens, key, now_ms)
         self._running.append(
             RunningRequest(
                 vm,
-                fingerprint,
+                sent,
                 choice.state,
                 upstream,
                 now_ms,
@@ -320,7 +341,8 @@
             if each not in self._running:
                 continue
             if each.fingerprint.startswith('poison'):
-                times_ms = self.crash_times_ms.setdefault(each.fingerprint, [])
+                request = without_caller(each.fingerprint)
+                times_ms = self.crash_times_ms.setdefault(request, [])
                 times_ms.append(self.bench.clock.now_ms())
                 await self._end(each.state.upstream)
             else:
--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -331,8 +331,8 @@
         'BUDGET',
         'requests that ran beside a known crasher are not suspects',
         Blame,
-        'may_explain',
-        always([]),
+        'explain',
+        always(()),
         'tests/test_suspects.py',
     ),
     PlatformBreakage(
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -232,14 +232,22 @@
     assert suspects.is_quarantined('poison')
 
 
-def test_request_beside_two_crashing_ones_is_no_suspect(suspects):
-    """Each of its crashes is explained by a request with other crashes too."""
+def test_request_beside_two_crashing_ones_runs_alone(suspects, clock):
+    """Each of its crashes is explained by a request with other crashes too.
+
+    A crashing request may look like that, so it stays a suspect until it has
+    run alone.
+    """
     crash(suspects, 'poison', 'u1', 'u2')
     crash(suspects, 'other', 'v1', 'v2')
     crash(suspects, 'beside', 'u2', 'v2')
-    assert not suspects.is_suspect('beside')
+    assert not suspects.is_quarantined('beside')
+    assert suspects.is_suspect('beside')
     assert suspects.is_quarantined('poison')
     assert suspects.is_quarantined('other')
+    clock.advance(100)
+    suspects.clear('beside')
+    assert not suspects.is_suspect('beside')
 
 
 def test_crash_beside_a_crashing_request_counts_with_another(suspects):
