--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -12,10 +12,14 @@
 from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._running_requests import RunningRequests
+from catkindrift.gateway._unresolved_crash import UnresolvedCrash
 from catkindrift.gateway._upstream_check import Liveness
 from catkindrift.retries import Cleared, Crash, Suspects
 from catkindrift.steering import Upstream
 
+# The entry of an upstream that has ended lapses within this time.
+_REMOVAL_NOTICE_MS = 15_000
+
 
 @final
 @attrs.define(eq=False)
@@ -25,7 +29,8 @@
     When a response from an upstream is cut off, the requests that ran there
     are blamed and a check is started. The blame is confirmed if the check
     shows that this incarnation of the upstream has ended, and dismissed if it
-    is alive or cannot be reached.
+    is alive or cannot be reached. If it cannot be reached and its entry is
+    removed soon, it has ended after all.
 
     Args:
         clock: Source of time.
@@ -42,9 +47,25 @@
     _metrics: GatewayMetrics
     _on_reported_crash: Callable[[str], None]
     _on_confirmed_crash: Callable[[Upstream], None]
-    running: RunningRequests = attrs.field(init=False)
-    reports: CrashReports = attrs.field(init=False)
-    _suspects: Suspects = attrs.field(init=False)
+    running: RunningRequests = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watch: RunningRequests(watch._clock), takes_self=True
+        ),
+    )
+    _suspects: Suspects = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watch: Suspects(watch._clock, can_crash_again=False),
+            takes_self=True,
+        ),
+    )
+    reports: CrashReports = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watch: CrashReports(watch._suspects), takes_self=True
+        ),
+    )
     _crashed_upstreams: set[str] = attrs.field(init=False, factory=set)
     _reported_upstreams: set[str] = attrs.field(init=False, factory=set)
     _checks: dict[str, asyncio.Task[None]] = attrs.field(
@@ -52,12 +73,10 @@
         factory=dict,
     )
     _check_times_ms: dict[str, int] = attrs.field(init=False, factory=dict)
-
-    def __attrs_post_init__(self) -> None:
-        """Create the tracking of in-flight requests and of suspects."""
-        self.running = RunningRequests(self._clock)
-        self._suspects = Suspects(self._clock, can_crash_again=False)
-        self.reports = CrashReports(self._suspects)
+    _responded: set[str] = attrs.field(init=False, factory=set)
+    _unresolved: dict[str, UnresolvedCrash] = attrs.field(
+        init=False, factory=dict
+    )
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request has crashed too many upstreams to run."""
@@ -113,6 +132,9 @@
                 upstream.incarnation, since_ms, connected_ms
             )
             return
+        if since_ms > self._check_times_ms.get(upstream.incarnation, since_ms):
+            self._responded.add(upstream.incarnation)
+        self._unresolved.pop(upstream.incarnation, None)
         self._crashed_upstreams.discard(upstream.incarnation)
         self._suspects.record_alive(upstream.incarnation, since_ms)
 
@@ -159,7 +181,20 @@
         self._suspects.merge(crashes, cleared)
 
     def retain_upstreams(self, incarnations: frozenset[str]) -> None:
-        """Drop records of incarnations that are no longer listed."""
+        """Drop records of incarnations that are no longer listed.
+
+        Those that could not be reached before have ended.
+        """
+        oldest_ms = self._clock.now_ms() - _REMOVAL_NOTICE_MS
+        for incarnation, unresolved in tuple(self._unresolved.items()):
+            is_gone = incarnation not in incarnations
+            if is_gone or unresolved.at_ms < oldest_ms:
+                self._unresolved.pop(incarnation)
+            if is_gone and unresolved.at_ms >= oldest_ms:
+                self._suspects.record_crash(
+                    unresolved.blamed, incarnation, unresolved.at_ms
+                )
+                self._confirm(unresolved, incarnation)
         self._crashed_upstreams &= incarnations
         self._reported_upstreams &= incarnations
         self.running.retain_upstreams(incarnations)
@@ -203,25 +238,37 @@
         blamed: frozenset[str],
     ) -> None:
         liveness = await self._check.run(upstream)
-        for checks in (self._checks, self._check_times_ms):
-            checks.pop(incarnation, None)
-        if liveness is Liveness.ENDED:
-            self._crashed_upstreams.add(incarnation)
-            self.reports.confirm(blamed, incarnation)
-            self._metrics.blame.labels('confirmed').inc(len(blamed))
-            self._on_confirmed_crash(upstream)
-            logging.warning(
-                'upstream %s crashed while running %d blamed requests; '
-                'quarantined: %s',
-                incarnation,
-                len(blamed),
-                sorted(filter(self.is_quarantined, blamed)),
-            )
+        self._checks.pop(incarnation, None)
+        began_ms = self._check_times_ms.pop(incarnation)
+        crash = UnresolvedCrash(upstream, blamed, began_ms)
+        has_responded = incarnation in self._responded
+        self._responded.discard(incarnation)
+        if liveness is Liveness.ENDED and not has_responded:
+            self._confirm(crash, incarnation)
             return
+        if liveness is Liveness.UNKNOWN and not upstream.is_draining:
+            self._unresolved[incarnation] = crash
         self._suspects.dismiss(blamed, incarnation)
         self._metrics.blame.labels('dismissed').inc(len(blamed))
         logging.info(
             'blame for upstream %s dismissed, health check result: %s',
             incarnation,
-            liveness.value,
+            'responded meanwhile' if has_responded else liveness.value,
+        )
+
+    def _confirm(self, crash: UnresolvedCrash, incarnation: str) -> None:
+        self._crashed_upstreams.add(incarnation)
+        self.reports.confirm(crash.blamed, incarnation)
+        self._metrics.blame.labels('confirmed').inc(len(crash.blamed))
+        self._on_confirmed_crash(crash.upstream)
+        logging.warning(
+            'upstream %s crashed while running %d blamed requests; '
+            'quarantined: %s; verdicts: %s',
+            incarnation,
+            len(crash.blamed),
+            sorted(filter(self.is_quarantined, crash.blamed)),
+            [
+                f'{each}: {self._suspects.verdict(each).text}'
+                for each in sorted(crash.blamed)
+            ],
         )
--- a/src/catkindrift/gateway/_incarnation_check.py
+++ b/src/catkindrift/gateway/_incarnation_check.py
@@ -1,7 +1,7 @@
 """Checks whether an incarnation of an upstream has ended."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import final
 
 import attrs
@@ -16,6 +16,9 @@
 
 # Pauses before each further health check of an unreachable upstream.
 _CHECK_PAUSES_SECONDS = (0.1, 0.4, 1.5)
+# By the pause of this index its neighbours have to show whether it has ended.
+_NEIGHBOURS_ASKED_BEFORE = 2
+_SILENCES = frozenset((Liveness.UNKNOWN, Liveness.SILENT))
 # An upstream that has restarted writes its entry within a heartbeat, and the
 # change arrives within about a second.
 _RESTART_NOTICE_MS = 3000
@@ -33,7 +36,9 @@
     """Combines health checks with the starts that upstreams' entries state.
 
     If an upstream responds that may have restarted under its id, its entry
-    has some seconds to state a newer start.
+    has some seconds to state a newer start. An upstream that gives no sign of
+    life has ended if others of its zone respond; if none does, the zone may
+    merely be out of reach.
 
     Args:
         clock: Source of time.
@@ -41,6 +46,7 @@
         find_current: Returns what is known now of an upstream, by its id.
         restarts: Told that an upstream may have restarted, or has not.
         reachability: Whether this VM reaches other upstreams.
+        neighbours: Returns some other upstreams of the same zone.
     """
 
     _clock: Clock
@@ -48,6 +54,7 @@
     _find_current: Callable[[str], Upstream | None]
     _restarts: UnseenRestarts
     _reachability: UpstreamReachability
+    _neighbours: Callable[[Upstream], Sequence[Upstream]]
 
     async def run(self, upstream: Upstream) -> Liveness:
         """Return whether the incarnation has ended, as far as can be known."""
@@ -78,15 +85,24 @@
 
     async def _probe(self, upstream: Upstream) -> Liveness:
         liveness = await self._check.probe(upstream)
-        for pause_s in _CHECK_PAUSES_SECONDS:
-            if liveness is not Liveness.UNKNOWN:
+        for index, pause_s in enumerate(_CHECK_PAUSES_SECONDS):
+            if liveness not in _SILENCES:
                 break
+            is_asked_now = index == _NEIGHBOURS_ASKED_BEFORE
+            if is_asked_now and await self._has_live_neighbours(upstream):
+                return Liveness.ENDED
             await asyncio.sleep(pause_s)
             liveness = await self._check.probe(upstream)
         if liveness is Liveness.UNPROVEN:
             return await self._wait_for_newer_start(upstream)
         return liveness
 
+    async def _has_live_neighbours(self, upstream: Upstream) -> bool:
+        found = await asyncio.gather(
+            *map(self._check.probe, self._neighbours(upstream))
+        )
+        return any(liveness not in _SILENCES for liveness in found)
+
     async def _wait_for_newer_start(self, upstream: Upstream) -> Liveness:
         until_ms = self._clock.now_ms() + _RESTART_NOTICE_MS
         while self._clock.now_ms() < until_ms:
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -1,5 +1,6 @@
 """Composition root of an entry VM on the users' platform."""
 
+import functools
 from typing import final
 
 import attrs
@@ -55,6 +56,7 @@
     UpstreamReachability,
     UpstreamRegistry,
     ZoneDistances,
+    neighbours_of,
 )
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -137,6 +139,7 @@
                 self._find_upstream,
                 self.restarts,
                 self.reachability,
+                functools.partial(neighbours_of, self.registry),
             ),
             self.metrics,
             self.restarts.expect,
--- a/src/catkindrift/gateway/_upstream_check.py
+++ b/src/catkindrift/gateway/_upstream_check.py
@@ -36,6 +36,8 @@
     # The id responds, but a new start of the upstream may have kept it.
     UNPROVEN = 'unproven'
     UNKNOWN = 'unknown'
+    # It accepts connections, and sends nothing on them.
+    SILENT = 'silent'
 
 
 @final
@@ -118,9 +120,9 @@
 def _liveness_of_busy(upstream: Upstream) -> Liveness:
     """Return what a connection shows on which no response comes in time.
 
-    A new incarnation with another id would respond at once.
+    The upstream may be busy, or another process keeps its port open.
     """
-    return Liveness.UNPROVEN if upstream.born_ms else Liveness.ALIVE
+    return Liveness.UNPROVEN if upstream.born_ms else Liveness.SILENT
 
 
 def _liveness_from(
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/retries/_suspects.py
@@ -106,6 +106,7 @@
         self,
         fingerprints: Iterable[str],
         upstream: str,
+        at_ms: int | None = None,
     ) -> frozenset[str]:
         """Record a crash for the requests in flight at an upstream.
 
@@ -115,14 +116,15 @@
         Args:
             fingerprints: Fingerprints of all requests in flight there.
             upstream: Name of the upstream.
+            at_ms: Time of the crash; None for now.
 
         Returns:
             The fingerprints without duplicates.
         """
         recorded = frozenset(fingerprints)
-        now_ms = self._clock.now_ms()
+        seen_ms = self._clock.now_ms() if at_ms is None else at_ms
         for fingerprint in sorted(recorded):
-            self._record(fingerprint, upstream, now_ms, is_confirmed=False)
+            self._record(fingerprint, upstream, seen_ms, is_confirmed=False)
         return recorded
 
     def confirm(self, fingerprints: Iterable[str], upstream: str) -> None:
@@ -251,6 +253,8 @@
         if seen_ms <= self._alive_ms.get(upstream, seen_ms - 1):
             return
         for blame, key in self._scopes(fingerprint):
+            if blame.responses.has_any_since(key, seen_ms):
+                continue
             blame.records.record(
                 key, upstream, seen_ms, is_confirmed=is_confirmed
             )
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -14,6 +14,7 @@
 from catkindrift.steering._limit_notice import LimitNotice
 from catkindrift.steering._load_report import LoadReport
 from catkindrift.steering._members import Members
+from catkindrift.steering._neighbours import neighbours_of
 from catkindrift.steering._placement import Placement
 from catkindrift.steering._placement_request import PlacementRequest
 from catkindrift.steering._placement_result import (
@@ -75,4 +76,5 @@
     'ZoneDistances',
     'addresses_for',
     'nearest',
+    'neighbours_of',
 ]
--- /dev/null
+++ b/src/catkindrift/steering/_neighbours.py
@@ -0,0 +1,27 @@
+"""Upstreams whose health tells a crash from a zone that is out of reach."""
+
+from operator import attrgetter
+
+from catkindrift.steering._upstream import Upstream
+from catkindrift.steering._upstream_registry import UpstreamRegistry
+
+_MAX_NEIGHBOURS = 3
+
+
+def neighbours_of(
+    registry: UpstreamRegistry, upstream: Upstream
+) -> list[Upstream]:
+    """Return some other upstreams of the same zone, healthiest first.
+
+    Args:
+        registry: All upstreams.
+        upstream: The upstream.
+    """
+    others = [
+        state
+        for state in registry.states
+        if state.upstream.zone == upstream.zone
+        and state.upstream.id != upstream.id
+    ]
+    others.sort(key=attrgetter('failure_rate'))
+    return [state.upstream for state in others[:_MAX_NEIGHBOURS]]
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import attrs
+import pytest
 
 from catkindrift.clock import ManualClock
 from catkindrift.gateway._crash_watch import CrashWatch
@@ -31,11 +32,12 @@
     """Stand-in for health checks that returns the liveness that was set."""
 
     liveness: Liveness = Liveness.ENDED
+    by_id: dict = attrs.field(factory=dict)
     probes: int = 0
 
-    async def probe(self, _upstream):
+    async def probe(self, upstream):
         self.probes += 1
-        return self.liveness
+        return self.by_id.get(upstream.id, self.liveness)
 
 
 def upstream(name):
@@ -65,6 +67,7 @@
     confirmed_crashes: int = 0
     reported: list = attrs.field(factory=list)
     known: dict = attrs.field(factory=dict)
+    neighbours: tuple = ()
     on_confirmed_crash: Callable = attrs.field(default=lambda: None)
     restarts: UnseenRestarts = attrs.field(init=False)
     watch: CrashWatch = attrs.field(init=False)
@@ -81,6 +84,7 @@
                 self.known.get,
                 self.restarts,
                 ReachesOthers(),
+                lambda _upstream: self.neighbours,
             ),
             GatewayMetrics(),
             self.reported.append,
@@ -120,11 +124,66 @@
 
     async def scenario():
         harness = CrashWatchHarness()
+        harness.neighbours = (upstream('u2'), upstream('u3'))
         harness.check.liveness = Liveness.UNKNOWN
         await harness.crash(U1, 'plain')
         assert harness.check.probes > 1
         assert not harness.reported_fingerprints()
         assert not harness.watch.is_quarantined('plain')
+        harness.watch.retain_upstreams(frozenset(('u1', 'u2', 'u3')))
+        assert not harness.reported_fingerprints()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize('silence', [Liveness.UNKNOWN, Liveness.SILENT])
+def test_silent_upstream_beside_live_neighbours_has_ended(silence):
+    """Guard against crashes that pass for cuts, since nothing is refused."""
+
+    async def scenario():
+        harness = CrashWatchHarness()
+        harness.neighbours = (upstream('u2'), upstream('u3'))
+        harness.check.by_id = {'u1': silence, 'u2': silence}
+        harness.check.liveness = Liveness.ALIVE
+        await harness.crash(U1, 'poison')
+        assert harness.reported_fingerprints() == ['poison']
+
+    run(scenario())
+
+
+def test_silent_upstream_that_responds_meanwhile_is_alive():
+    """Guard against blame while a busy upstream answers no health checks."""
+
+    async def scenario():
+        harness = CrashWatchHarness()
+        harness.neighbours = (upstream('u2'),)
+        harness.check.by_id = {'u1': Liveness.SILENT}
+        harness.check.liveness = Liveness.ALIVE
+        harness.watch.record_disconnect(U1, 'plain')
+        harness.clock.advance(100)
+        harness.watch.record_alive(U1, harness.clock.now_ms(), 0)
+        await harness.wait_for_checks()
+        assert not harness.reported_fingerprints()
+
+    run(scenario())
+
+
+def test_unreachable_upstream_whose_entry_lapses_has_ended():
+    """Guard against a crash that is lost with the only upstream of a zone.
+
+    A response to the request in the meantime clears it all the same.
+    """
+
+    async def scenario():
+        harness = CrashWatchHarness()
+        harness.check.liveness = Liveness.UNKNOWN
+        await harness.crash(U1, 'poison')
+        await harness.crash(upstream('u2'), 'plain')
+        harness.clock.advance(100)
+        harness.watch.clear_suspect('plain')
+        harness.clock.advance(4000)
+        harness.watch.retain_upstreams(frozenset())
+        assert harness.reported_fingerprints() == ['poison']
 
     run(scenario())
 
