Add failing tests of pauses that upstreams ask for

Each has a test that fails: a shorter Retry-After that comes later, an entry that lapses and returns, a request that waits for its connection.

--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from tests.platform_deployment import ask, deployed, head
+from catkindrift.http1 import ConnectionPool
+from tests.platform_deployment import ask, deployed, eventually, head
 
 
 def run(test):
@@ -59,6 +60,84 @@
     run(scenario())
 
 
+def test_shorter_pause_does_not_end_a_longer_one(tmp_path):
+    """Guard against requests in a pause that a later refusal seems to end."""
+
+    def soon_free(upstream, attempt):
+        return busy(upstream, attempt).replace(b'1.5', b'0.1')
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=1) as deployment:
+            paused = deployment.upstreams[0]
+            paused.script = [busy, soon_free]
+            paused.delay_s = 0.1
+            address = deployment.address()
+            first, second = head('/safe/x'), head('/safe/y', attempt='a2')
+            await asyncio.gather(ask(address, first), ask(address, second))
+            await asyncio.sleep(0.9)
+            status, _, _ = await ask(address, head('/safe/z', attempt='a3'))
+            assert status == 503
+            assert len(paused.requests) == 2
+
+    run(scenario())
+
+
+def test_entry_that_lapses_and_returns_keeps_the_pause(tmp_path):
+    """Guard against pauses that are forgotten with the entry."""
+
+    def long_busy(upstream, attempt):
+        return busy(upstream, attempt).replace(b'1.5', b'8.0')
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=1) as deployment:
+            paused = deployment.upstreams[0]
+            paused.script = [long_busy]
+            address = deployment.address()
+            await ask(address, head('/safe/x'))
+            registry = deployment.gateways[0]._parts.registry
+            await deployment.store.delete('servers', paused.id)
+            await eventually(lambda: not registry.ids)
+            await deployment.store.put('servers', paused.id, paused.spec)
+            await eventually(lambda: registry.ids)
+            # Until then the VM doesn't know its share of the cold rate.
+            await asyncio.sleep(1.5)
+            status, _, _ = await ask(address, head('/safe/y', attempt='a2'))
+            assert status == 503
+            assert len(paused.requests) == 1
+
+    run(scenario())
+
+
+def test_request_that_waits_for_a_connection_heeds_the_pause(
+    tmp_path, monkeypatch
+):
+    """Guard against requests that were placed before the pause began."""
+    connect = ConnectionPool.connect
+    connecting = []
+
+    async def second_waits(pool, *where):
+        connecting.append(where)
+        if len(connecting) > 1:
+            await asyncio.sleep(0.4)
+        return await connect(pool, *where)
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=1) as deployment:
+            paused = deployment.upstreams[0]
+            paused.script = [busy]
+            paused.delay_s = 0.2
+            monkeypatch.setattr(ConnectionPool, 'connect', second_waits)
+            address = deployment.address()
+            first, second = head('/safe/x'), head('/safe/y', attempt='a2')
+            answers = await asyncio.gather(
+                ask(address, first), ask(address, second)
+            )
+            assert [status for status, _, _ in answers] == [503, 503]
+            assert len(paused.requests) == 1
+
+    run(scenario())
+
+
 def test_refusal_tells_when_the_pause_ends(tmp_path):
     """No upstream takes a request before then."""
 
