Keep the pause that an upstream has asked for (BUDGET)

An upstream that had asked for rest could still get requests in it.

Cause: the end of a pause was overwritten by each refusal, so a shorter one shortened it; it lay in the state of the entry, which goes when the entry lapses; and a request that had been placed before the refusal was sent once its connection was open.

Change: the later end counts; the registry keeps the pause of a removed incarnation until it has passed; a request asks again after its connect, as it does for the quarantine. Health checks of neighbours leave out upstreams that have asked for a pause.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -124,8 +124,10 @@
             self._restarts.expect(upstream.incarnation)
             self._crashes.record_connect_failure(upstream)
             return self._observer.record_connect_failure(state)
-        # A crash may have been reported while the connection was opened.
-        if self._crashes.is_quarantined(pending.fingerprint):
+        # While the connection was opened, a crash may have been reported, or
+        # the upstream may have asked for a pause.
+        is_paused = state.paused_until_ms > self._clock.now_ms()
+        if is_paused or self._crashes.is_quarantined(pending.fingerprint):
             self._pool.give_back(upstream, connection)
             return NotRun(has_reached_upstream=False)
         exchange = Exchange(
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -1,6 +1,5 @@
 """Composition root of an entry VM on the users' platform."""
 
-import functools
 from typing import final
 
 import attrs
@@ -139,7 +138,9 @@
                 self._find_upstream,
                 self.restarts,
                 self.reachability,
-                functools.partial(neighbours_of, self.registry),
+                lambda upstream: neighbours_of(
+                    self.registry, upstream, clock.now_ms()
+                ),
             ),
             self.metrics,
             self.restarts.expect,
--- a/src/catkindrift/gateway/_upstream_observer.py
+++ b/src/catkindrift/gateway/_upstream_observer.py
@@ -85,7 +85,8 @@
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
         pause_ms = requested_pause_ms(head)
         if pause_ms:
-            state.paused_until_ms = now_ms + pause_ms
+            until_ms = now_ms + pause_ms
+            state.paused_until_ms = max(state.paused_until_ms, until_ms)
             self._metrics.failures.labels('paused').inc()
         if is_leaving(head) and not state.is_leaving:
             state.is_leaving = True
--- a/src/catkindrift/steering/_upstream_registry.py
+++ b/src/catkindrift/steering/_upstream_registry.py
@@ -6,6 +6,7 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.steering._kept_pauses import KeptPauses
 from catkindrift.steering._upstream import Upstream
 from catkindrift.steering._upstream_state import UpstreamState
 
@@ -34,6 +35,12 @@
         factory=dict,
     )
     _is_loaded: bool = attrs.field(init=False, default=False)
+    _pauses: KeptPauses = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda registry: KeptPauses(registry._clock), takes_self=True
+        ),
+    )
 
     @property
     def ids(self) -> frozenset[str]:
@@ -97,8 +104,13 @@
         self._rebuild_index()
 
     def remove(self, upstream_id: str) -> None:
-        """Remove an upstream, if it is known."""
-        if self._states.pop(upstream_id, None):
+        """Remove an upstream, if it is known.
+
+        The pause that it asked for outlives its entry, which may return.
+        """
+        removed = self._states.pop(upstream_id, None)
+        if removed:
+            self._pauses.keep(removed)
             self._rebuild_index()
 
     def mark_loaded(self) -> None:
@@ -129,6 +141,7 @@
 
     def _add(self, upstream: Upstream, now_ms: int, cold_start_ms: int) -> None:
         state = UpstreamState(upstream, now_ms)
+        state.paused_until_ms = self._pauses.take(upstream.incarnation)
         self._states[upstream.id] = state
         cold_ms = upstream.cold_remaining_ms
         if self._is_loaded:
