Explain why a request is held to crash upstreams

What operators saw: a refusal with the reason quarantined, and in other lines fingerprints; not which upstreams it was held against for, nor what explained crashes that did not count.

Change: a refusal as quarantined or suspect_runs comes with a line that has the verdict, its reasons, target and caller; catkindrift explain shows it. No decision changes.

Evidence: test_explanation_names_what_a_quarantined_request_crashed.

--- a/src/catkindrift/gateway/_crash_reports.py
+++ b/src/catkindrift/gateway/_crash_reports.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from catkindrift.retries import Cleared, Crash, Suspects
+from catkindrift.retries import Cleared, Crash, Suspects, Verdict
 
 # Limit on crashes in one heartbeat; each takes about 70 bytes.
 _MAX_REPORTS = 8
@@ -88,6 +88,10 @@
         stored.sort(key=_age_ms)
         return tuple(stored[:_MAX_STORED_REPORTS])
 
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Return what this VM knows against a request."""
+        return self._suspects.verdict(fingerprint)
+
     def newest_cleared(self) -> tuple[Cleared, ...]:
         """Return the suspects that were cleared last."""
         by_age = sorted(self._suspects.cleared(), key=_age_ms)
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -30,12 +30,16 @@
 from catkindrift.steering import (
     ColdRateLimiter,
     NotPlaced,
+    NotPlacedReason,
     Placed,
     SharedRetryBudget,
     UpstreamLimits,
 )
 
 _MILLISECONDS_PER_SECOND = 1000
+_BLAME_REASONS = frozenset(
+    (NotPlacedReason.QUARANTINED, NotPlacedReason.SUSPECT_RUNS)
+)
 # Requests without an affinity key are spread over this many keys.
 _KEYLESS_BUCKETS = 64
 # A starting process usually knows configuration and upstreams within a second.
@@ -181,6 +185,9 @@
         )
         if isinstance(choice, NotPlaced):
             reason = choice.reason.value
+            if choice.reason in _BLAME_REASONS:
+                verdict = self._isolation.verdict(pending.fingerprint)
+                self._log.log_verdict(pending, verdict)
             return self._fallback_or_refusal(
                 pending,
                 reason,
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -10,6 +10,7 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.retries import Verdict
 from catkindrift.steering import Placed, UpstreamLimits, UpstreamState
 
 # Characters of a target in a log line; uploads may have long queries.
@@ -102,6 +103,20 @@
             **self._upstream_fields(choice.state, now_ms),
         )
 
+    def log_verdict(self, pending: PendingRequest, verdict: Verdict) -> None:
+        """Log why a request may not run, or not now.
+
+        Args:
+            pending: The request.
+            verdict: What is known against it.
+        """
+        self._log.info(
+            'blamed',
+            id=pending.request_id,
+            verdict=verdict.text,
+            **_identity_fields(pending),
+        )
+
     def log_handover(
         self, pending: PendingRequest, receiver: str, outcome: str
     ) -> None:
--- a/src/catkindrift/gateway/_suspect_isolation.py
+++ b/src/catkindrift/gateway/_suspect_isolation.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from catkindrift.gateway._crash_watch import CrashWatch
+from catkindrift.retries import Verdict
 from catkindrift.steering import (
     Members,
     NotPlaced,
@@ -49,6 +50,10 @@
     _members: Members
     _own_name: str
 
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Return what is known against a request."""
+        return self._crashes.reports.verdict(fingerprint)
+
     def choose(
         self,
         request: PlacementRequest,
--- a/src/catkindrift/retries/__init__.py
+++ b/src/catkindrift/retries/__init__.py
@@ -19,6 +19,7 @@
     without_caller,
 )
 from catkindrift.retries._suspects import Cleared, Crash, Suspects
+from catkindrift.retries._verdict import Verdict
 
 __all__ = [
     'BODY_PREFIX_BYTES',
@@ -37,6 +38,7 @@
     'RetryBudget',
     'RetryRule',
     'Suspects',
+    'Verdict',
     'request_fingerprint',
     'without_caller',
 ]
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -80,6 +80,30 @@
     assert [each['event'] for each in entries] == ['attempt_failed', 'ended']
 
 
+def test_explanation_names_what_a_quarantined_request_crashed(tmp_path, capfd):
+    """The refusal comes with the upstreams that it is held against for."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=4) as deployment:
+            for upstream in deployment.upstreams:
+                upstream.ends_at = b'/poison'
+            for number in range(4):
+                await ask(
+                    deployment.address(),
+                    head('/safe/poison', attempt=f'req-{number}'),
+                )
+                await asyncio.sleep(0.5)
+
+    asyncio.run(scenario())
+    log = tmp_path / 'front-1.log'
+    log.write_text(capfd.readouterr().out)
+    assert main(['explain', 'req-3', str(log)]) == 0
+    output = capfd.readouterr().out
+    assert 'verdict=quarantined: 2 crashes count of those of i-' in output
+    assert 'target=/safe/poison' in output
+    assert 'reason=quarantined' in output
+
+
 def test_missing_route_tells_the_configuration(tmp_path, capfd):
     """The log of a 404 names the configuration version that was in force."""
 
