--- a/src/catkindrift/retries/_blame.py
+++ b/src/catkindrift/retries/_blame.py
@@ -10,7 +10,7 @@
     RecordsByUpstream,
 )
 from catkindrift.retries._fingerprint import without_caller
-from catkindrift.retries._verdict import Verdict
+from catkindrift.retries._verdict import NO_BLAME, Verdict
 from catkindrift.retries._whole_responses import WholeResponses
 
 # Number of crashes after which a fingerprint is quarantined.
@@ -47,7 +47,9 @@
     _candidates: dict[str, RecordsByUpstream] = attrs.field(
         init=False, factory=dict
     )
-    _changes_seen: int = attrs.field(init=False, default=-1)
+    _candidate_changes: int = attrs.field(init=False, default=-1)
+    _verdicts: dict[str, Verdict] = attrs.field(init=False, factory=dict)
+    _verdict_changes: tuple[int, int] = attrs.field(init=False, default=(0, 0))
 
     def verdict(self, fingerprint: str) -> Verdict:
         """Return what the crashes show about a request.
@@ -56,12 +58,16 @@
             fingerprint: Fingerprint of the request.
         """
         own = self.records.of_request(fingerprint)
-        count = self._count(fingerprint, own)
-        explained_by: tuple[str, ...] = ()
-        if 0 < count <= _MAX_EXPLAINED_CRASHES:
-            source = self._explanations or self
-            explained_by = source.explain(fingerprint, own)
-        return Verdict(count, tuple(own), explained_by)
+        if not own:
+            return NO_BLAME
+        source = self._explanations or self
+        changes = (self.records.changes, source.records.changes)
+        if changes != self._verdict_changes:
+            self._verdict_changes = changes
+            self._verdicts.clear()
+        if fingerprint not in self._verdicts:
+            self._verdicts[fingerprint] = self._judge(fingerprint, own)
+        return self._verdicts[fingerprint]
 
     def record_response(self, fingerprint: str, at_ms: int) -> None:
         """Record a whole response; remove the crashes before it."""
@@ -89,6 +95,14 @@
         }
         return tuple(proven) if is_covered(own, proven) else ()
 
+    def _judge(self, fingerprint: str, own: RecordsByUpstream) -> Verdict:
+        count = self._count(fingerprint, own)
+        explained_by: tuple[str, ...] = ()
+        if count <= _MAX_EXPLAINED_CRASHES:
+            source = self._explanations or self
+            explained_by = source.explain(fingerprint, own)
+        return Verdict(count, tuple(own), explained_by)
+
     def _explaining(
         self, fingerprint: str, own: RecordsByUpstream
     ) -> dict[str, RecordsByUpstream]:
@@ -109,8 +123,8 @@
 
     def _with_enough_crashes(self) -> dict[str, RecordsByUpstream]:
         """Return the records of requests that have enough for quarantine."""
-        if self._changes_seen != self.records.changes:
-            self._changes_seen = self.records.changes
+        if self._candidate_changes != self.records.changes:
+            self._candidate_changes = self.records.changes
             self._candidates = {
                 fingerprint: records
                 for fingerprint, records in self.records.by_request.items()
@@ -128,8 +142,6 @@
             for record in records.values()
             for at_ms in record.crash_times_ms
         )
-        if not times_ms:
-            return 0
         since_ms = times_ms[0] - _RAN_WHOLE_BEFORE_MS
         if not self.responses.has_any_since(fingerprint, since_ms):
             return len(times_ms)
--- a/src/catkindrift/retries/_crash_records.py
+++ b/src/catkindrift/retries/_crash_records.py
@@ -79,16 +79,21 @@
         """
         if seen_ms <= self._cleared_ms.get(fingerprint, seen_ms - 1):
             return
-        self.changes += 1
-        self._evict_oldest()
+        if not self.of_request(fingerprint):
+            self._evict_oldest()
         records = self._by_request.setdefault(fingerprint, {})
-        record = records.setdefault(
-            upstream,
-            CrashRecord(seen_ms, seen_ms, is_confirmed, self._can_crash_again),
-        )
+        record = records.get(upstream)
+        if record is None:
+            records[upstream] = CrashRecord(
+                seen_ms, seen_ms, is_confirmed, self._can_crash_again
+            )
+            self.changes += 1
+            return
+        known_ms = record.crash_times_ms
         record.first_ms = min(record.first_ms, seen_ms)
         record.last_ms = max(record.last_ms, seen_ms)
         record.is_confirmed = record.is_confirmed or is_confirmed
+        self.changes += record.crash_times_ms != known_ms
 
     def confirm(self, fingerprint: str, upstream: str) -> bool:
         """Confirm a crash, and return whether it is known."""
--- a/src/catkindrift/retries/_verdict.py
+++ b/src/catkindrift/retries/_verdict.py
@@ -1,6 +1,6 @@
 """What is known against a request."""
 
-from typing import final
+from typing import Final, final
 
 import attrs
 
@@ -47,3 +47,6 @@
             others = ', '.join(self.explained_by)
             reason = f'{reason}; explained by {others}'
         return f'{kind}: {reason}'
+
+
+NO_BLAME: Final = Verdict(0, (), ())
