--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -16,6 +16,7 @@
 
 from catkindrift.gateway import (
     _attempt,
+    _crash_watch,
     _forwarder,
     _handover,
     _upstream_check,
@@ -52,8 +53,13 @@
     forwarded_headers,
 )
 from catkindrift.platform._store_era import StoreEra
-from catkindrift.retries import Suspects
-from catkindrift.retries._blame import Blame
+from catkindrift.retries import (
+    Suspects,
+    Verdict,
+    _blame,
+    _suspects,
+    without_caller,
+)
 from catkindrift.steering import (
     ColdRateLimiter,
     MemberFacts,
@@ -68,6 +74,7 @@
     WeightedRotation,
     _upstream_registry,
 )
+from catkindrift.steering._kept_pauses import KeptPauses
 from tests.breakage import always, report
 
 GATEWAY = 'tests/test_gateway.py::test_'
@@ -81,6 +88,7 @@
 ENDLESS = 'tests/test_endless_responses.py::test_'
 RECORDS = 'tests/test_entry_vm_records.py::test_'
 LIMITS = 'tests/test_upstream_limits.py::test_'
+SUSPECTS = 'tests/test_suspects.py::test_'
 RESTARTED = 'tests/test_restarted_upstreams.py::test_'
 WATCH = 'tests/test_store_watch.py::test_'
 ZONE = 'tests/test_zone_watch.py::test_'
@@ -171,6 +179,24 @@
     return next((each for each in alive if each.name not in tried), None)
 
 
+def explain_by_any(blame, fingerprint, own):
+    """Let requests explain crashes that are explained themselves."""
+    others = blame._explaining(fingerprint, own)
+    return tuple(others) if _blame.is_covered(own, others) else ()
+
+
+def count_for_all_callers_only(suspects, fingerprint):
+    """Return the blame of a request of all callers, twice."""
+    request = without_caller(fingerprint)
+    shared = (suspects._of_all_callers, request)
+    return (shared, shared)
+
+
+async def no_neighbour_responds(_check, _upstream):
+    """Return that no other upstream of the zone responds."""
+    return False
+
+
 async def start_is_known(_sender, _upstream):
     """Return that the start of an upstream is known to run."""
     return True
@@ -330,11 +356,103 @@
     PlatformBreakage(
         'BUDGET',
         'requests that ran beside a known crasher are not suspects',
-        Blame,
+        _blame.Blame,
         'explain',
         always(()),
         'tests/test_suspects.py',
     ),
+    PlatformBreakage(
+        'BUDGET',
+        'crashes count for a request of all callers',
+        _suspects,
+        'without_caller',
+        str,
+        f'{CRASHING}repeats_from_other_addresses_reach_two_upstreams',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'crashes count for each caller too',
+        Suspects,
+        '_scopes',
+        count_for_all_callers_only,
+        f'{SUSPECTS}caller_that_crashes_what_others_run_is_quarantined',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'a failure clears no blame',
+        _attempt,
+        '_is_server_error',
+        always(False),
+        f'{CRASHING}failure_of_an_upstream_takes_no_blame_back',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'only proven requests explain the crashes of others',
+        _blame.Blame,
+        'explain',
+        explain_by_any,
+        f'{SUSPECTS}crashing_requests_do_not_acquit_one_another',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'a request with two explained crashes stays a suspect',
+        Verdict,
+        'is_suspect',
+        property(lambda verdict: verdict.is_quarantined),
+        f'{SUSPECTS}request_whose_crashes_others_explain_stays_a_suspect',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'a third crash is not explained',
+        _blame,
+        '_MAX_EXPLAINED_CRASHES',
+        sys.maxsize,
+        f'{SUSPECTS}third_crash_is_not_explained_away',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'a mass crash counts once for a request that ran whole',
+        _blame,
+        '_MASS_CRASH_MS',
+        -1,
+        f'{SUSPECTS}common_request_in_a_mass_crash_is_not_quarantined',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'neighbours show whether a silent upstream has ended',
+        IncarnationCheck,
+        '_has_live_neighbours',
+        no_neighbour_responds,
+        'tests/test_crash_watch.py::test_silent_upstream_beside_live_'
+        'neighbours_has_ended',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'a silent connection shows no life',
+        _upstream_check,
+        '_liveness_of_busy',
+        always(_upstream_check.Liveness.ALIVE),
+        'tests/test_silent_upstreams.py::test_port_that_takes_connections_is_'
+        'no_proof_of_life',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'an entry that lapses shows that its upstream has ended',
+        _crash_watch,
+        '_REMOVAL_NOTICE_MS',
+        -1,
+        'tests/test_crash_watch.py::test_unreachable_upstream_whose_entry_'
+        'lapses_has_ended',
+    ),
+    PlatformBreakage(
+        'BUDGET',
+        'a pause outlives the entry of its upstream',
+        KeptPauses,
+        'take',
+        always(0),
+        'tests/test_leaving_upstreams.py::test_entry_that_lapses_and_returns_'
+        'keeps_the_pause',
+    ),
     PlatformBreakage(
         'BUDGET',
         'a newer start replaces the state of an upstream',
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -166,6 +166,16 @@
     assert suspects.is_quarantined('poison')
 
 
+def test_third_crash_is_not_explained_away(suspects):
+    """Guard against a crashing request that is never alone."""
+    for number in ('1', '2', '3'):
+        crash(suspects, f'plain-{number}', f'u{number}', f'v{number}')
+    crash(suspects, 'poison', 'u1', 'u2')
+    assert not suspects.is_quarantined('poison')
+    crash(suspects, 'poison', 'u3')
+    assert suspects.is_quarantined('poison')
+
+
 def test_upstream_that_answers_has_not_crashed(suspects, clock):
     """A response removes the crash, and older reports don't add it again."""
     crash(suspects, 'plain', 'u1', 'u2')
