Tell the age of what a VM knows of others (DRAIN)

Cause: a heartbeat told of two other VMs without the age of what it told. A VM that had missed some of the last heartbeats took a sequence number that was new to it for a sign of life, and told others in turn: 2.5 s more at each hop. Class: a fact that is passed on without its age.

Change: heartbeats hold the ages. A VM counts as alive if news of it came within 2.5 s, as before, and were sent within 5 s. Heartbeats of older builds tell no ages, and count as before.

--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -133,8 +133,7 @@
                 malformed,
             )
             return
-        is_new = self._members.is_new_process(heartbeat.sender)
-        self._members.record_heartbeat(heartbeat)
+        is_new = self._members.record_heartbeat(heartbeat)
         self._seeds.discard(heartbeat.sender.peers)
         self._on_heartbeat(heartbeat)
         if is_new:
@@ -171,6 +170,7 @@
             self._limits.notices(),
             self._sample_unheard(),
             self._reachability.reached_age_ms,
+            tuple(self._members.age_ms(each.name) for each in gossiped),
         )
 
     def _sample_unheard(self) -> tuple[tuple[str, int], ...]:
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -65,6 +65,7 @@
             with the ages of their records in milliseconds.
         reached_age_ms: Time since the sender has reached an upstream; None if
             it has not, or is cut off from all.
+        heard_ages_ms: Time since each VM of `heard` has sent these facts.
     """
 
     sender: MemberFacts
@@ -76,3 +77,4 @@
     limits: tuple[LimitNotice, ...] = ()
     unheard: tuple[tuple[str, int], ...] = ()
     reached_age_ms: int | None = None
+    heard_ages_ms: tuple[int, ...] = ()
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -1,5 +1,6 @@
 """Membership and liveness of entry VMs."""
 
+import itertools
 from collections.abc import Iterable, Mapping
 from typing import final
 
@@ -11,6 +12,8 @@
 # A VM counts as alive while its heartbeats arrive; this tolerates six
 # consecutive lost heartbeats.
 _HEARTBEAT_TIMEOUT_MS = 2500
+# What others tell of a VM may be news here and old all the same.
+_MAX_AGE_MS = 5000
 # Silent VMs keep their shares of the common limits for this time, since they
 # may be partitioned from this VM and still serve requests.
 _RETENTION_MS = 120_000
@@ -30,15 +33,24 @@
 class _Member:
     facts: MemberFacts
     updated_ms: int
+    sent_ms: int
 
-    def update(self, facts: MemberFacts, now_ms: int) -> bool:
+    def update(self, facts: MemberFacts, sent_ms: int, now_ms: int) -> bool:
         """Take newer facts and return whether the VM has become alive."""
         if facts.version <= self.facts.version:
             return False
-        was_silent = now_ms - self.updated_ms > _HEARTBEAT_TIMEOUT_MS
+        was_alive = self.is_alive(now_ms)
         self.facts = facts
         self.updated_ms = now_ms
-        return was_silent
+        self.sent_ms = max(self.sent_ms, sent_ms)
+        return self.is_alive(now_ms) and not was_alive
+
+    def is_alive(self, now_ms: int) -> bool:
+        """Return whether the VM was heard of lately."""
+        return (
+            now_ms - self.updated_ms < _HEARTBEAT_TIMEOUT_MS
+            and now_ms - self.sent_ms < _MAX_AGE_MS
+        )
 
 
 @final
@@ -127,34 +139,57 @@
 
     def alive(self) -> tuple[MemberFacts, ...]:
         """Return the facts about the other entry VMs that are alive."""
-        oldest_ms = self._clock.now_ms() - _HEARTBEAT_TIMEOUT_MS
+        now_ms = self._clock.now_ms()
         return tuple(
             each.facts
             for each in self._members.values()
-            if each.updated_ms > oldest_ms
+            if each.is_alive(now_ms)
         )
 
-    def is_new_process(self, facts: MemberFacts) -> bool:
-        """Return whether the facts are about a process not known before."""
-        known = self._members.get(facts.name)
-        return known is None or known.facts.started_ms < facts.started_ms
+    def age_ms(self, name: str) -> int:
+        """Return the time since a VM has sent what is known of it.
+
+        Raises:
+            KeyError: The VM is unknown.
+        """
+        return self._clock.now_ms() - self._members[name].sent_ms
+
+    def record_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Update the members from a heartbeat.
 
-    def record_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Update the members from a heartbeat."""
-        self.record_facts((heartbeat.sender, *heartbeat.heard))
-        for name, age_ms in heartbeat.unheard:
-            self.record_registration(name, age_ms)
+        Returns:
+            Whether the sender is a process that was not known before.
+        """
+        sender = heartbeat.sender
+        known = self._members.get(sender.name)
+        is_new = known is None or known.facts.started_ms < sender.started_ms
+        self.record_facts((sender,))
+        # VMs of an older version tell no ages.
+        ages_ms = itertools.chain(heartbeat.heard_ages_ms, itertools.repeat(0))
+        for facts, age_ms in zip(heartbeat.heard, ages_ms, strict=False):
+            self.record_facts((facts,), age_ms)
+        for name, record_age_ms in heartbeat.unheard:
+            self.record_registration(name, record_age_ms)
+        return is_new
+
+    def record_facts(
+        self, facts: Iterable[MemberFacts], age_ms: int = 0
+    ) -> None:
+        """Replace older facts; newer facts about a VM show that it was alive.
 
-    def record_facts(self, facts: Iterable[MemberFacts]) -> None:
-        """Replace older facts; newer facts about a VM show that it is alive."""
+        Args:
+            facts: Facts about VMs.
+            age_ms: Time since these VMs have sent them.
+        """
         now_ms = self._clock.now_ms()
+        sent_ms = now_ms - age_ms
         for each in facts:
             known = self._members.get(each.name)
             if each.name == self._own_name:
                 continue
             if known is None:
-                self._members[each.name] = _Member(each, now_ms)
-            elif known.update(each, now_ms):
+                self._members[each.name] = _Member(each, now_ms, sent_ms)
+            elif known.update(each, sent_ms, now_ms):
                 self.last_recovery_ms = now_ms
 
     def record_registration(self, name: str, age_ms: int) -> None:
