--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -123,6 +123,8 @@
         poison_steps: Steps that such a request runs before the crash.
         plain_probability: Probability of a plain request at a VM, in one step.
         has_one_address: Whether repeats come from one address.
+        is_silent: Whether upstreams that end fall silent, instead of refusing
+            connects. Their neighbours respond.
     """
 
     seed: int
@@ -138,6 +140,7 @@
     poison_steps: int = 1
     plain_probability: Fraction = PLAIN_PROBABILITY
     has_one_address: bool = True
+    is_silent: bool = False
     crash_times_ms: dict = attrs.field(factory=dict)
     late_runs: list = attrs.field(factory=list)
     needless_runs: list = attrs.field(factory=list)
@@ -370,6 +373,9 @@
             for each in self._running
             if each.state.upstream.id == upstream.id
         ]
+        for each in interrupted if self.is_silent else ():
+            each.vm.harness.check.by_id[upstream.id] = Liveness.UNKNOWN
+            each.vm.harness.neighbours = (sample_upstream('neighbour'),)
         for each in interrupted:
             each.vm.harness.watch.record_disconnect(
                 each.upstream, each.fingerprint, each.began_ms
--- a/tests/crash_study.py
+++ b/tests/crash_study.py
@@ -15,6 +15,7 @@
 import pytest
 from absl import logging
 
+from catkindrift.gateway import _incarnation_check
 from catkindrift.retries._blame import Blame, is_covered
 from catkindrift.retries._verdict import Verdict
 from tests.crash_simulation import CrashSimulation
@@ -97,6 +98,11 @@
             '12 from many addresses',
             {'poison_count': 12, 'has_one_address': False},
         ),
+        Case('12, silent ends', {'poison_count': 12, 'is_silent': True}),
+        Case(
+            '12, silent ends, neighbours not asked',
+            {'poison_count': 12, 'is_silent': True, 'is_deaf': True},
+        ),
         Case('12 at full load', {'poison_count': 12, 'is_full': True}),
         Case('12 with cuts and restarts', {'poison_count': 12, 'faults': True}),
         Case(
@@ -107,14 +113,27 @@
     return found
 
 
+async def no_neighbour_responds(_check, _upstream):
+    """Return that no other upstream of the zone responds."""
+    return False
+
+
 def run_case(task):
     """Run one simulation; return the crashes by request, and the counts."""
     inference, options, seed, vm_count = task
     options = dict(options)
     has_faults = options.pop('faults', False)
+    is_deaf = options.pop('is_deaf', False)
     load = Fraction(12, 5) if options.pop('is_full', False) else Fraction(6, 10)
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(Blame, 'verdict', INFERENCES[inference])
+        patch.setattr(_incarnation_check, '_CHECK_PAUSES_SECONDS', (0, 0, 0))
+        if is_deaf:
+            patch.setattr(
+                _incarnation_check.IncarnationCheck,
+                '_has_live_neighbours',
+                no_neighbour_responds,
+            )
         simulation = CrashSimulation(
             seed,
             has_faults=has_faults,
