--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -104,6 +104,20 @@
     return status
 
 
+async def send_between_answers(folder, answer):
+    """Let a crashing request crash upstreams and get `answer` in turn."""
+    async with long_timeout_deployment(folder) as deployment:
+        for poison in repeats():
+            crash_on_target(deployment)
+            await send(deployment, poison)
+            crash_on_target(deployment, b'')
+            deployment.answer_with(answer)
+            await send(deployment, poison)
+            for upstream in deployment.upstreams:
+                upstream.script = []
+        assert crashed_count(deployment) == MAX_CRASHED
+
+
 def repeats(**how):
     """Return a crashing request and its retries, each with another key."""
     return [
@@ -179,19 +193,7 @@
     def fail(_upstream, _attempt):
         return b'HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n' % status
 
-    async def scenario():
-        async with long_timeout_deployment(tmp_path) as deployment:
-            for poison in repeats():
-                crash_on_target(deployment)
-                await send(deployment, poison)
-                crash_on_target(deployment, b'')
-                deployment.answer_with(fail)
-                await send(deployment, poison)
-                for upstream in deployment.upstreams:
-                    upstream.script = []
-            assert crashed_count(deployment) == MAX_CRASHED
-
-    run(scenario())
+    run(send_between_answers(tmp_path, fail))
 
 
 def test_fingerprint_has_a_part_without_the_caller():
@@ -311,19 +313,7 @@
 def test_refusal_by_a_full_upstream_takes_no_blame_back(tmp_path):
     """A refused request has not run, so the refusal must not clear it."""
 
-    async def scenario():
-        async with long_timeout_deployment(tmp_path) as deployment:
-            for poison in repeats():
-                crash_on_target(deployment)
-                await send(deployment, poison)
-                crash_on_target(deployment, b'')
-                deployment.answer_with(shed)
-                await send(deployment, poison)
-                for upstream in deployment.upstreams:
-                    upstream.script = []
-            assert crashed_count(deployment) == MAX_CRASHED
-
-    run(scenario())
+    run(send_between_answers(tmp_path, shed))
 
 
 def test_upstream_that_is_back_at_once_has_crashed(tmp_path):
