--- a/src/catkindrift/steering/_upstream_reachability.py
+++ b/src/catkindrift/steering/_upstream_reachability.py
@@ -93,9 +93,13 @@
         return is_in_doubt and probe_age_ms >= _DOUBT_PROBE_MS
 
     def has_reached_since(self, at_ms: int) -> bool:
-        """Return whether an upstream was reached after `at_ms`."""
-        reached_ms = self._reached_ms
-        return reached_ms is not None and reached_ms > at_ms
+        """Return whether an upstream was reached after `at_ms`.
+
+        Only a new connection shows it: responses may still arrive on
+        connections that are older than a cut.
+        """
+        connected_ms = self._connected_ms
+        return connected_ms is not None and connected_ms > at_ms
 
     def record_connect(self) -> None:
         """Record a new connection to any upstream."""
--- a/tests/test_upstream_reachability.py
+++ b/tests/test_upstream_reachability.py
@@ -100,6 +100,20 @@
     assert not evidence.reachability.is_cut_off
 
 
+def test_response_on_an_old_connection_is_no_proof_of_reach():
+    """In a cut that refuses connects, running requests may still end well."""
+    evidence = Evidence()
+    reachability = evidence.reachability
+    reachability.record_connect()
+    evidence.clock.advance(1000)
+    cut_ms = evidence.clock.now_ms()
+    evidence.fail(2)
+    reachability.silence.record_response()
+    assert not reachability.has_reached_since(cut_ms)
+    reachability.record_connect()
+    assert reachability.has_reached_since(cut_ms)
+
+
 def test_silence_of_all_upstreams_calls_for_a_probe():
     """In a cut without resets, requests hang and nothing fails."""
     evidence = Evidence()
