--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := $(shell find src -name '*.py' -o -name '*.json')
 
-.PHONY: run test lint types unit format breakage nightly soak platform-soak bench capacity binary protocol clean
+.PHONY: start run test lint types unit format breakage nightly soak platform-soak bench capacity binary protocol clean
 
 run: $(STAMP)
 	$(BIN)/catkindrift demo
@@ -43,6 +43,9 @@
 	$(BIN)/python -m tests.platform_soak --seed $(SEED) --seeds $(SEEDS)
 
 # Each prints tables and writes them to benchmarks/results.
+start: $(STAMP)
+	$(BIN)/python -m benchmarks.start
+
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.decisions
 	$(BIN)/python -m benchmarks.path
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -19,6 +19,7 @@
     decode_json,
     encode_json,
 )
+from catkindrift.entry_settings import Deployment, DeploymentSettings
 from catkindrift.peers import (
     Members,
     PeerClient,
@@ -30,7 +31,6 @@
 )
 from catkindrift.peers.protocol import peers_pb2
 from catkindrift.routing import BlockTable, EntryDirectory
-from catkindrift.settings import Deployment, DeploymentSettings
 from tests.fakes import FakePlatform, Fleet, run_now
 
 ROUNDS = 5
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -17,8 +17,12 @@
 from benchmarks.report import show
 from catkindrift.demo import LocalDeployment
 from catkindrift.domain import Service, Zone
+from catkindrift.entry_settings import (
+    Deployment,
+    DeploymentSettings,
+    UpstreamCount,
+)
 from catkindrift.errors import PlatformUnavailableError
-from catkindrift.settings import Deployment, DeploymentSettings, UpstreamCount
 
 REQUESTS = 700
 WARM_UP = 200
--- a/src/catkindrift/retries/_blame.py
+++ b/src/catkindrift/blame/_blame.py
@@ -5,13 +5,13 @@
 
 import attrs
 
-from catkindrift.retries._crash_records import (
+from catkindrift.blame._crash_records import (
     CrashRecords,
     RecordsByUpstream,
 )
-from catkindrift.retries._fingerprint import without_caller
-from catkindrift.retries._verdict import NO_BLAME, Verdict
-from catkindrift.retries._whole_responses import WholeResponses
+from catkindrift.blame._fingerprint import without_caller
+from catkindrift.blame._verdict import NO_BLAME, Verdict
+from catkindrift.blame._whole_responses import WholeResponses
 
 # Number of crashes after which a fingerprint is quarantined.
 CRASHES_TO_QUARANTINE: Final = 2
@@ -24,7 +24,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Blame:
     """Tells from crashes and whole responses which requests are to blame.
 
--- a/src/catkindrift/retries/_crash_records.py
+++ b/src/catkindrift/blame/_crash_records.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from catkindrift.retries._crash_record import CrashRecord
+from catkindrift.blame._crash_record import CrashRecord
 
 RecordsByUpstream: TypeAlias = Mapping[str, CrashRecord]
 
--- a/src/catkindrift/retries/_suspects.py
+++ b/src/catkindrift/blame/_suspects.py
@@ -5,11 +5,11 @@
 
 import attrs
 
+from catkindrift.blame._blame import Blame
+from catkindrift.blame._crash_records import CrashRecords
+from catkindrift.blame._fingerprint import without_caller
+from catkindrift.blame._verdict import Verdict
 from catkindrift.clock import Clock
-from catkindrift.retries._blame import Blame
-from catkindrift.retries._crash_records import CrashRecords
-from catkindrift.retries._fingerprint import without_caller
-from catkindrift.retries._verdict import Verdict
 
 _RETENTION_MS = 600_000
 
--- a/src/catkindrift/callers/_caller_app.py
+++ b/src/catkindrift/callers/_caller_app.py
@@ -13,7 +13,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CallerApp:
     """Dispatches each request by path, to look-ups or to a service.
 
--- a/src/catkindrift/callers/_forwarder.py
+++ b/src/catkindrift/callers/_forwarder.py
@@ -39,7 +39,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Forwarder:
     """Forwards requests and responses as the core decides.
 
--- a/src/catkindrift/callers/_lookup_app.py
+++ b/src/catkindrift/callers/_lookup_app.py
@@ -22,7 +22,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LookupApp:
     """Serves single and batched look-ups.
 
--- a/src/catkindrift/callers/_pending_decisions.py
+++ b/src/catkindrift/callers/_pending_decisions.py
@@ -20,7 +20,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PendingDecisions:
     """Posts events to the core and resolves the requests that wait.
 
--- a/src/catkindrift/callers/_relay.py
+++ b/src/catkindrift/callers/_relay.py
@@ -25,7 +25,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Relay:
     """Iterates over the body and reports the result of the attempt.
 
--- a/src/catkindrift/callers/_service_request.py
+++ b/src/catkindrift/callers/_service_request.py
@@ -5,12 +5,12 @@
 import attrs
 import xxhash
 
+from catkindrift.blame import BODY_PREFIX_BYTES, request_fingerprint
 from catkindrift.callers._bad_request import BadRequestError
 from catkindrift.callers._problem_response import bad_request
 from catkindrift.callers._read_body import read_body, read_prefix
 from catkindrift.core import Request
 from catkindrift.http1 import CallerRequest
-from catkindrift.retries import BODY_PREFIX_BYTES, request_fingerprint
 
 # Bodies up to this size enter the content digest whole. The digest of a larger
 # one has its length and the caller instead.
--- a/src/catkindrift/callers/_upstream_sender.py
+++ b/src/catkindrift/callers/_upstream_sender.py
@@ -40,7 +40,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamSender:
     """Sends requests to upstreams over pooled connections.
 
--- a/src/catkindrift/cli/_client.py
+++ b/src/catkindrift/cli/_client.py
@@ -32,7 +32,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class OperatorClient:
     """Sends requests to the operator API of one entry VM.
 
--- a/src/catkindrift/cli/_processes.py
+++ b/src/catkindrift/cli/_processes.py
@@ -12,15 +12,11 @@
 from catkindrift.cli._exit_code import ExitCode
 from catkindrift.cli._output import write_error, write_line
 from catkindrift.demo import DEMO_TOKEN, LocalDeployment, sample_deployment
+from catkindrift.entry_settings import Deployment, EntrySettings
 from catkindrift.report import Objectives
 from catkindrift.server import EntryVm
-from catkindrift.settings import (
-    Deployment,
-    EntrySettings,
-    GatewaySettings,
-    load_settings,
-    read_document,
-)
+from catkindrift.settings import GatewaySettings, read_document
+from catkindrift.strict_settings import load_settings
 
 _THREAD_SWITCH_SECONDS = 0.0005
 
--- a/src/catkindrift/cli/_report_commands.py
+++ b/src/catkindrift/cli/_report_commands.py
@@ -21,7 +21,7 @@
     parse_metrics,
     render_page,
 )
-from catkindrift.settings import load_settings
+from catkindrift.strict_settings import load_settings
 
 _MILLISECONDS_PER_SECOND = 1000
 _TIMEOUT_SECONDS = 10.0
--- a/src/catkindrift/core/_admission.py
+++ b/src/catkindrift/core/_admission.py
@@ -27,7 +27,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Admission:
     """Admits requests or refuses them before any attempt is made.
 
--- a/src/catkindrift/core/_attempt_results.py
+++ b/src/catkindrift/core/_attempt_results.py
@@ -53,7 +53,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class AttemptResults:
     """Updates upstreams from attempt results; retries or ends requests.
 
--- a/src/catkindrift/core/_borrower.py
+++ b/src/catkindrift/core/_borrower.py
@@ -18,7 +18,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Borrower:
     """Requests slots from the nearest entry VM that reports free ones.
 
--- a/src/catkindrift/core/_core.py
+++ b/src/catkindrift/core/_core.py
@@ -41,7 +41,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EntryCore:
     """Makes all decisions of one entry VM and does no I/O itself.
 
--- a/src/catkindrift/core/_dispatcher.py
+++ b/src/catkindrift/core/_dispatcher.py
@@ -17,7 +17,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Dispatcher:
     """Queues requests and dispatches each to an upstream with a free slot.
 
--- a/src/catkindrift/core/_finalizer.py
+++ b/src/catkindrift/core/_finalizer.py
@@ -32,7 +32,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RequestFinalizer:
     """Refuses requests, and ends pending ones together with their claims.
 
--- a/src/catkindrift/core/_lender.py
+++ b/src/catkindrift/core/_lender.py
@@ -23,7 +23,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Lender:
     """Lends free slots, in sum never more than this VM owns.
 
--- a/src/catkindrift/core/_lookups.py
+++ b/src/catkindrift/core/_lookups.py
@@ -12,7 +12,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Lookups:
     """Builds and caches the lookup table.
 
--- a/src/catkindrift/core/_membership.py
+++ b/src/catkindrift/core/_membership.py
@@ -36,7 +36,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Membership:
     """Applies configurations, VM lists and records; builds the own record.
 
--- a/src/catkindrift/core/_pending_request.py
+++ b/src/catkindrift/core/_pending_request.py
@@ -11,7 +11,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PendingRequest:
     """State of one request while it waits or is in flight.
 
--- a/src/catkindrift/core/_reserved_slots.py
+++ b/src/catkindrift/core/_reserved_slots.py
@@ -12,7 +12,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ReservedSlots:
     """Keeps slots reserved for other zones from use within the zone.
 
--- a/src/catkindrift/core/_selector.py
+++ b/src/catkindrift/core/_selector.py
@@ -4,13 +4,13 @@
 
 import attrs
 
+from catkindrift.blame import without_caller
 from catkindrift.core._borrower import Borrower
 from catkindrift.core._pending_request import PendingRequest
 from catkindrift.core._shift_gate import ShiftGate
 from catkindrift.core._slots import Slots
 from catkindrift.core._state import CoreState
 from catkindrift.domain import Shift
-from catkindrift.retries import without_caller
 from catkindrift.routing import Candidate, Chooser
 
 # With this many free slots or fewer in the target region of a shift, more
@@ -19,7 +19,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Selector:
     """Selects an upstream with a free slot for a request.
 
--- a/src/catkindrift/core/_shift_gate.py
+++ b/src/catkindrift/core/_shift_gate.py
@@ -16,7 +16,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ShiftGate:
     """Limits moved requests to this VM's shares of the shifts' caps.
 
--- a/src/catkindrift/core/_slots.py
+++ b/src/catkindrift/core/_slots.py
@@ -8,16 +8,16 @@
 from catkindrift.core._reserved_slots import ReservedSlots
 from catkindrift.core._state import CoreState
 from catkindrift.limits import HolderLoad, slot_share
+from catkindrift.rendezvous import rendezvous_order
 from catkindrift.routing import (
     Candidate,
     Distance,
     UpstreamState,
-    rendezvous_order,
 )
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Slots:
     """Computes which slots this VM may use, own or lend.
 
--- a/src/catkindrift/core/_state.py
+++ b/src/catkindrift/core/_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from catkindrift.blame import Suspects
 from catkindrift.clock import Clock
 from catkindrift.core._active_config import ActiveConfiguration
 from catkindrift.core._bounds import Bounds
@@ -22,12 +23,12 @@
     SlotReservations,
 )
 from catkindrift.peers import Members
-from catkindrift.retries import RetryBudget, Suspects
+from catkindrift.retries import RetryBudget
 from catkindrift.routing import UpstreamTable
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CoreState:
     """State shared by the components of the decision core.
 
--- a/src/catkindrift/demo/_deployment.py
+++ b/src/catkindrift/demo/_deployment.py
@@ -17,13 +17,8 @@
     VmRole,
     Zone,
 )
-from catkindrift.limits import CircuitBreaker, TokenBucket
-from catkindrift.plans import ConfigurationStore, put_service, put_zone
-from catkindrift.server import EntryVm
-from catkindrift.serving import ThreadedServer
-from catkindrift.settings import (
+from catkindrift.entry_settings import (
     Deployment,
-    Endpoint,
     EntrySettings,
     LimitSettings,
     ListenSettings,
@@ -32,8 +27,12 @@
     PeerSettings,
     PlatformSettings,
     TlsSettings,
-    VmSettings,
 )
+from catkindrift.limits import CircuitBreaker, TokenBucket
+from catkindrift.plans import ConfigurationStore, put_service, put_zone
+from catkindrift.server import EntryVm
+from catkindrift.serving import ThreadedServer
+from catkindrift.settings import Endpoint, VmSettings
 from catkindrift.store import (
     CallGate,
     GuardedPlatform,
@@ -54,7 +53,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LocalDeployment:
     """Runs entry VMs with a simulated platform and simulated upstreams.
 
--- a/src/catkindrift/demo/_sample.py
+++ b/src/catkindrift/demo/_sample.py
@@ -1,7 +1,11 @@
 """Default deployment of the demo."""
 
 from catkindrift.domain import Measure, Repeat, Service, Zone
-from catkindrift.settings import Deployment, DeploymentSettings, UpstreamCount
+from catkindrift.entry_settings import (
+    Deployment,
+    DeploymentSettings,
+    UpstreamCount,
+)
 
 
 def sample_deployment() -> Deployment:
--- a/src/catkindrift/demo/_upstream_app.py
+++ b/src/catkindrift/demo/_upstream_app.py
@@ -23,7 +23,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamApp:
     """Responds with the size and SHA-256 digest of the request body.
 
--- a/src/catkindrift/settings/_entry.py
+++ b/src/catkindrift/entry_settings/_entry.py
@@ -4,12 +4,13 @@
 
 import attrs
 
-from catkindrift.settings._limits import LimitSettings
-from catkindrift.settings._operator import OperatorSettings
-from catkindrift.settings._peers import PeerSettings
-from catkindrift.settings._platform import PlatformSettings
-from catkindrift.settings._tls import TlsSettings
-from catkindrift.settings._vm import ListenSettings, VmSettings
+from catkindrift.entry_settings._limits import LimitSettings
+from catkindrift.entry_settings._listen import ListenSettings
+from catkindrift.entry_settings._operator import OperatorSettings
+from catkindrift.entry_settings._peers import PeerSettings
+from catkindrift.entry_settings._platform import PlatformSettings
+from catkindrift.entry_settings._tls import TlsSettings
+from catkindrift.settings import VmSettings
 
 
 @final
--- a/src/catkindrift/settings/_peers.py
+++ b/src/catkindrift/entry_settings/_peers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from catkindrift.settings._endpoint import check_endpoint
+from catkindrift.settings import check_endpoint
 
 
 def _check_seeds(
--- a/src/catkindrift/exchange/_peer_exchange.py
+++ b/src/catkindrift/exchange/_peer_exchange.py
@@ -31,7 +31,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PeerExchange:
     """Exchanges records, configuration and VM list with other entry VMs.
 
--- a/src/catkindrift/exchange/_peer_request_handler.py
+++ b/src/catkindrift/exchange/_peer_request_handler.py
@@ -19,7 +19,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PeerRequestHandler:
     """Returns the state that a peer lacks, and lends slots.
 
--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -52,7 +52,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class AttemptSender:
     """Sends attempts to upstreams and evaluates the responses.
 
--- a/src/catkindrift/gateway/_bounded_output.py
+++ b/src/catkindrift/gateway/_bounded_output.py
@@ -19,7 +19,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class BoundedOutput:
     """Writes lines without blocking; drops and counts the excess.
 
--- a/src/catkindrift/gateway/_change_log.py
+++ b/src/catkindrift/gateway/_change_log.py
@@ -13,7 +13,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ChangeLog:
     """Serves watches of other VMs from changes received from the store.
 
--- a/src/catkindrift/gateway/_coalescing_delay.py
+++ b/src/catkindrift/gateway/_coalescing_delay.py
@@ -6,7 +6,7 @@
 import attrs
 
 from catkindrift.clock import Clock
-from catkindrift.limits import jittered
+from catkindrift.jitter import jittered
 
 _MILLISECONDS_PER_SECOND = 1000
 # Changes in quick succession share one call. The delay stays well below the
@@ -26,7 +26,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CoalescingDelay:
     """Computes the delay after each response with changes.
 
--- a/src/catkindrift/gateway/_crash_reports.py
+++ b/src/catkindrift/gateway/_crash_reports.py
@@ -6,7 +6,12 @@
 
 import attrs
 
-from catkindrift.retries import Cleared, Crash, Suspects, Verdict
+from catkindrift.blame import (
+    Cleared,
+    Crash,
+    Suspects,
+    Verdict,
+)
 
 # Limit on crashes in one heartbeat; each takes about 70 bytes.
 _MAX_REPORTS = 8
@@ -17,7 +22,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CrashReports:
     """Selects the newest crashes for every heartbeat, all others in rotation.
 
--- a/src/catkindrift/gateway/_crash_watch.py
+++ b/src/catkindrift/gateway/_crash_watch.py
@@ -1,12 +1,17 @@
 """Detection of requests that crash upstreams."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import final
 
 import attrs
-from absl import logging
 
+from catkindrift.blame import (
+    Cleared,
+    Crash,
+    Suspects,
+)
 from catkindrift.clock import Clock
 from catkindrift.gateway._crash_reports import CrashReports
 from catkindrift.gateway._incarnation_check import IncarnationCheck
@@ -14,15 +19,15 @@
 from catkindrift.gateway._running_requests import RunningRequests
 from catkindrift.gateway._unresolved_crash import UnresolvedCrash
 from catkindrift.gateway._upstream_check import Liveness
-from catkindrift.retries import Cleared, Crash, Suspects
 from catkindrift.steering import Upstream
 
+_LOG = logging.getLogger(__name__)
 # The entry of an upstream that has ended lapses within this time.
 _REMOVAL_NOTICE_MS = 15_000
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CrashWatch:
     """Blames requests for crashes, but not for merely lost connections.
 
@@ -99,8 +104,8 @@
     def clear_suspect(self, fingerprint: str) -> None:
         """Clear the suspicion against a request with a whole response."""
         if self._suspects.is_suspect(fingerprint):
-            logging.info('suspect %s cleared by a response', fingerprint)
-            self._metrics.blame.labels('cleared').inc()
+            _LOG.info('suspect %s cleared by a response', fingerprint)
+            self._metrics.crash_blame.labels('cleared').inc()
         self._suspects.clear(fingerprint)
 
     def has_ended(self, upstream: Upstream) -> bool:
@@ -217,8 +222,8 @@
             return
         self._check_times_ms[incarnation] = self._clock.now_ms()
         blamed = self._suspects.record_crash(running, incarnation)
-        self._metrics.blame.labels('blamed').inc(len(blamed))
-        logging.info(
+        self._metrics.crash_blame.labels('blamed').inc(len(blamed))
+        _LOG.info(
             'connection to upstream %s failed; requests running there: %s; '
             'blamed: %s',
             incarnation,
@@ -249,8 +254,8 @@
         if liveness is Liveness.UNKNOWN and not upstream.is_draining:
             self._unresolved[incarnation] = crash
         self._suspects.dismiss(blamed, incarnation)
-        self._metrics.blame.labels('dismissed').inc(len(blamed))
-        logging.info(
+        self._metrics.crash_blame.labels('dismissed').inc(len(blamed))
+        _LOG.info(
             'blame for upstream %s dismissed, health check result: %s',
             incarnation,
             'responded meanwhile' if has_responded else liveness.value,
@@ -259,9 +264,9 @@
     def _confirm(self, crash: UnresolvedCrash, incarnation: str) -> None:
         self._crashed_upstreams.add(incarnation)
         self.reports.confirm(crash.blamed, incarnation)
-        self._metrics.blame.labels('confirmed').inc(len(crash.blamed))
+        self._metrics.crash_blame.labels('confirmed').inc(len(crash.blamed))
         self._on_confirmed_crash(crash.upstream)
-        logging.warning(
+        _LOG.warning(
             'upstream %s crashed while running %d blamed requests; '
             'quarantined: %s; verdicts: %s',
             incarnation,
--- a/src/catkindrift/gateway/_directory.py
+++ b/src/catkindrift/gateway/_directory.py
@@ -21,7 +21,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Directory:
     """Returns the addresses of ready entry VMs near the caller.
 
--- a/src/catkindrift/gateway/_entry_vm_records.py
+++ b/src/catkindrift/gateway/_entry_vm_records.py
@@ -13,7 +13,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EntryVmRecords:
     """Exchanges crash reports with VMs that heartbeats do not reach.
 
--- a/src/catkindrift/gateway/_failure_backoff.py
+++ b/src/catkindrift/gateway/_failure_backoff.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from catkindrift.limits import jittered
+from catkindrift.jitter import jittered
 
 # Doubled after each consecutive failure. Three watches, one per kind, back off
 # independently, so together they detect the store's recovery within a second.
@@ -17,7 +17,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class FailureBackoff:
     """Backs off exponentially, with jitter, after failures of one watch."""
 
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from catkindrift.blame import BODY_PREFIX_BYTES, request_fingerprint
 from catkindrift.clock import Clock
 from catkindrift.gateway._attempt import AttemptSender
 from catkindrift.gateway._attempt_outcome import (
@@ -26,7 +27,6 @@
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.http1 import CallerRequest, Response
 from catkindrift.platform import object_key, request_id
-from catkindrift.retries import BODY_PREFIX_BYTES, request_fingerprint
 from catkindrift.steering import (
     ColdRateLimiter,
     NotPlaced,
@@ -52,7 +52,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Forwarder:
     """Sends each request to an upstream, and retries where that is safe.
 
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -1,17 +1,18 @@
 """Lifecycle of an entry VM on the users' platform."""
 
 import asyncio
+import logging
 from collections.abc import Coroutine
 from typing import Any, final
 
 import attrs
-from absl import logging
 
 from catkindrift.clock import Clock, SystemClock
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.gateway._parts import GatewayParts
 from catkindrift.settings import Endpoint, GatewaySettings
 
+_LOG = logging.getLogger(__name__)
 _MILLISECONDS_PER_SECOND = 1000
 # Interval of steering updates, exported counters and role assignment.
 _TICK_SECONDS = 1.0
@@ -26,7 +27,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Gateway:
     """An entry VM that accepts requests and forwards them to upstreams.
 
@@ -69,7 +70,7 @@
             task = loop.create_task(job)
             task.add_done_callback(_log_task_failure)
             self._tasks.append(task)
-        logging.info('entry VM %s has started', self._settings.vm.name)
+        _LOG.info('entry VM %s has started', self._settings.vm.name)
 
     def apply(self, settings: GatewaySettings) -> None:
         """Apply reloaded bounds and zones.
@@ -80,17 +81,17 @@
         kept = (settings.vm, settings.listen, settings.platform)
         before = self._settings
         if kept != (before.vm, before.listen, before.platform):
-            logging.warning(
+            _LOG.warning(
                 'changes of vm, listen and platform settings need a restart',
             )
         self._parts.apply(settings)
         self._settings = attrs.evolve(before, bounds=settings.bounds)
-        logging.info('applied reloaded settings')
+        _LOG.info('applied reloaded settings')
 
     async def stop(self) -> None:
         """Stop gracefully: finish in-flight requests in the grace period."""
         self._is_stopping = True
-        logging.info('stopping: not ready for new callers, draining requests')
+        _LOG.info('stopping: not ready for new callers, draining requests')
         self._parts.heartbeats.set_ready(is_ready=False)
         self._parts.caller_server.drain()
         await self._wait_until_idle()
@@ -99,7 +100,7 @@
         for server, _ in self._parts.servers:
             server.close()
         await asyncio.sleep(_SHORT_TICK_SECONDS)
-        logging.info('stopped')
+        _LOG.info('stopped')
 
     def _jobs(self) -> list[Coroutine[Any, Any, None]]:
         return [
@@ -153,8 +154,12 @@
             await asyncio.sleep(_SHORT_TICK_SECONDS)
 
     def _export_store_calls(self) -> None:
-        for method, count in self._parts.store_client.call_counts.items():
-            self._parts.metrics.store_calls.labels(method).set(count)
+        client = self._parts.store_client
+        metrics = self._parts.metrics
+        for method, count in client.call_counts.items():
+            metrics.store_calls.labels(method).set(count)
+        for request, total in client.request_counts.items():
+            metrics.store_requests.labels(request).set(total)
 
     def _heartbeat_protocol(self) -> Heartbeats:
         return self._parts.heartbeats
@@ -163,4 +168,4 @@
 def _log_task_failure(task: asyncio.Task[None]) -> None:
     """Log a background task that failed; none returns by itself."""
     if not task.cancelled() and task.exception():
-        logging.error('background task failed', exc_info=task.exception())
+        _LOG.error('background task failed', exc_info=task.exception())
--- a/src/catkindrift/gateway/_handed_over_requests.py
+++ b/src/catkindrift/gateway/_handed_over_requests.py
@@ -19,7 +19,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class HandedOverRequests:
     """Serves requests from other entry VMs, and all other internal pages.
 
@@ -43,11 +43,11 @@
             return await self._other_pages(request)
         is_full = self._in_flight >= _MAX_IN_FLIGHT
         if self._reachability.is_cut_off or is_full:
-            self._metrics.handed_over.labels('refused').inc()
+            self._metrics.handed_over_requests.labels('refused').inc()
             return Response(
                 HTTPStatus.SERVICE_UNAVAILABLE, [(CUT_OFF_HEADER, b'1')]
             )
-        self._metrics.handed_over.labels('taken').inc()
+        self._metrics.handed_over_requests.labels('taken').inc()
         with contextlib.ExitStack() as stack:
             self._in_flight += 1
             stack.callback(self._record_end)
--- a/src/catkindrift/gateway/_handover.py
+++ b/src/catkindrift/gateway/_handover.py
@@ -48,7 +48,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Handover:
     """Sends requests to another entry VM while this one is cut off.
 
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import itertools
+import logging
 import random
 from collections.abc import Callable
 from typing import final
 
 import attrs
 import msgspec
-from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._crash_watch import CrashWatch
+from catkindrift.gateway._log_sampler import LogSampler
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.settings import Endpoint
 from catkindrift.steering import (
@@ -22,6 +23,7 @@
     UpstreamReachability,
 )
 
+_LOG = logging.getLogger(__name__)
 # A VM counts as failed after several missed heartbeats.
 _INTERVAL_SECONDS = 0.5
 # Only every second heartbeat goes to other regions: that traffic is billed.
@@ -32,10 +34,11 @@
 _MAX_GOSSIPED_MEMBERS = 2
 # Names of VMs that are known from the store only; each takes about 30 bytes.
 _MAX_UNHEARD_MEMBERS = 4
+_LOG_EVERY = 100
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Heartbeats(asyncio.DatagramProtocol):
     """Sends heartbeats of this VM and receives those of other entry VMs.
 
@@ -74,6 +77,9 @@
     )
     _decoder: msgspec.msgpack.Decoder[Heartbeat] = attrs.field(init=False)
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
+    _malformed: LogSampler = attrs.field(
+        init=False, factory=lambda: LogSampler(_LOG_EVERY)
+    )
 
     def __attrs_post_init__(self) -> None:
         """Create the decoder."""
@@ -125,13 +131,10 @@
         try:
             heartbeat = self._decoder.decode(datagram)
         except msgspec.DecodeError as malformed:
-            logging.log_every_n(
-                logging.WARNING,
-                'ignored malformed heartbeat from %s: %s',
-                100,
-                addr,
-                malformed,
-            )
+            if self._malformed.is_due():
+                _LOG.warning(
+                    'ignored malformed heartbeat from %s: %s', addr, malformed
+                )
             return
         is_new = self._members.record_heartbeat(heartbeat)
         self._seeds.discard(heartbeat.sender.peers)
--- a/src/catkindrift/gateway/_incarnation_check.py
+++ b/src/catkindrift/gateway/_incarnation_check.py
@@ -31,7 +31,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class IncarnationCheck:
     """Combines health checks with the starts that upstreams' entries state.
 
--- a/src/catkindrift/gateway/_metrics_page.py
+++ b/src/catkindrift/gateway/_metrics_page.py
@@ -4,7 +4,6 @@
 from typing import final
 
 import attrs
-from prometheus_client import generate_latest
 
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.http1 import CallerRequest, Response
@@ -13,7 +12,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class MetricsPage:
     """Serves metrics in the Prometheus text format.
 
@@ -27,5 +26,9 @@
         """Return all metrics, or 404 for a path other than /metrics."""
         if request.path != '/metrics':
             return Response(HTTPStatus.NOT_FOUND)
-        body = generate_latest(self._metrics.registry)
-        return Response(HTTPStatus.OK, [_TEXT], body)
+        # Slow to import, and never needed where nobody reads metrics.
+        from catkindrift.gateway._metrics_text import (  # noqa: PLC0415
+            metrics_text,
+        )
+
+        return Response(HTTPStatus.OK, [_TEXT], metrics_text(self._metrics))
--- a/src/catkindrift/gateway/_missing_entries.py
+++ b/src/catkindrift/gateway/_missing_entries.py
@@ -1,15 +1,16 @@
 """Upstream entries that are missing from the platform's store."""
 
+import logging
 from collections import deque
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.steering import TimeSpan
 
+_LOG = logging.getLogger(__name__)
 # Live upstreams recreate entries that expired during a store outage within
 # about two seconds of its end.
 _REAPPEAR_GRACE_MS = 2000
@@ -24,7 +25,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class MissingEntries:
     """Decides whether a missing entry was removed on purpose or lost.
 
@@ -87,7 +88,7 @@
             self._removal_due_ms.pop(name, None)
             return True
         if name not in self._removal_due_ms:
-            logging.info(
+            _LOG.info(
                 'entry %s is missing after an outage; kept for a grace period',
                 name,
             )
@@ -112,7 +113,7 @@
         for name in gone:
             self._removal_due_ms.pop(name)
         if gone:
-            logging.info(
+            _LOG.info(
                 'removing %d missing entries; store outage ruled out: %s',
                 len(gone),
                 is_ruled_out,
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -1,9 +1,9 @@
 """Composition root of an entry VM on the users' platform."""
 
+import logging
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._attempt import AttemptSender
@@ -58,11 +58,12 @@
     neighbours_of,
 )
 
+_LOG = logging.getLogger(__name__)
 _MILLISECONDS_PER_SECOND = 1000
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class GatewayParts:
     """Creates and connects all components of one entry VM.
 
@@ -294,7 +295,7 @@
         self.reachability.record_peer(heartbeat.reached_age_ms)
 
     def _handle_new_era(self) -> None:
-        logging.warning(
+        _LOG.warning(
             'the store is back from an older copy, era %d; reading all again',
             self.store_client.era.number,
         )
--- a/src/catkindrift/gateway/_pending_request.py
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -27,7 +27,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PendingRequest:
     """State of a request while it is being served.
 
--- a/src/catkindrift/gateway/_platform_state.py
+++ b/src/catkindrift/gateway/_platform_state.py
@@ -1,10 +1,10 @@
 """Configuration, upstreams and evacuations as read from the store."""
 
+import logging
 from collections.abc import Mapping
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.gateway._missing_entries import MissingEntries
 from catkindrift.platform import (
@@ -22,9 +22,11 @@
     WeightedRotation,
 )
 
+_LOG = logging.getLogger(__name__)
+
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PlatformState:
     """Holds the newest state of the platform that this VM has read.
 
@@ -81,7 +83,7 @@
     def apply_configuration(self, stored: StoreObject) -> None:
         """Activate a configuration unless its version is old or malformed."""
         if stored.is_deleted:
-            logging.warning(
+            _LOG.warning(
                 'configuration deleted from the store; keeping the last one',
             )
             return
@@ -93,7 +95,7 @@
         routes = {route.name for route in newer.routes}
         for gone in self._rotations.keys() - routes:
             self._rotations.pop(gone)
-        logging.info(
+        _LOG.info(
             'activated configuration %08x at revision %d',
             newer.version,
             stored.revision,
@@ -116,7 +118,7 @@
         rules = self.rules.get(upstream.service)
         self.registry.put(upstream, rules.cold_start_ms if rules else 0)
         if known is None and self.has_upstreams:
-            logging.info(
+            _LOG.info(
                 'upstream %s is new, revision %d; cold by its entry: %d ms',
                 upstream.incarnation,
                 upstream.revision,
@@ -159,7 +161,7 @@
         known = self.registry.find(name)
         if known is None:
             return
-        logging.info(
+        _LOG.info(
             'removed upstream %s, last revision %d',
             name,
             known.upstream.revision,
@@ -169,7 +171,7 @@
     def _log_draining_start(self, upstream: Upstream) -> None:
         known = self.registry.find(upstream.id)
         if known is None or not known.upstream.is_draining:
-            logging.info(
+            _LOG.info(
                 'upstream %s is draining, revision %d',
                 upstream.id,
                 upstream.revision,
@@ -183,13 +185,13 @@
         before = self.registry.evacuated_zones
         self.registry.update_evacuated_zones(self._evacuated, longest_ms)
         if before != self.registry.evacuated_zones:
-            logging.info('evacuated zones: %s', sorted(self._evacuated))
+            _LOG.info('evacuated zones: %s', sorted(self._evacuated))
 
 
 def _log_restart(known: Upstream, newer: Upstream) -> None:
     is_newer = newer.revision > known.revision
     if is_newer and known.born_ms and newer.born_ms != known.born_ms:
-        logging.info(
+        _LOG.info(
             'upstream %s has started again, revision %d; before: %s',
             newer.incarnation,
             newer.revision,
--- a/src/catkindrift/gateway/_readiness.py
+++ b/src/catkindrift/gateway/_readiness.py
@@ -11,7 +11,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Readiness:
     """Responds to readiness probes with 200 or 503.
 
--- a/src/catkindrift/gateway/_refusals.py
+++ b/src/catkindrift/gateway/_refusals.py
@@ -10,7 +10,7 @@
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._request_log import RequestLog
 from catkindrift.http1 import CallerRequest, Response
-from catkindrift.limits import jittered, jittered_up
+from catkindrift.jitter import jittered, jittered_up
 from catkindrift.platform import request_id, retry_after
 from catkindrift.steering import NotPlacedReason
 
@@ -19,7 +19,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Refusals:
     """Builds refusals with advice on when to retry; counts and logs them.
 
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -1,18 +1,18 @@
 """Registration of this entry VM and discovery of peers in the store."""
 
 import asyncio
+import logging
 import random
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.errors import PlatformAmbiguousError, PlatformUnavailableError
 from catkindrift.gateway._entry_vm_records import EntryVmRecords
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.gateway._list_all import list_all
-from catkindrift.limits import jittered
+from catkindrift.jitter import jittered
 from catkindrift.platform import (
     ENTRY_VM_KIND,
     StoreClient,
@@ -22,6 +22,7 @@
 from catkindrift.settings import GatewaySettings
 from catkindrift.steering import Members
 
+_LOG = logging.getLogger(__name__)
 _MILLISECONDS_PER_SECOND = 1000
 _RETRY_SECONDS = 1.0
 # Crashes that come close together share a write.
@@ -34,7 +35,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Registration:
     """Writes this VM's record to the store and reads those of its peers.
 
@@ -97,7 +98,7 @@
             try:
                 is_done = await self._write()
             except (PlatformUnavailableError, PlatformAmbiguousError) as lost:
-                logging.warning('write of own record; retrying: %s', lost)
+                _LOG.warning('write of own record; retrying: %s', lost)
                 await asyncio.sleep(jittered(self._rng, _RETRY_SECONDS))
 
     async def _write(self) -> bool:
@@ -116,7 +117,7 @@
         try:
             page = await list_all(self._client, ENTRY_VM_KIND, self._timeout_s)
         except PlatformUnavailableError as unavailable:
-            logging.warning('discovery of entry VMs: %s', unavailable)
+            _LOG.warning('discovery of entry VMs: %s', unavailable)
             return
         self._records.register(page.objects)
 
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -1,28 +1,22 @@
 """Structured log of failed and refused requests."""
 
-from collections.abc import MutableMapping
 from typing import Any, final
 
 import attrs
 import msgspec
-import structlog
 
+from catkindrift.blame import Verdict
 from catkindrift.clock import Clock
 from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._pending_request import PendingRequest
-from catkindrift.retries import Verdict
 from catkindrift.steering import Placed, UpstreamLimits, UpstreamState
 
 # Characters of a target in a log line; uploads may have long queries.
 _MAX_TARGET_CHARS = 200
 
 
-def _to_json(document: Any, **_options: Any) -> str:
-    return msgspec.json.encode(document).decode()
-
-
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RequestLog:
     """Writes a JSON line for each refusal, failed attempt and final failure.
 
@@ -41,18 +35,6 @@
     _vm_name: str
     _output: BoundedOutput
     _limits: UpstreamLimits
-    _log: Any = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Create the structlog logger."""
-        self._log = structlog.wrap_logger(
-            structlog.WriteLogger(self._output),  # type: ignore[arg-type]
-            processors=[
-                self._add_context,
-                structlog.processors.JSONRenderer(serializer=_to_json),
-            ],
-            cache_logger_on_first_use=True,
-        )
 
     def log_refusal(
         self,
@@ -69,7 +51,7 @@
             retry_after_ms: Advised delay before a retry.
             version: Version of the configuration in force; 0 if none.
         """
-        self._log.info(
+        self._write(
             'refused',
             id=request_id,
             reason=reason,
@@ -91,7 +73,7 @@
             outcome: Text of the attempt's outcome.
         """
         now_ms = self._clock.now_ms()
-        self._log.info(
+        self._write(
             'attempt_failed',
             id=pending.request_id,
             outcome=outcome,
@@ -110,7 +92,7 @@
             pending: The request.
             verdict: What is known against it.
         """
-        self._log.info(
+        self._write(
             'blamed',
             id=pending.request_id,
             verdict=verdict.text,
@@ -127,7 +109,7 @@
             receiver: Name of the other entry VM.
             outcome: Text of the outcome.
         """
-        self._log.info(
+        self._write(
             'handover_failed',
             id=pending.request_id,
             outcome=outcome,
@@ -147,7 +129,7 @@
         upstream_fields = (
             self._upstream_fields(choice.state, now_ms) if choice else {}
         )
-        self._log.info(
+        self._write(
             'ended',
             id=pending.request_id,
             status=status,
@@ -165,19 +147,16 @@
         self._output.flush()
         count = self._output.take_dropped_count()
         if count:
-            self._log.info('left_out', lines=count)
+            self._write('left_out', lines=count)
 
-    def _add_context(
-        self,
-        _logger: Any,
-        _method: str,
-        entry: MutableMapping[str, Any],
-    ) -> dict[str, Any]:
-        return {
+    def _write(self, event: str, **fields: Any) -> None:
+        entry = {
             'at_ms': self._clock.wall_ms(),
             'vm': self._vm_name,
-            **entry,
+            **fields,
+            'event': event,
         }
+        self._output.write(f'{msgspec.json.encode(entry).decode()}\n')
 
     def _upstream_fields(
         self, state: UpstreamState, now_ms: int
--- a/src/catkindrift/gateway/_run.py
+++ b/src/catkindrift/gateway/_run.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import signal
 import sys
 from collections.abc import Iterable
 from pathlib import Path
 
-from absl import logging
-
 from catkindrift.errors import SettingsFileError
 from catkindrift.gateway._gateway import Gateway
 from catkindrift.gateway._settings_file import SettingsFile
@@ -17,6 +16,11 @@
 SETTINGS_VARIABLE = 'CATKINDRIFT_SETTINGS'
 # The command line interface exits with the same code on invalid settings.
 _USAGE_EXIT_CODE = 2
+# Severity, time, place and text, as the lines of the other commands.
+_LOG_FORMAT = (
+    '%(levelname).1s%(asctime)s %(process)d %(filename)s:%(lineno)d] '
+    '%(message)s'
+)
 # A changed file is detected within this time even without SIGHUP.
 _RELOAD_CHECK_SECONDS = 2.0
 
@@ -40,9 +44,7 @@
             f'no settings file; give --settings or set {SETTINGS_VARIABLE}',
         )
     settings_file = SettingsFile(Path(named))
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.set_stderrthreshold(logging.INFO)
+    logging.basicConfig(level=logging.INFO, format=_LOG_FORMAT)
     asyncio.run(_serve(settings_file))
 
 
--- a/src/catkindrift/gateway/_running_requests.py
+++ b/src/catkindrift/gateway/_running_requests.py
@@ -4,15 +4,15 @@
 
 import attrs
 
+from catkindrift.blame import without_caller
 from catkindrift.clock import Clock
-from catkindrift.retries import without_caller
 
 # After its caller disconnects, a request may run on for about a service time.
 _ABANDONED_LIFETIME_MS = 1000
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RunningRequests:
     """Tracks request fingerprints by incarnation of an upstream.
 
--- a/src/catkindrift/gateway/_stalled_watch_detector.py
+++ b/src/catkindrift/gateway/_stalled_watch_detector.py
@@ -20,7 +20,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StalledWatchDetector:
     """Compares this VM's revision of a kind with those of its peers.
 
--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -1,9 +1,9 @@
 """Periodic update of the steering components."""
 
+import logging
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._metrics import GatewayMetrics
@@ -16,9 +16,11 @@
     UpstreamLimits,
 )
 
+_LOG = logging.getLogger(__name__)
+
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SteeringTick:
     """Updates placement, cold rate limit and retry budget from the state.
 
@@ -58,7 +60,7 @@
     def _report(self, sharing: int) -> None:
         """Log and export among how many VMs the limits are divided."""
         if sharing != self._sharing:
-            logging.info(
+            _LOG.info(
                 'common limits are divided among %d entry VMs, %d of them '
                 'heard; before: %d',
                 sharing,
@@ -66,7 +68,7 @@
                 self._sharing,
             )
         self._sharing = sharing
-        self._metrics.sharing_vms.set(sharing)
+        self._metrics.sharing_entry_vms.set(sharing)
         now_ms = self._clock.now_ms()
         cold = [each.is_cold(now_ms) for each in self._state.registry.states]
         self._metrics.cold_upstreams.set(sum(cold))
--- a/src/catkindrift/gateway/_store_health.py
+++ b/src/catkindrift/gateway/_store_health.py
@@ -1,14 +1,15 @@
 """Reachability of the store, as seen by this VM and its peers."""
 
+import logging
 from collections.abc import Callable
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.steering import TimeSpan
 
+_LOG = logging.getLogger(__name__)
 # Calls must fail for longer than this, without a response in between, to count
 # as an outage.
 _OUTAGE_THRESHOLD_MS = 1200
@@ -22,7 +23,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreHealth:
     """Detects outages of the store, across the watches of all kinds.
 
@@ -95,7 +96,7 @@
         self._last_failed_ms = self._clock.now_ms()
         if self._first_failed_ms is None:
             self._first_failed_ms = self._last_failed_ms
-            logging.warning('call to the store failed: %s', reason)
+            _LOG.warning('call to the store failed: %s', reason)
 
     def record_response(self) -> bool:
         """Record a response and return whether it ends an outage."""
@@ -108,7 +109,7 @@
             return False
         is_outage = self.is_unavailable
         self._first_failed_ms = None
-        logging.info('store is reachable again')
+        _LOG.info('store is reachable again')
         if is_outage:
             self.outage = TimeSpan(previous_response_ms, self._recovered_ms())
         self._notify_listeners()
--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -1,12 +1,12 @@
 """Watch of one kind of objects in the platform's store."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.errors import (
@@ -22,11 +22,12 @@
 from catkindrift.gateway._stalled_watch_detector import StalledWatchDetector
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._watch_source import WatchSource
-from catkindrift.limits import jittered
+from catkindrift.jitter import jittered
 from catkindrift.platform import StoreClient, StoreObject, StorePage
 from catkindrift.settings import GatewayPlatformSettings
 from catkindrift.steering import TimeSpan
 
+_LOG = logging.getLogger(__name__)
 _MILLISECONDS_PER_SECOND = 1000
 # Interval at which an inactive watch looks whether it is active again.
 _INACTIVE_DELAY_S = 0.5
@@ -35,7 +36,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreWatch:
     """Lists objects, then long-polls for changes; relists when needed.
 
@@ -109,7 +110,7 @@
                 self._is_listed = False
                 await asyncio.sleep(jittered(self._rng, _RELIST_DELAY_S))
             except ZoneWatchError as unable:
-                logging.info(
+                _LOG.info(
                     'watch of %s falls back to the store: %s',
                     self.kind,
                     unable,
@@ -137,7 +138,7 @@
         if self._stall_detector.is_stalled(
             revision, self._revision, uses_zone_watcher=uses_zone_watcher
         ):
-            logging.info('watch of %s stalled; restarting it', self.kind)
+            _LOG.info('watch of %s stalled; restarting it', self.kind)
             if uses_zone_watcher:
                 self._source.bypass_zone_watcher()
             if self._relists_when_behind:
--- a/src/catkindrift/gateway/_store_watches.py
+++ b/src/catkindrift/gateway/_store_watches.py
@@ -17,7 +17,7 @@
     StoreClient,
     StoreObject,
 )
-from catkindrift.routing import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 from catkindrift.settings import GatewaySettings
 from catkindrift.steering import Heartbeat, Members
 
@@ -34,7 +34,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreWatches:
     """Watches configuration, upstreams and evacuations.
 
--- a/src/catkindrift/gateway/_suspect_isolation.py
+++ b/src/catkindrift/gateway/_suspect_isolation.py
@@ -6,8 +6,8 @@
 import attrs
 import xxhash
 
+from catkindrift.blame import Verdict
 from catkindrift.gateway._crash_watch import CrashWatch
-from catkindrift.retries import Verdict
 from catkindrift.steering import (
     Members,
     NotPlaced,
@@ -27,7 +27,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SuspectIsolation:
     """Isolates suspects, so that the next crash shows which one caused it.
 
--- a/src/catkindrift/gateway/_upstream_check.py
+++ b/src/catkindrift/gateway/_upstream_check.py
@@ -41,7 +41,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamCheck:
     """Checks whether an upstream is still running as the same incarnation.
 
--- a/src/catkindrift/gateway/_upstream_observer.py
+++ b/src/catkindrift/gateway/_upstream_observer.py
@@ -1,14 +1,15 @@
 """Updates the state of upstreams from the results of attempts."""
 
+import logging
 from collections.abc import Callable
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.clock import Clock
 from catkindrift.errors import MalformedLimitError
 from catkindrift.gateway._attempt_outcome import NotRun, OutcomeUnknown
+from catkindrift.gateway._log_sampler import LogSampler
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._running_attempt import RunningAttempt
 from catkindrift.http1 import ResponseFailure, ResponseHead
@@ -29,13 +30,15 @@
     UpstreamState,
 )
 
+_LOG = logging.getLogger(__name__)
 # Assumed queue of a full upstream that doesn't report its load, as a multiple
 # of its slots.
 _FULL_QUEUE_FACTOR = 3
+_LOG_EVERY = 100
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamObserver:
     """Records attempt results in the state of their upstream.
 
@@ -53,6 +56,9 @@
     _metrics: GatewayMetrics
     _limits: UpstreamLimits
     _on_limit_change: Callable[[], None]
+    _malformed: LogSampler = attrs.field(
+        init=False, factory=lambda: LogSampler(_LOG_EVERY)
+    )
 
     def record_connect_failure(self, state: UpstreamState) -> NotRun:
         """Eject an upstream that accepted no connection."""
@@ -90,7 +96,7 @@
             self._metrics.failures.labels('paused').inc()
         if is_leaving(head) and not state.is_leaving:
             state.is_leaving = True
-            logging.info('upstream %s states that it leaves', state.upstream.id)
+            _LOG.info('upstream %s states that it leaves', state.upstream.id)
 
     def record_limit(self, attempt: RunningAttempt, head: ResponseHead) -> None:
         """Record the limit that a response names, or that it names none.
@@ -101,14 +107,11 @@
         try:
             per_second = request_limit(head)
         except MalformedLimitError as malformed:
-            self._metrics.limit_changes.labels('malformed').inc()
-            logging.log_every_n(
-                logging.WARNING,
-                'upstream %s: %s',
-                100,
-                attempt.upstream.incarnation,
-                malformed,
-            )
+            self._metrics.upstream_limit_changes.labels('malformed').inc()
+            if self._malformed.is_due():
+                _LOG.warning(
+                    'upstream %s: %s', attempt.upstream.incarnation, malformed
+                )
             return
         pending = attempt.pending
         if per_second is None and not is_from_upstream(
@@ -156,8 +159,8 @@
         change: LimitChange,
         per_second: float | None,
     ) -> None:
-        self._metrics.limit_changes.labels(change.value).inc()
-        logging.info(
+        self._metrics.upstream_limit_changes.labels(change.value).inc()
+        _LOG.info(
             'limit of upstream %s %s: %s requests per second',
             incarnation,
             change.value,
--- a/src/catkindrift/gateway/_upstream_pool.py
+++ b/src/catkindrift/gateway/_upstream_pool.py
@@ -17,7 +17,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamPool:
     """Pools connections by start of an upstream; measures connect times.
 
@@ -76,10 +76,10 @@
                 limit_ms,
             )
         except OSError:
-            self._metrics.connections_opened.labels('failed').inc()
+            self._metrics.upstream_connections_opened.labels('failed').inc()
             self._reachability.record_failed_connect(upstream.incarnation)
             raise
-        self._metrics.connections_opened.labels('opened').inc()
+        self._metrics.upstream_connections_opened.labels('opened').inc()
         took_ms = self._clock.now_ms() - began_ms
         self._distances.add_sample(upstream.zone, took_ms)
         self._reachability.record_connect()
--- a/src/catkindrift/gateway/_upstream_probes.py
+++ b/src/catkindrift/gateway/_upstream_probes.py
@@ -1,11 +1,11 @@
 """Probes that show whether this entry VM reaches any upstream."""
 
 import asyncio
+import logging
 import random
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._upstream_pool import UpstreamPool
@@ -15,12 +15,13 @@
     UpstreamRegistry,
 )
 
+_LOG = logging.getLogger(__name__)
 # Upstreams of one probe.
 _PROBED_UPSTREAMS = 4
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamProbes:
     """Connects to a few random upstreams while reachability is in doubt.
 
@@ -59,7 +60,7 @@
     async def _probe(self) -> None:
         chosen = self._choose()
         reached = await asyncio.gather(*map(self._is_reached, chosen))
-        self._metrics.probes.labels(str(any(reached))).inc()
+        self._metrics.reachability_probes.labels(str(any(reached))).inc()
         if chosen and not any(reached):
             self._reachability.record_failed_probe()
 
@@ -82,7 +83,7 @@
     def _report(self, is_cut_off: bool) -> None:
         self._metrics.cut_off.set(is_cut_off)
         if is_cut_off:
-            logging.warning(
+            _LOG.warning(
                 'cut off from all upstreams: %d did not accept a connection, '
                 'nor did a probe; other entry VMs reach upstreams',
                 self._reachability.unreachable_count,
@@ -90,4 +91,4 @@
         else:
             for state in self._registry.states:
                 state.end_ejection()
-            logging.info('reaches upstreams again')
+            _LOG.info('reaches upstreams again')
--- a/src/catkindrift/gateway/_urgent_heartbeats.py
+++ b/src/catkindrift/gateway/_urgent_heartbeats.py
@@ -14,7 +14,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UrgentHeartbeats:
     """Sends news at once, but no more than ten times a second.
 
--- a/src/catkindrift/gateway/_watch_source.py
+++ b/src/catkindrift/gateway/_watch_source.py
@@ -20,7 +20,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class WatchSource:
     """Polls either the store or the zone watcher for changes of a kind.
 
--- a/src/catkindrift/gateway/_zone_changes_page.py
+++ b/src/catkindrift/gateway/_zone_changes_page.py
@@ -20,7 +20,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ZoneChangesPage:
     """Serves the watches of other entry VMs from this VM's change log.
 
--- a/src/catkindrift/gateway/_zone_client.py
+++ b/src/catkindrift/gateway/_zone_client.py
@@ -13,7 +13,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ZoneClient:
     """Watches kinds of objects through the zone watcher.
 
--- a/src/catkindrift/http1/_client_connection.py
+++ b/src/catkindrift/http1/_client_connection.py
@@ -14,7 +14,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ClientConnection(asyncio.Protocol):
     """Client connection that carries one request at a time.
 
--- a/src/catkindrift/http1/_connection_pool.py
+++ b/src/catkindrift/http1/_connection_pool.py
@@ -23,7 +23,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ConnectionPool:
     """Idle connections by the id of their peer.
 
--- a/src/catkindrift/http1/_exchange.py
+++ b/src/catkindrift/http1/_exchange.py
@@ -17,7 +17,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Exchange:
     """Sends a caller's request to an upstream and receives the response.
 
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -18,7 +18,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class HeadCollector:
     """Collects and checks the head of the request that is arriving.
 
--- a/src/catkindrift/http1/_http_client.py
+++ b/src/catkindrift/http1/_http_client.py
@@ -27,7 +27,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class HttpClient:
     """Sends requests to one server and buffers each whole response.
 
--- a/src/catkindrift/http1/_receiver.py
+++ b/src/catkindrift/http1/_receiver.py
@@ -11,7 +11,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ResponseReceiver:
     """Buffers one response as it arrives.
 
--- a/src/catkindrift/http1/_request_body.py
+++ b/src/catkindrift/http1/_request_body.py
@@ -24,7 +24,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RequestBody:
     """Chunks of a body, kept for retries up to a size limit.
 
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -15,7 +15,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RequestParser:
     """Parses bytes into requests and rejects invalid or oversized ones.
 
--- a/src/catkindrift/http1/_response_body_stream.py
+++ b/src/catkindrift/http1/_response_body_stream.py
@@ -10,7 +10,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ResponseBodyStream:
     """Iterates over the remaining chunks of a body as they arrive.
 
--- a/src/catkindrift/http1/_response_parser.py
+++ b/src/catkindrift/http1/_response_parser.py
@@ -20,7 +20,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ResponseParser:
     """Parses the response to one request into its receiver.
 
--- a/src/catkindrift/http1/_response_queue.py
+++ b/src/catkindrift/http1/_response_queue.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import contextlib
+import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import final
 
 import attrs
-from absl import logging
 
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._response import Response
@@ -17,9 +17,11 @@
 Handler = Callable[[CallerRequest], Awaitable[Response]]
 ErrorResponseFactory = Callable[[HTTPStatus], Response]
 
+_LOG = logging.getLogger(__name__)
+
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _PendingResponse:
     keep_alive: bool
     may_write: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -32,7 +34,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ResponseQueue:
     """Handles pipelined requests and writes their responses in order.
 
@@ -137,7 +139,7 @@
         except Exception:
             # An upstream may have run the request, so the response does not
             # state an outcome.
-            logging.exception(
+            _LOG.exception(
                 'request handler of the entry VM raised an exception'
             )
             return Response(HTTPStatus.BAD_GATEWAY)
--- a/src/catkindrift/http1/_response_writer.py
+++ b/src/catkindrift/http1/_response_writer.py
@@ -12,7 +12,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ResponseWriter:
     """Writes responses with Content-Length or chunked framing.
 
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -1,9 +1,8 @@
 """HTTP server."""
 
 import asyncio
-import ssl
 from collections.abc import Callable
-from typing import final
+from typing import TYPE_CHECKING, final
 
 import attrs
 
@@ -14,13 +13,17 @@
 from catkindrift.http1._server_connection import ServerConnection
 from catkindrift.steering import CallerLimits
 
+if TYPE_CHECKING:
+    # Slow to load, and unused on the platform.
+    import ssl
+
 _BACKLOG = 1024
 # Interval between checks of idle and header timeouts, and so their precision.
 _TIMEOUT_CHECK_SECONDS = 0.25
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class HttpServer:
     """Accepts connections at one address.
 
@@ -37,7 +40,7 @@
     _handler: Handler
     _limits: Callable[[], CallerLimits] = CallerLimits
     _error_response: ErrorResponseFactory = Response
-    _tls: ssl.SSLContext | None = None
+    _tls: 'ssl.SSLContext | None' = None
     _is_draining: bool = attrs.field(init=False, default=False)
     _server: asyncio.Server | None = attrs.field(init=False, default=None)
     _timeout_timer: asyncio.TimerHandle | None = attrs.field(
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -26,7 +26,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ServerConnection(asyncio.Protocol):
     """Connects a transport to the request parser and response queue.
 
--- a/src/catkindrift/limits/__init__.py
+++ b/src/catkindrift/limits/__init__.py
@@ -5,7 +5,6 @@
 from catkindrift.limits._grant import Grant
 from catkindrift.limits._held_grants import HeldGrants
 from catkindrift.limits._issued_grants import HolderLoad, IssuedGrants
-from catkindrift.limits._jitter import jittered, jittered_up
 from catkindrift.limits._sliding_window import WINDOW_MS, SlidingWindow
 from catkindrift.limits._slot_reservations import SlotReservations
 from catkindrift.limits._slot_shares import slot_share
@@ -22,7 +21,5 @@
     'SlidingWindow',
     'SlotReservations',
     'TokenBucket',
-    'jittered',
-    'jittered_up',
     'slot_share',
 ]
--- a/src/catkindrift/limits/_slot_shares.py
+++ b/src/catkindrift/limits/_slot_shares.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from catkindrift.routing import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 
 
 def slot_share(
--- a/src/catkindrift/operators/_deployment_reader.py
+++ b/src/catkindrift/operators/_deployment_reader.py
@@ -17,7 +17,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class DeploymentReader:
     """Reads the state of the deployment; only for use on the event loop.
 
--- a/src/catkindrift/operators/_handlers.py
+++ b/src/catkindrift/operators/_handlers.py
@@ -11,6 +11,7 @@
 import cherrypy
 
 from catkindrift.domain import unstructure
+from catkindrift.entry_settings import OperatorRole
 from catkindrift.errors import (
     AuthenticationError,
     CatkindriftError,
@@ -23,7 +24,6 @@
 )
 from catkindrift.operators._operator_authorizer import OperatorAuthorizer
 from catkindrift.serving import EventLoopBridge, Problem
-from catkindrift.settings import OperatorRole
 
 _Params = ParamSpec('_Params')
 
--- a/src/catkindrift/operators/_operator_authorizer.py
+++ b/src/catkindrift/operators/_operator_authorizer.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from catkindrift.entry_settings import OperatorRole, OperatorSettings
 from catkindrift.errors import AuthenticationError, ForbiddenError
-from catkindrift.settings import OperatorRole, OperatorSettings
 
 _SCHEME = 'bearer '
 
--- a/src/catkindrift/operators/_operator_service.py
+++ b/src/catkindrift/operators/_operator_service.py
@@ -36,7 +36,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class OperatorService:
     """Edits the stored configuration and turns intents into plans.
 
--- a/src/catkindrift/operators/_plan_runner.py
+++ b/src/catkindrift/operators/_plan_runner.py
@@ -9,7 +9,7 @@
 import attrs
 
 from catkindrift.core import ConfigurationReceived, Event
-from catkindrift.limits import jittered
+from catkindrift.jitter import jittered
 from catkindrift.operators._deployment_reader import DeploymentReader
 from catkindrift.plans import ConfigurationStore, PlanExecutor
 from catkindrift.watching import PLATFORM_ERRORS
@@ -18,7 +18,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PlanRunner:
     """Executes plan steps as they become due.
 
--- a/src/catkindrift/operators/_resources.py
+++ b/src/catkindrift/operators/_resources.py
@@ -10,6 +10,7 @@
     Zone,
     decode_json,
 )
+from catkindrift.entry_settings import OperatorRole
 from catkindrift.errors import InvalidInputError, NotFoundError
 from catkindrift.operators._deployment_reader import DeploymentReader
 from catkindrift.operators._handlers import (
@@ -20,7 +21,6 @@
 )
 from catkindrift.operators._operator_service import OperatorService
 from catkindrift.operators._status import DeploymentStatus, Headroom
-from catkindrift.settings import OperatorRole
 
 
 class _ServiceResource(Resource):
--- a/src/catkindrift/peers/_client.py
+++ b/src/catkindrift/peers/_client.py
@@ -28,7 +28,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PeerClient:
     """Calls other entry VMs over persistent connections.
 
--- a/src/catkindrift/peers/_record.py
+++ b/src/catkindrift/peers/_record.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from catkindrift.blame import Cleared, Crash
 from catkindrift.domain import Vm
-from catkindrift.retries import Cleared, Crash
 
 
 @final
--- a/src/catkindrift/peers/_service.py
+++ b/src/catkindrift/peers/_service.py
@@ -27,7 +27,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PeersService(PeersBase):
     """Authenticates calls by the shared secret and dispatches them.
 
--- a/src/catkindrift/peers/_wire.py
+++ b/src/catkindrift/peers/_wire.py
@@ -1,5 +1,6 @@
 """Conversion between records and protobuf messages."""
 
+from catkindrift.blame import Cleared, Crash
 from catkindrift.domain import Vm, VmRole
 from catkindrift.peers._record import (
     LeavingUpstream,
@@ -8,7 +9,6 @@
     UpstreamLoad,
 )
 from catkindrift.peers.protocol import peers_pb2
-from catkindrift.retries import Cleared, Crash
 
 
 def record_to_wire(record: PeerRecord) -> peers_pb2.Record:
--- a/src/catkindrift/plans/_executor.py
+++ b/src/catkindrift/plans/_executor.py
@@ -25,7 +25,7 @@
     start_drain,
     start_shift,
 )
-from catkindrift.routing import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 
 _RAMP_HOLD_MS = 3000
 # Steps that leave plans proposed earlier valid.
@@ -35,7 +35,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PlanExecutor:
     """Computes the next configuration while plans are running.
 
--- a/src/catkindrift/plans/_shares.py
+++ b/src/catkindrift/plans/_shares.py
@@ -6,7 +6,7 @@
 import attrs
 
 from catkindrift.domain import CapShare, Shift
-from catkindrift.routing import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 
 
 def divide_cap(
--- a/src/catkindrift/platform/_entries.py
+++ b/src/catkindrift/platform/_entries.py
@@ -1,10 +1,10 @@
 """Decodes and encodes the specs of objects in the platform's store."""
 
+import logging
 from collections.abc import Mapping
 from typing import Any
 
 import msgspec
-from absl import logging
 
 from catkindrift.platform._store_object import StoreObject
 from catkindrift.platform._wire_config import WireConfiguration
@@ -15,15 +15,15 @@
     Upstream,
 )
 
+_LOG = logging.getLogger(__name__)
+
 
 def decode_configuration(stored: StoreObject) -> RoutingConfiguration | None:
     """Return the configuration in an object, or None if it is malformed."""
     try:
         return msgspec.convert(stored.spec, WireConfiguration).decode()
     except (msgspec.ValidationError, ValueError) as malformed:
-        logging.error(
-            'configuration %s is malformed: %s', stored.name, malformed
-        )
+        _LOG.error('configuration %s is malformed: %s', stored.name, malformed)
         return None
 
 
@@ -40,7 +40,7 @@
     try:
         return _convert_upstream(stored, regions)
     except (msgspec.ValidationError, ValueError) as malformed:
-        logging.warning(
+        _LOG.warning(
             'upstream entry %s is malformed: %s', stored.name, malformed
         )
         return None
@@ -56,7 +56,7 @@
     try:
         return msgspec.convert(stored.spec, EntryVmRecord)
     except msgspec.ValidationError as malformed:
-        logging.warning(
+        _LOG.warning(
             'record of entry VM %s is malformed: %s', stored.name, malformed
         )
         return EntryVmRecord()
--- a/src/catkindrift/platform/_store_client.py
+++ b/src/catkindrift/platform/_store_client.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's store."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, final
@@ -27,7 +28,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreClient:
     """Lists, watches and writes objects in the platform's store.
 
@@ -35,12 +36,15 @@
         host: IP address of the store.
         port: Its TCP port.
         call_counts: Calls so far by HTTP method.
+        request_counts: Calls so far by what was asked, such as
+            ``watch config``; a write may take two calls.
         era: Era of the store.
     """
 
     _host: str
     _port: int
-    call_counts: dict[str, int] = attrs.field(init=False, factory=dict)
+    call_counts: Counter[str] = attrs.field(init=False, factory=Counter)
+    request_counts: Counter[str] = attrs.field(init=False, factory=Counter)
     era: StoreEra = attrs.field(init=False, factory=StoreEra)
     _client: HttpClient = attrs.field(init=False)
 
@@ -65,6 +69,7 @@
         Raises:
             PlatformUnavailableError: There was no usable response.
         """
+        self.request_counts[f'list {kind}'] += 1
         query = f'?after={quote(after)}' if after else ''
         _, reply = await self._call(
             _READ, f'/objects/{kind}{query}', None, timeout_s
@@ -100,6 +105,7 @@
             HistoryGoneError: The store has dropped changes since `revision`.
             PlatformUnavailableError: There was no usable response.
         """
+        self.request_counts[f'watch {kind}'] += 1
         since = self.era.plain(revision)
         path = f'/objects/{kind}?watch={since}&wait_ms={wait_ms}'
         status, reply = await self._call(_READ, path, None, timeout_s, on_chunk)
@@ -136,8 +142,10 @@
         """
         document = {'metadata': {'name': name}, 'spec': spec}
         path = f'/objects/{kind}'
+        self.request_counts[f'write {kind}'] += 1
         status, _ = await self._call('POST', path, document, timeout_s)
         if status == HTTPStatus.CONFLICT:
+            self.request_counts[f'write {kind}'] += 1
             await self._call(
                 'PUT', f'{path}/{quote(name)}', document, timeout_s
             )
@@ -150,7 +158,7 @@
         timeout_s: float,
         on_chunk: Callable[[], None] = _ignore,
     ) -> tuple[int, dict[str, Any]]:
-        self.call_counts[method] = self.call_counts.get(method, 0) + 1
+        self.call_counts[method] += 1
         body = b'' if document is None else msgspec.json.encode(document)
         try:
             head, content = await self._client.request(
--- a/src/catkindrift/platform/_store_era.py
+++ b/src/catkindrift/platform/_store_era.py
@@ -19,7 +19,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreEra:
     """Makes revisions of the store increase across its eras.
 
--- a/src/catkindrift/routing/__init__.py
+++ b/src/catkindrift/routing/__init__.py
@@ -5,7 +5,6 @@
 from catkindrift.routing._chooser import Chooser
 from catkindrift.routing._directory import EntryDirectory
 from catkindrift.routing._lookup import LookupResult, LookupTable
-from catkindrift.routing._rendezvous import rendezvous_order
 from catkindrift.routing._upstream_state import UpstreamState
 from catkindrift.routing._upstream_table import UpstreamTable
 
@@ -19,5 +18,4 @@
     'LookupTable',
     'UpstreamState',
     'UpstreamTable',
-    'rendezvous_order',
 ]
--- a/src/catkindrift/routing/_directory.py
+++ b/src/catkindrift/routing/_directory.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from catkindrift.domain import Configuration, Vm
-from catkindrift.routing._rendezvous import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 
 _MAX_ENTRIES = 4
 _BUCKETS_PER_ZONE = 64
--- a/src/catkindrift/server/_composition.py
+++ b/src/catkindrift/server/_composition.py
@@ -17,6 +17,7 @@
 from catkindrift.clock import Clock
 from catkindrift.core import Bounds, EntryCore, Event, Identity
 from catkindrift.domain import Vm, VmRole
+from catkindrift.entry_settings import EntrySettings
 from catkindrift.exchange import PeerExchange, PeerRequestHandler
 from catkindrift.http1 import ConnectionPool, HttpServer
 from catkindrift.limits import CircuitBreaker, Grant, TokenBucket
@@ -43,13 +44,13 @@
     ThreadedServer,
     peer_client_context,
 )
-from catkindrift.settings import Endpoint, EntrySettings
+from catkindrift.settings import Endpoint
 from catkindrift.store import CallGate, GuardedPlatform, HttpPlatform
 from catkindrift.watching import PlatformWatcher, VmListCache
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Composition:
     """Creates and connects all parts of one entry VM.
 
--- a/src/catkindrift/server/_core_collector.py
+++ b/src/catkindrift/server/_core_collector.py
@@ -22,7 +22,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CoreCollector(Collector):
     """Collects counters and gauges on the event loop.
 
--- a/src/catkindrift/server/_effect_runner.py
+++ b/src/catkindrift/server/_effect_runner.py
@@ -34,7 +34,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EffectRunner:
     """Runs effects as calls and posts their results as events.
 
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -9,10 +9,10 @@
 
 from catkindrift.clock import Clock, SystemClock
 from catkindrift.core import EntryCore, StopRequested, Ticked
+from catkindrift.entry_settings import EntrySettings
 from catkindrift.errors import CannotListenError
-from catkindrift.limits import jittered
+from catkindrift.jitter import jittered
 from catkindrift.server._composition import Composition
-from catkindrift.settings import EntrySettings
 
 _BUSY_TICK_SECONDS = 0.02
 _IDLE_TICK_SECONDS = 0.1
@@ -24,7 +24,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EntryVm:
     """Starts, runs and stops one entry VM on the running event loop.
 
--- a/src/catkindrift/server/_listeners.py
+++ b/src/catkindrift/server/_listeners.py
@@ -11,6 +11,7 @@
     invalid_request_response,
 )
 from catkindrift.clock import Clock
+from catkindrift.entry_settings import EntrySettings
 from catkindrift.http1 import HttpServer
 from catkindrift.operators import (
     ApiContext,
@@ -26,7 +27,6 @@
     caller_server_context,
     peer_server_context,
 )
-from catkindrift.settings import EntrySettings
 from catkindrift.steering import CallerLimits
 
 _OPERATOR_THREADS = 8
--- a/src/catkindrift/server/_peer_listener.py
+++ b/src/catkindrift/server/_peer_listener.py
@@ -11,7 +11,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PeerListener:
     """A gRPC server that can be closed before it has started.
 
--- a/src/catkindrift/serving/_event_loop_bridge.py
+++ b/src/catkindrift/serving/_event_loop_bridge.py
@@ -11,7 +11,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EventLoopBridge:
     """Runs functions on the event loop for server threads.
 
--- a/src/catkindrift/serving/_metrics.py
+++ b/src/catkindrift/serving/_metrics.py
@@ -26,7 +26,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Metrics:
     """Latency histograms; all other metrics are read from the core.
 
--- a/src/catkindrift/serving/_threaded_server.py
+++ b/src/catkindrift/serving/_threaded_server.py
@@ -8,8 +8,9 @@
 from cheroot import wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
+from catkindrift.entry_settings import TlsSettings
 from catkindrift.errors import CannotListenError
-from catkindrift.settings import Endpoint, TlsSettings
+from catkindrift.settings import Endpoint
 
 _IDLE_TIMEOUT_SECONDS = 30
 _ACCEPT_QUEUE_SIZE = 128
@@ -37,7 +38,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ThreadedServer:
     """Serves a WSGI application on one address.
 
--- a/src/catkindrift/serving/_tls.py
+++ b/src/catkindrift/serving/_tls.py
@@ -2,7 +2,7 @@
 
 import ssl
 
-from catkindrift.settings import TlsSettings
+from catkindrift.entry_settings import TlsSettings
 
 
 def caller_server_context(tls: TlsSettings) -> ssl.SSLContext | None:
--- a/src/catkindrift/steering/_candidate_order.py
+++ b/src/catkindrift/steering/_candidate_order.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from catkindrift.routing import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 from catkindrift.steering._distances import ZoneDistances
 from catkindrift.steering._upstream_registry import UpstreamRegistry
 from catkindrift.steering._upstream_state import UpstreamState
@@ -14,7 +14,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CandidateOrder:
     """Orders upstreams by rendezvous hashing, identically on all entry VMs.
 
--- a/src/catkindrift/steering/_cold_rate_limiter.py
+++ b/src/catkindrift/steering/_cold_rate_limiter.py
@@ -6,7 +6,7 @@
 import attrs
 
 from catkindrift.clock import Clock
-from catkindrift.routing import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 from catkindrift.steering._bounds import SteeringBounds
 from catkindrift.steering._service_rules import ServiceRules
 from catkindrift.steering._upstream_state import UpstreamState
@@ -21,7 +21,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ColdRateLimiter:
     """Limits this entry VM to its share of each cold upstream's rate.
 
--- a/src/catkindrift/steering/_distances.py
+++ b/src/catkindrift/steering/_distances.py
@@ -14,7 +14,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ZoneDistances:
     """Moving averages of the round-trip time to each availability zone.
 
--- a/src/catkindrift/steering/_entry_vm_record.py
+++ b/src/catkindrift/steering/_entry_vm_record.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from catkindrift.retries import Cleared, Crash
+from catkindrift.blame import Cleared, Crash
 
 
 @final
--- a/src/catkindrift/steering/_kept_pauses.py
+++ b/src/catkindrift/steering/_kept_pauses.py
@@ -9,7 +9,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class KeptPauses:
     """Keeps the pauses of removed incarnations until they have passed.
 
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -29,7 +29,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Member:
     facts: MemberFacts
     updated_ms: int
@@ -54,7 +54,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Members:
     """Entry VMs known from heartbeats and from the platform's store.
 
--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -37,7 +37,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Placement:
     """Chooses the upstream with the lowest expected cost.
 
--- a/src/catkindrift/steering/_response_silence.py
+++ b/src/catkindrift/steering/_response_silence.py
@@ -11,7 +11,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ResponseSilence:
     """Notices that no upstream responds, whatever connections still exist.
 
--- a/src/catkindrift/steering/_rotation.py
+++ b/src/catkindrift/steering/_rotation.py
@@ -8,7 +8,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class WeightedRotation:
     """Smooth weighted round-robin over services.
 
--- a/src/catkindrift/steering/_shared_retry_budget.py
+++ b/src/catkindrift/steering/_shared_retry_budget.py
@@ -17,7 +17,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SharedRetryBudget:
     """Limits the extra attempts at each service in each window.
 
--- a/src/catkindrift/steering/_unseen_restarts.py
+++ b/src/catkindrift/steering/_unseen_restarts.py
@@ -14,7 +14,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UnseenRestarts:
     """Treats upstreams that may have restarted under their id as cold.
 
--- a/src/catkindrift/steering/_upstream_limits.py
+++ b/src/catkindrift/steering/_upstream_limits.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from catkindrift.clock import Clock
-from catkindrift.routing import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 from catkindrift.steering._limit_change import LimitChange
 from catkindrift.steering._limit_notice import LimitNotice
 from catkindrift.steering._limit_share import (
@@ -36,7 +36,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamLimits:
     """Keeps this entry VM within its share of each limit.
 
--- a/src/catkindrift/steering/_upstream_reachability.py
+++ b/src/catkindrift/steering/_upstream_reachability.py
@@ -21,7 +21,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamReachability:
     """Tells a cut of this VM from the failure of one upstream, or of all.
 
--- a/src/catkindrift/steering/_upstream_registry.py
+++ b/src/catkindrift/steering/_upstream_registry.py
@@ -12,7 +12,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamRegistry:
     """Upstreams by id and by service; older entries never replace newer ones.
 
--- a/src/catkindrift/steering/_upstream_state.py
+++ b/src/catkindrift/steering/_upstream_state.py
@@ -27,7 +27,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UpstreamState:
     """In-flight requests, reported load, latency and failures of an upstream.
 
--- a/src/catkindrift/store/_in_memory_store.py
+++ b/src/catkindrift/store/_in_memory_store.py
@@ -13,7 +13,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class InMemoryStore:
     """Versioned objects and the VM list.
 
--- a/src/catkindrift/store/_in_memory_store_app.py
+++ b/src/catkindrift/store/_in_memory_store_app.py
@@ -23,7 +23,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class InMemoryStoreApp:
     """WSGI application that serves an `InMemoryStore`.
 
--- a/src/catkindrift/settings/_loader.py
+++ b/src/catkindrift/strict_settings.py
@@ -1,6 +1,5 @@
 """Loading of settings files, with an error for every invalid setting."""
 
-import tomllib
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -12,14 +11,19 @@
     IterableValidationError,
 )
 
-from catkindrift.errors import SettingError, SettingsFileError
+from catkindrift.errors import SettingError
+from catkindrift.settings import read_document
 
 _Settings = TypeVar('_Settings')
 
+_SCALARS = frozenset((str, int, bool, float))
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
 
-def _check_type(found: Any, wanted: type) -> Any:
+def _check_type(found: Any, wanted: Any) -> Any:
+    if wanted not in _SCALARS:
+        # A subclass of these, such as an enumeration of texts.
+        return wanted(found)
     # bool is a subclass of int, but a TOML boolean is not a valid number.
     is_misplaced_bool = isinstance(found, bool) and wanted is not bool
     is_int_for_float = wanted is float and isinstance(found, int)
@@ -28,43 +32,40 @@
     return found
 
 
-def _is_scalar_type(wanted: Any) -> bool:
-    return wanted in {str, int, bool, float}
+# A hook for a predicate would come after the library's own for these types.
+_CONVERTER.register_structure_hook(str, _check_type)
+_CONVERTER.register_structure_hook(int, _check_type)
+_CONVERTER.register_structure_hook(bool, _check_type)
+_CONVERTER.register_structure_hook(float, _check_type)
 
 
-_CONVERTER.register_structure_hook_func(_is_scalar_type, _check_type)
-
+def load_settings(path: Path, as_type: type[_Settings]) -> _Settings:
+    """Read a TOML file and convert it to a settings class.
 
-def read_document(path: Path) -> dict[str, Any]:
-    """Read a TOML file.
+    Args:
+        path: The settings file.
+        as_type: attrs class of the settings.
 
     Raises:
         SettingsFileError: The file cannot be read or is not valid TOML.
+        ExceptionGroup: Contains a `SettingError` for each invalid setting.
     """
-    try:
-        return tomllib.loads(path.read_text(encoding='utf-8'))
-    except OSError as unreadable:
-        raise SettingsFileError(
-            f'{path}: {unreadable.strerror}; name a readable file',
-        ) from unreadable
-    except ValueError as malformed:
-        raise SettingsFileError(
-            f'{path} is not TOML: {malformed}; correct that line',
-        ) from malformed
+    return convert_settings(path, read_document(path), as_type)
 
 
-def load_settings(path: Path, as_type: type[_Settings]) -> _Settings:
-    """Read a TOML file and convert it to a settings class.
+def convert_settings(
+    path: Path, document: dict[str, Any], as_type: type[_Settings]
+) -> _Settings:
+    """Convert a parsed TOML file to a settings class.
 
     Args:
-        path: The settings file.
+        path: The settings file, for messages.
+        document: Its contents.
         as_type: attrs class of the settings.
 
     Raises:
-        SettingsFileError: The file cannot be read or is not valid TOML.
         ExceptionGroup: Contains a `SettingError` for each invalid setting.
     """
-    document = read_document(path)
     try:
         return _CONVERTER.structure(document, as_type)
     except (ClassValidationError, IterableValidationError) as invalid:
@@ -110,6 +111,37 @@
         errors.extend(_setting_errors(inner, inner_key, inner_found))
     for inner in without_note:
         errors.extend(_setting_errors(inner, key, found))
+    if isinstance(found, dict) and with_note:
+        named = {noted.name for _, noted in with_note}
+        errors.extend(_validator_errors(error.cl, key, found, named))
+    return errors
+
+
+def _validator_errors(
+    owner: type,
+    key: str,
+    found: dict[str, Any],
+    named: set[str],
+) -> list[SettingError]:
+    """Return what the validators say of the values that convert.
+
+    The library runs validators only if all values of a class convert.
+    """
+    errors: list[SettingError] = []
+    for field in attrs.fields(owner):
+        if field.validator is None or field.name not in found.keys() - named:
+            continue
+        entry = found[field.name]
+        try:
+            field.validator(None, field, entry)
+        except (TypeError, ValueError) as invalid:
+            errors.append(
+                SettingError(
+                    f'{key}.{field.name}'.lstrip('.'),
+                    repr(entry),
+                    _expected(invalid),
+                )
+            )
     return errors
 
 
--- a/src/catkindrift/watching/_platform_watcher.py
+++ b/src/catkindrift/watching/_platform_watcher.py
@@ -16,9 +16,9 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
-from catkindrift.limits import jittered
+from catkindrift.jitter import jittered
 from catkindrift.plans import ConfigurationSnapshot, ConfigurationStore
-from catkindrift.routing import rendezvous_order
+from catkindrift.rendezvous import rendezvous_order
 from catkindrift.store import Platform
 
 PLATFORM_ERRORS = (
@@ -34,7 +34,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PlatformWatcher:
     """Watches the platform while this VM is a watcher of its zone.
 
--- a/src/catkindrift/watching/_vm_list_cache.py
+++ b/src/catkindrift/watching/_vm_list_cache.py
@@ -14,7 +14,7 @@
 
 
 @final
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class VmListCache:
     """Holds the newest VM list from the platform or a peer.
 
--- a/tests/breakage.py
+++ b/tests/breakage.py
@@ -12,12 +12,13 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from catkindrift.blame import Suspects
 from catkindrift.claims import ClaimAcquired, ClaimStore, HeldClaim
 from catkindrift.core import _membership, _pending_request, _slots
 from catkindrift.domain import encode_json
 from catkindrift.limits import IssuedGrants, SlidingWindow
 from catkindrift.plans import _executor
-from catkindrift.retries import RetryBudget, Suspects
+from catkindrift.retries import RetryBudget
 from tests.test_core import TestShift
 from tests.test_fleet_model import FleetModel
 
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -7,9 +7,9 @@
 
 import attrs
 
+from catkindrift.blame import without_caller
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.gateway._upstream_check import Liveness
-from catkindrift.retries import without_caller
 from catkindrift.steering import (
     EntryVmRecord,
     Members,
--- a/tests/crash_study.py
+++ b/tests/crash_study.py
@@ -15,9 +15,9 @@
 import pytest
 from absl import logging
 
+from catkindrift.blame._blame import Blame, is_covered
+from catkindrift.blame._verdict import Verdict
 from catkindrift.gateway import _incarnation_check
-from catkindrift.retries._blame import Blame, is_covered
-from catkindrift.retries._verdict import Verdict
 from tests.crash_simulation import CrashSimulation
 
 
--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -14,6 +14,13 @@
 import attrs
 import pytest
 
+from catkindrift.blame import (
+    Suspects,
+    Verdict,
+    _blame,
+    _suspects,
+    without_caller,
+)
 from catkindrift.gateway import (
     _attempt,
     _crash_watch,
@@ -53,13 +60,6 @@
     forwarded_headers,
 )
 from catkindrift.platform._store_era import StoreEra
-from catkindrift.retries import (
-    Suspects,
-    Verdict,
-    _blame,
-    _suspects,
-    without_caller,
-)
 from catkindrift.steering import (
     ColdRateLimiter,
     MemberFacts,
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -11,7 +11,8 @@
 
 from catkindrift.demo import free_ports
 from catkindrift.gateway import Gateway
-from catkindrift.settings import GatewaySettings, load_settings
+from catkindrift.settings import GatewaySettings
+from catkindrift.strict_settings import load_settings
 from tests.platform_store import PlatformStore
 from tests.platform_upstream import PlatformUpstream
 
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -17,7 +17,8 @@
 
 from catkindrift.gateway import Gateway
 from catkindrift.gateway._heartbeats import Heartbeats
-from catkindrift.settings import GatewaySettings, load_settings
+from catkindrift.settings import GatewaySettings
+from catkindrift.strict_settings import load_settings
 from tests.platform_deployment import (
     SAFE,
     UNSAFE,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -8,13 +8,13 @@
 
 from catkindrift.cli import ExitCode, main
 from catkindrift.demo import LOOPBACK, free_ports
+from catkindrift.entry_settings import OperatorRole, OperatorSettings
 from catkindrift.errors import (
     AuthenticationError,
     CannotListenError,
     ForbiddenError,
 )
 from catkindrift.operators import OperatorAuthorizer
-from catkindrift.settings import OperatorRole, OperatorSettings
 from tests.deployment import HTTP, RunningDeployment
 
 VIEWER_DIGEST = (
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from catkindrift.blame import Crash
 from catkindrift.core import (
     RefusalReason,
     StopRequested,
@@ -20,7 +21,6 @@
 from catkindrift.plans import Planner, add_plan, confirm_plan
 from catkindrift.retries import (
     Answered,
-    Crash,
     Interrupted,
     InterruptedReason,
     Outcome,
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -6,12 +6,12 @@
 import attrs
 import pytest
 
+from catkindrift.blame import Crash
 from catkindrift.clock import ManualClock
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._incarnation_check import IncarnationCheck
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._upstream_check import Liveness
-from catkindrift.retries import Crash
 from catkindrift.steering import (
     UnseenRestarts,
     Upstream,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,9 +5,13 @@
 
 import pytest
 
+from catkindrift.blame import (
+    Crash,
+    request_fingerprint,
+    without_caller,
+)
 from catkindrift.gateway import _heartbeats
 from catkindrift.http1 import ConnectionPool
-from catkindrift.retries import Crash, request_fingerprint, without_caller
 from tests.platform_deployment import (
     SAFE,
     UNSAFE,
--- a/tests/test_entry_vm_records.py
+++ b/tests/test_entry_vm_records.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
+from catkindrift.blame import Cleared, Crash
 from catkindrift.clock import ManualClock
 from catkindrift.platform import StoreObject, decode_entry_vm, encode_entry_vm
-from catkindrift.retries import Cleared, Crash
 from catkindrift.steering import EntryVmRecord, Members
 from tests.platform_deployment import deployed, eventually
 
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -11,7 +11,7 @@
 
 from catkindrift.gateway import Gateway
 from catkindrift.gateway._settings_file import SettingsFile
-from catkindrift.settings import GatewaySettings, load_settings
+from catkindrift.settings import load_gateway_settings
 from tests.platform_deployment import TEMPLATE, platform_fields, render
 
 
@@ -24,7 +24,7 @@
 
 def test_template_yields_valid_settings(tmp_path):
     """The template rendered with the platform's fields loads without errors."""
-    settings = load_settings(write(tmp_path), GatewaySettings)
+    settings = load_gateway_settings(write(tmp_path))
     assert settings.vm.name == 'front-1'
     assert settings.zones['snt-a'] == 'cantabria'
     assert settings.bounds.retry_slack == 64
@@ -32,18 +32,46 @@
 
 def test_missing_bounds_get_safe_values(tmp_path):
     """Without bounds in the file, the strict defaults apply."""
-    settings = load_settings(write(tmp_path, bounds={}), GatewaySettings)
+    settings = load_gateway_settings(write(tmp_path, bounds={}))
     assert settings.bounds.retry_ratio == pytest.approx(0.1)
     assert settings.bounds.retry_slack < 64
 
 
+def test_unknown_key_is_ignored_if_all_else_is_valid(tmp_path):
+    """A newer platform may fill in fields that this build does not know."""
+    path = write(tmp_path)
+    path.write_text(f'{path.read_text()}\nnew_bound = 3\n[future]\nfield = 1\n')
+    assert load_gateway_settings(path).vm.name == 'front-1'
+
+
+@pytest.mark.parametrize(
+    ('found', 'wrong', 'key'),
+    [
+        ('retry_slack = 64', 'retry_slack = "64"', 'bounds.retry_slack'),
+        ('retry_slack = 64', 'retry_slack = true', 'bounds.retry_slack'),
+        ('zone = "ovd-a"', 'zone = ""', 'vm'),
+        ('grace_s = 1.2', 'grace_s = "1"', 'bounds.grace_s'),
+        ('ovd-a" = "asturias"', 'ovd-a" = 7', 'zones'),
+    ],
+)
+def test_malformed_value_names_its_key(tmp_path, found, wrong, key):
+    """Each wrong value is an error that names key and remedy."""
+    path = write(tmp_path)
+    text = path.read_text()
+    assert found in text
+    path.write_text(text.replace(found, wrong))
+    with pytest.raises(ExceptionGroup) as raised:
+        load_gateway_settings(path)
+    assert any(key in str(each) for each in raised.value.exceptions)
+
+
 def test_every_mistake_stops_the_process(tmp_path):
     """Every invalid field is reported, without traceback, with exit code 2."""
     path = write(tmp_path)
     text = path.read_text().replace('name = "front-1"', 'nome = "front-1"')
     path.write_text(re.sub('address = .*', 'address = "nowhere"', text))
     ended = subprocess.run(
-        [sys.executable, '-m', 'catkindrift.gateway'],
+        [sys.executable, '-m', 'catkindrift.entry_vm'],
         env={**os.environ, 'CATKINDRIFT_SETTINGS': str(path)},
         capture_output=True,
         text=True,
@@ -61,7 +89,7 @@
     """The process starts while the store is down and exits 0 on SIGTERM."""
     path = write(tmp_path)
     with subprocess.Popen(
-        [sys.executable, '-m', 'catkindrift.gateway'],
+        [sys.executable, '-m', 'catkindrift.entry_vm'],
         env={**os.environ, 'CATKINDRIFT_SETTINGS': str(path)},
         stderr=subprocess.PIPE,
         text=True,
@@ -91,7 +119,7 @@
 
 def test_new_zones_and_bounds_come_into_force(tmp_path):
     """A reload applies new zones and bounds to the running components."""
-    settings = load_settings(write(tmp_path), GatewaySettings)
+    settings = load_gateway_settings(write(tmp_path))
     gateway = Gateway(settings)
     gateway.apply(
         attrs.evolve(
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -175,7 +175,7 @@
             assert headers['retry-after']
             for other in deployment.gateways[1:]:
                 handed = other._parts.metrics.handovers.labels('answered')
-                assert not handed._value.get()
+                assert not handed.total
 
     run(scenario())
 
@@ -297,7 +297,7 @@
 def taken_requests(deployment):
     """Return how many requests VMs have taken from others."""
     return sum(
-        each._parts.metrics.handed_over.labels('taken')._value.get()
+        each._parts.metrics.handed_over_requests.labels('taken').total
         for each in deployment.gateways
     )
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from catkindrift.clock import ManualClock
-from catkindrift.retries import (
+from catkindrift.blame import (
     Cleared,
     Crash,
     Suspects,
     _crash_records,
 )
+from catkindrift.clock import ManualClock
 
 
 @pytest.fixture
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -11,7 +11,7 @@
 import urllib3
 
 from catkindrift.demo import sample_deployment
-from catkindrift.settings import PeerSettings, TlsSettings
+from catkindrift.entry_settings import PeerSettings, TlsSettings
 from tests.deployment import RunningDeployment
 
 
