Let recovered peers cause no storm of calls to the store

Change: recovered peers end a backoff at most every 0.8 s, its longest delay.

Result: test_recovered_peers_cause_no_storm_of_calls[30]: 30 retries in a second on the parent, two now.

--- a/src/catkindrift/gateway/_store_health.py
+++ b/src/catkindrift/gateway/_store_health.py
@@ -20,6 +20,9 @@
 # A process that was suspended for this long doesn't know the age of the
 # datagrams in its receive buffer; it has read all of them within this time.
 _STALL_MS = 1000
+# Recovered peers end a backoff no oftener than this, which is its longest
+# delay; among many VMs one recovers at any time.
+_RETRY_INTERVAL_MS = 800
 
 
 @final
@@ -46,6 +49,7 @@
     _last_response_elapsed_ms: int | None = attrs.field(
         init=False, default=None
     )
+    _retry_due_ms: int = attrs.field(init=False, default=0)
     _peer_recovered_ms: int | None = attrs.field(init=False, default=None)
     _last_stall_check_ms: int = attrs.field(init=False)
     _ignore_peers_until_ms: int = attrs.field(init=False, default=0)
@@ -129,7 +133,9 @@
         one from the store too.
         """
         self._peer_recovered_ms = self._clock.now_ms()
-        if self._first_failed_ms is not None:
+        is_due = self._peer_recovered_ms >= self._retry_due_ms
+        if self._first_failed_ms is not None and is_due:
+            self._retry_due_ms = self._peer_recovered_ms + _RETRY_INTERVAL_MS
             self._notify_listeners()
 
     def was_reachable_during(self, outage: TimeSpan) -> bool:
