Tell signs of life of many entry VMs in each heartbeat

Change: above 16 other VMs, a heartbeat carries signs of life of up to 40 (name, start, count, age, two flags; about 30 bytes each) and goes to 10 instead of 16; news still go to 16. Without news for 4 s, instead of 2.5 s, a VM counts as dead there; facts older than 5 s never count. Fewer VMs: as before. A build that does not know the field ignores it, and one that lacks it sends none. Addresses are parsed once, and readiness is compared before a record is copied.

--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -16,6 +16,7 @@
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.settings import Endpoint
 from catkindrift.steering import (
+    MAX_DIRECT_MEMBERS,
     Heartbeat,
     MemberFacts,
     Members,
@@ -28,8 +29,11 @@
 _INTERVAL_SECONDS = 0.5
 # Only every second heartbeat goes to other regions: that traffic is billed.
 _ALL_REGIONS_EVERY = 2
-# Receivers of one heartbeat; these gossip the sender's state to the others.
-_MAX_RECEIVERS = 16
+# Receivers of one heartbeat if there are more VMs than `MAX_DIRECT_MEMBERS`;
+# these gossip the sender's state to the others.
+_GOSSIP_RECEIVERS = 10
+# Signs of life of others in one heartbeat; each takes about 30 bytes.
+_MAX_SIGHTINGS = 40
 # Records of other VMs that one heartbeat carries.
 _MAX_GOSSIPED_MEMBERS = 2
 # Names of VMs that are known from the store only; each takes about 30 bytes.
@@ -66,6 +70,9 @@
     _limits: UpstreamLimits
     _reachability: UpstreamReachability
     _on_heartbeat: Callable[[Heartbeat], None]
+    _receivers: dict[str, tuple[str, int]] = attrs.field(
+        init=False, factory=dict
+    )
     _seeds: set[str] = attrs.field(init=False, factory=set)
     _transport: asyncio.DatagramTransport | None = attrs.field(
         init=False,
@@ -99,13 +106,14 @@
         self, *, is_ready: bool, reaches_upstreams: bool = True
     ) -> None:
         """Update readiness and, if it changed, tell all other VMs at once."""
-        updated = attrs.evolve(
-            self._own_member,
-            is_ready=is_ready,
-            reaches_upstreams=reaches_upstreams,
-        )
-        if updated != self._own_member:
-            self._own_member = updated
+        own = self._own_member
+        if (own.is_ready, own.reaches_upstreams) != (
+            is_ready,
+            reaches_upstreams,
+        ):
+            self._own_member = attrs.evolve(
+                own, is_ready=is_ready, reaches_upstreams=reaches_upstreams
+            )
             self._send_to({each.peers for each in self._members.facts})
 
     async def run(self) -> None:
@@ -120,7 +128,15 @@
         Args:
             to_all_regions: Whether VMs of other regions receive it too.
         """
-        self._send_to(self._receivers(to_all_regions=to_all_regions))
+        known = self._members.facts
+        if not to_all_regions:
+            own = self._own_member.region
+            known = tuple(each for each in known if each.region == own)
+        self._send_to(self._sample(known, _GOSSIP_RECEIVERS))
+
+    def send_news(self) -> None:
+        """Send a heartbeat to more VMs of all regions than usual."""
+        self._send_to(self._sample(self._members.facts, MAX_DIRECT_MEMBERS))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -163,6 +179,9 @@
         gossiped = self._rng.sample(
             alive, min(len(alive), _MAX_GOSSIPED_MEMBERS)
         )
+        sighted: list[MemberFacts] = []
+        if len(alive) > MAX_DIRECT_MEMBERS:
+            sighted = self._rng.sample(alive, min(len(alive), _MAX_SIGHTINGS))
         return Heartbeat(
             self._own_member,
             tuple(gossiped),
@@ -174,6 +193,7 @@
             self._sample_unheard(),
             self._reachability.reached_age_ms,
             tuple(self._members.age_ms(each.name) for each in gossiped),
+            tuple(map(self._members.sighting, sighted)),
         )
 
     def _sample_unheard(self) -> tuple[tuple[str, int], ...]:
@@ -181,20 +201,19 @@
         count = min(len(unheard), _MAX_UNHEARD_MEMBERS)
         return tuple(self._rng.sample(unheard, count))
 
-    def _receivers(self, *, to_all_regions: bool) -> set[str]:
-        known = self._members.facts
-        near = [
-            each for each in known if each.region == self._own_member.region
-        ]
-        chosen = list(known) if to_all_regions else near
-        if len(chosen) > _MAX_RECEIVERS:
-            chosen = self._rng.sample(chosen, _MAX_RECEIVERS)
-        receivers = {each.peers for each in chosen}
-        receivers.update(self._seeds)
-        return receivers
+    def _sample(self, known: tuple[MemberFacts, ...], count: int) -> set[str]:
+        """Return receivers: all if there are few, else `count` of them."""
+        chosen = list(known)
+        if len(chosen) > MAX_DIRECT_MEMBERS:
+            chosen = self._rng.sample(chosen, count)
+        return {*(each.peers for each in chosen), *self._seeds}
 
     def _send(self, datagram: bytes, address: str) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        endpoint = Endpoint.parse(address)
-        self._transport.sendto(datagram, (endpoint.host, endpoint.port))
+        receiver = self._receivers.get(address)
+        if receiver is None:
+            endpoint = Endpoint.parse(address)
+            receiver = (endpoint.host, endpoint.port)
+            self._receivers[address] = receiver
+        self._transport.sendto(datagram, receiver)
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -76,7 +76,7 @@
         """Register, then publish and rediscover peers until cancelled."""
         await self._is_loaded.wait()
         await self._write_with_retries()
-        self._heartbeats.send_heartbeat(to_all_regions=True)
+        self._heartbeats.send_news()
         while True:
             await self._publish_or_rediscover()
 
--- a/src/catkindrift/gateway/_urgent_heartbeats.py
+++ b/src/catkindrift/gateway/_urgent_heartbeats.py
@@ -41,4 +41,4 @@
     def _send(self) -> None:
         self._timer = None
         self._due_ms = self._clock.now_ms() + _MIN_INTERVAL_MS
-        self._heartbeats.send_heartbeat(to_all_regions=True)
+        self._heartbeats.send_news()
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -9,11 +9,15 @@
 from catkindrift.steering._directory_list import addresses_for, nearest
 from catkindrift.steering._distances import ZoneDistances
 from catkindrift.steering._entry_vm_record import EntryVmRecord
-from catkindrift.steering._heartbeat import Heartbeat, MemberFacts
+from catkindrift.steering._heartbeat import (
+    Heartbeat,
+    MemberFacts,
+    Sighting,
+)
 from catkindrift.steering._limit_change import LimitChange
 from catkindrift.steering._limit_notice import LimitNotice
 from catkindrift.steering._load_report import LoadReport
-from catkindrift.steering._members import Members
+from catkindrift.steering._members import MAX_DIRECT_MEMBERS, Members
 from catkindrift.steering._neighbours import neighbours_of
 from catkindrift.steering._placement import Placement
 from catkindrift.steering._placement_request import PlacementRequest
@@ -39,6 +43,7 @@
 from catkindrift.steering._upstream_state import UpstreamState
 
 __all__ = [
+    'MAX_DIRECT_MEMBERS',
     'CallerLimits',
     'CandidateOrder',
     'ChoiceReason',
@@ -63,6 +68,7 @@
     'ServiceLatency',
     'ServiceRules',
     'SharedRetryBudget',
+    'Sighting',
     'SteeringBounds',
     'TimeSpan',
     'UnseenRestarts',
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -1,6 +1,6 @@
 """Heartbeats that entry VMs send to each other."""
 
-from typing import final
+from typing import NamedTuple, final
 
 import attrs
 
@@ -47,6 +47,29 @@
         return (self.started_ms, self.count)
 
 
+@final
+class Sighting(NamedTuple):
+    """Sign of life of an entry VM whose facts the receiver knows.
+
+    It is encoded as a list, so that one heartbeat can carry many.
+
+    Args:
+        name: Name of the VM.
+        started_ms: Wall time of its process start.
+        count: Sequence number of its newest heartbeat that is known.
+        age_ms: Time since it has sent that one.
+        is_ready: Whether callers may be sent to it.
+        reaches_upstreams: Whether it is not cut off from all upstreams.
+    """
+
+    name: str
+    started_ms: int
+    count: int
+    age_ms: int
+    is_ready: bool
+    reaches_upstreams: bool
+
+
 @final
 @attrs.frozen
 class Heartbeat:
@@ -66,6 +89,7 @@
         reached_age_ms: Time since the sender has reached an upstream; None if
             it has not, or is cut off from all.
         heard_ages_ms: Time since each VM of `heard` has sent these facts.
+        sightings: Signs of life of other VMs; none from builds without them.
     """
 
     sender: MemberFacts
@@ -78,3 +102,4 @@
     unheard: tuple[tuple[str, int], ...] = ()
     reached_age_ms: int | None = None
     heard_ages_ms: tuple[int, ...] = ()
+    sightings: tuple[Sighting, ...] = ()
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -7,11 +7,19 @@
 import attrs
 
 from catkindrift.clock import Clock
-from catkindrift.steering._heartbeat import Heartbeat, MemberFacts
-
-# A VM counts as alive while its heartbeats arrive; this tolerates six
-# consecutive lost heartbeats.
+from catkindrift.steering._heartbeat import (
+    Heartbeat,
+    MemberFacts,
+    Sighting,
+)
+
+# A VM counts as alive while news of it arrive; of few VMs each hears all
+# others itself, and this tolerates six consecutive lost heartbeats.
 _HEARTBEAT_TIMEOUT_MS = 2500
+# Of many VMs, most are heard of by way of others, at random.
+_GOSSIP_TIMEOUT_MS = 4000
+# Number of other VMs up to which each is sent every heartbeat.
+MAX_DIRECT_MEMBERS = 16
 # What others tell of a VM may be news here and old all the same.
 _MAX_AGE_MS = 5000
 # Silent VMs keep their shares of the common limits for this time, since they
@@ -35,20 +43,17 @@
     updated_ms: int
     sent_ms: int
 
-    def update(self, facts: MemberFacts, sent_ms: int, now_ms: int) -> bool:
-        """Take newer facts and return whether the VM has become alive."""
-        if facts.version <= self.facts.version:
-            return False
-        was_alive = self.is_alive(now_ms)
-        self.facts = facts
-        self.updated_ms = now_ms
-        self.sent_ms = max(self.sent_ms, sent_ms)
-        return self.is_alive(now_ms) and not was_alive
-
-    def is_alive(self, now_ms: int) -> bool:
+    def update(self, facts: MemberFacts, sent_ms: int, now_ms: int) -> None:
+        """Take newer facts; ignore others."""
+        if facts.version > self.facts.version:
+            self.facts = facts
+            self.updated_ms = now_ms
+            self.sent_ms = max(self.sent_ms, sent_ms)
+
+    def is_alive(self, now_ms: int, timeout_ms: int) -> bool:
         """Return whether the VM was heard of lately."""
         return (
-            now_ms - self.updated_ms < _HEARTBEAT_TIMEOUT_MS
+            now_ms - self.updated_ms < timeout_ms
             and now_ms - self.sent_ms < _MAX_AGE_MS
         )
 
@@ -140,10 +145,26 @@
     def alive(self) -> tuple[MemberFacts, ...]:
         """Return the facts about the other entry VMs that are alive."""
         now_ms = self._clock.now_ms()
+        timeout_ms = self._timeout_ms
         return tuple(
             each.facts
             for each in self._members.values()
-            if each.is_alive(now_ms)
+            if each.is_alive(now_ms, timeout_ms)
+        )
+
+    def sighting(self, facts: MemberFacts) -> Sighting:
+        """Return what is known of the life of a VM.
+
+        Raises:
+            KeyError: The VM is unknown.
+        """
+        return Sighting(
+            facts.name,
+            facts.started_ms,
+            facts.count,
+            self.age_ms(facts.name),
+            facts.is_ready,
+            facts.reaches_upstreams,
         )
 
     def age_ms(self, name: str) -> int:
@@ -168,6 +189,8 @@
         ages_ms = itertools.chain(heartbeat.heard_ages_ms, itertools.repeat(0))
         for facts, age_ms in zip(heartbeat.heard, ages_ms, strict=False):
             self.record_facts((facts,), age_ms)
+        for sighting in heartbeat.sightings:
+            self._record_sighting(sighting)
         for name, record_age_ms in heartbeat.unheard:
             self.record_registration(name, record_age_ms)
         return is_new
@@ -189,8 +212,8 @@
                 continue
             if known is None:
                 self._members[each.name] = _Member(each, now_ms, sent_ms)
-            elif known.update(each, sent_ms, now_ms):
-                self.last_recovery_ms = now_ms
+            else:
+                self._update(known, each, sent_ms)
 
     def record_registration(self, name: str, age_ms: int) -> None:
         """Record that a VM has written its record in the store.
@@ -223,6 +246,41 @@
         """Record that this VM has written its record in the store."""
         self._known_to_others_ms = self._clock.now_ms()
 
+    @property
+    def _timeout_ms(self) -> int:
+        if len(self._members) > MAX_DIRECT_MEMBERS:
+            return _GOSSIP_TIMEOUT_MS
+        return _HEARTBEAT_TIMEOUT_MS
+
+    def _record_sighting(self, seen: Sighting) -> None:
+        """Take a sign of life; a process that is new here tells its facts."""
+        known = self._members.get(seen.name)
+        if known is None or known.facts.started_ms != seen.started_ms:
+            return
+        facts = known.facts
+        if seen.count <= facts.count:
+            return
+        newer = MemberFacts(
+            facts.name,
+            facts.started_ms,
+            facts.zone,
+            facts.region,
+            facts.callers,
+            facts.peers,
+            seen.is_ready,
+            seen.count,
+            seen.reaches_upstreams,
+        )
+        self._update(known, newer, self._clock.now_ms() - seen.age_ms)
+
+    def _update(self, known: _Member, facts: MemberFacts, sent_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        timeout_ms = self._timeout_ms
+        was_alive = known.is_alive(now_ms, timeout_ms)
+        known.update(facts, sent_ms, now_ms)
+        if not was_alive and known.is_alive(now_ms, timeout_ms):
+            self.last_recovery_ms = now_ms
+
     def forget_silent(self) -> None:
         """Remove VMs that have been silent for the retention time."""
         oldest_ms = self._clock.now_ms() - _RETENTION_MS
