Keep the sampling of members within the style guide's limits

Change: signs of life build and apply themselves; no change of behaviour but the order of random draws.

--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -4,8 +4,8 @@
 import itertools
 import logging
 import random
-from collections.abc import Callable
-from typing import final
+from collections.abc import Callable, Sequence
+from typing import TypeVar, final
 
 import attrs
 import msgspec
@@ -20,11 +20,13 @@
     Heartbeat,
     MemberFacts,
     Members,
+    Sighting,
     UpstreamLimits,
     UpstreamReachability,
 )
 
 _LOG = logging.getLogger(__name__)
+_Item = TypeVar('_Item')
 # A VM counts as failed after several missed heartbeats.
 _INTERVAL_SECONDS = 0.5
 # Only every second heartbeat goes to other regions: that traffic is billed.
@@ -132,11 +134,11 @@
         if not to_all_regions:
             own = self._own_member.region
             known = tuple(each for each in known if each.region == own)
-        self._send_to(self._sample(known, _GOSSIP_RECEIVERS))
+        self._send_to_some(known, _GOSSIP_RECEIVERS)
 
     def send_news(self) -> None:
         """Send a heartbeat to more VMs of all regions than usual."""
-        self._send_to(self._sample(self._members.facts, MAX_DIRECT_MEMBERS))
+        self._send_to_some(self._members.facts, MAX_DIRECT_MEMBERS)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -176,12 +178,12 @@
 
     def _build_heartbeat(self) -> Heartbeat:
         alive = self._members.alive()
-        gossiped = self._rng.sample(
-            alive, min(len(alive), _MAX_GOSSIPED_MEMBERS)
+        members = self._members
+        gossiped = _sample(self._rng, alive, _MAX_GOSSIPED_MEMBERS)
+        is_gossiping = len(alive) > MAX_DIRECT_MEMBERS
+        sighted = _sample(
+            self._rng, alive, _MAX_SIGHTINGS if is_gossiping else 0
         )
-        sighted: list[MemberFacts] = []
-        if len(alive) > MAX_DIRECT_MEMBERS:
-            sighted = self._rng.sample(alive, min(len(alive), _MAX_SIGHTINGS))
         return Heartbeat(
             self._own_member,
             tuple(gossiped),
@@ -190,23 +192,23 @@
             self._health.answer_age_ms,
             self._crashes.reports.newest_cleared(),
             self._limits.notices(),
-            self._sample_unheard(),
+            tuple(
+                _sample(
+                    self._rng, members.unheard_records, _MAX_UNHEARD_MEMBERS
+                )
+            ),
             self._reachability.reached_age_ms,
-            tuple(self._members.age_ms(each.name) for each in gossiped),
-            tuple(map(self._members.sighting, sighted)),
+            tuple(members.age_ms(each.name) for each in gossiped),
+            tuple(
+                Sighting.of(each, members.age_ms(each.name)) for each in sighted
+            ),
         )
 
-    def _sample_unheard(self) -> tuple[tuple[str, int], ...]:
-        unheard = self._members.unheard_records
-        count = min(len(unheard), _MAX_UNHEARD_MEMBERS)
-        return tuple(self._rng.sample(unheard, count))
-
-    def _sample(self, known: tuple[MemberFacts, ...], count: int) -> set[str]:
-        """Return receivers: all if there are few, else `count` of them."""
-        chosen = list(known)
-        if len(chosen) > MAX_DIRECT_MEMBERS:
-            chosen = self._rng.sample(chosen, count)
-        return {*(each.peers for each in chosen), *self._seeds}
+    def _send_to_some(self, known: Sequence[MemberFacts], count: int) -> None:
+        """Send to all VMs if there are few, else to `count` of them."""
+        if len(known) > MAX_DIRECT_MEMBERS:
+            known = _sample(self._rng, known, count)
+        self._send_to({*(each.peers for each in known), *self._seeds})
 
     def _send(self, datagram: bytes, address: str) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -217,3 +219,10 @@
             receiver = (endpoint.host, endpoint.port)
             self._receivers[address] = receiver
         self._transport.sendto(datagram, receiver)
+
+
+def _sample(
+    rng: random.Random, known: Sequence[_Item], count: int
+) -> list[_Item]:
+    """Return `count` random items, or all if there are fewer."""
+    return rng.sample(known, min(len(known), count))
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -56,7 +56,7 @@
     Args:
         name: Name of the VM.
         started_ms: Wall time of its process start.
-        count: Sequence number of its newest heartbeat that is known.
+        sequence: Number of its newest heartbeat that is known.
         age_ms: Time since it has sent that one.
         is_ready: Whether callers may be sent to it.
         reaches_upstreams: Whether it is not cut off from all upstreams.
@@ -64,11 +64,51 @@
 
     name: str
     started_ms: int
-    count: int
+    sequence: int
     age_ms: int
     is_ready: bool
     reaches_upstreams: bool
 
+    @classmethod
+    def of(cls, facts: MemberFacts, age_ms: int) -> 'Sighting':
+        """Return a sign of life of a VM.
+
+        Args:
+            facts: What is known of it.
+            age_ms: Time since it has sent that.
+        """
+        return cls(
+            facts.name,
+            facts.started_ms,
+            facts.count,
+            age_ms,
+            facts.is_ready,
+            facts.reaches_upstreams,
+        )
+
+    def newer_facts(self, known: MemberFacts) -> MemberFacts | None:
+        """Return the facts with this news, None if it brings none.
+
+        A process that is new to the receiver has to tell its facts first.
+
+        Args:
+            known: Facts about the same VM.
+        """
+        is_same_process = known.started_ms == self.started_ms
+        if not is_same_process or self.sequence <= known.count:
+            return None
+        return MemberFacts(
+            known.name,
+            known.started_ms,
+            known.zone,
+            known.region,
+            known.callers,
+            known.peers,
+            self.is_ready,
+            self.sequence,
+            self.reaches_upstreams,
+        )
+
 
 @final
 @attrs.frozen
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -1,7 +1,7 @@
 """Membership and liveness of entry VMs."""
 
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import final
 
 import attrs
@@ -43,12 +43,17 @@
     updated_ms: int
     sent_ms: int
 
-    def update(self, facts: MemberFacts, sent_ms: int, now_ms: int) -> None:
-        """Take newer facts; ignore others."""
-        if facts.version > self.facts.version:
-            self.facts = facts
-            self.updated_ms = now_ms
-            self.sent_ms = max(self.sent_ms, sent_ms)
+    def update(
+        self, facts: MemberFacts, sent_ms: int, now_ms: int, timeout_ms: int
+    ) -> bool:
+        """Take newer facts and return whether the VM has become alive."""
+        if facts.version <= self.facts.version:
+            return False
+        was_alive = self.is_alive(now_ms, timeout_ms)
+        self.facts = facts
+        self.updated_ms = now_ms
+        self.sent_ms = max(self.sent_ms, sent_ms)
+        return self.is_alive(now_ms, timeout_ms) and not was_alive
 
     def is_alive(self, now_ms: int, timeout_ms: int) -> bool:
         """Return whether the VM was heard of lately."""
@@ -145,28 +150,13 @@
     def alive(self) -> tuple[MemberFacts, ...]:
         """Return the facts about the other entry VMs that are alive."""
         now_ms = self._clock.now_ms()
-        timeout_ms = self._timeout_ms
+        timeout_ms = _timeout_ms(len(self._members))
         return tuple(
             each.facts
             for each in self._members.values()
             if each.is_alive(now_ms, timeout_ms)
         )
 
-    def sighting(self, facts: MemberFacts) -> Sighting:
-        """Return what is known of the life of a VM.
-
-        Raises:
-            KeyError: The VM is unknown.
-        """
-        return Sighting(
-            facts.name,
-            facts.started_ms,
-            facts.count,
-            self.age_ms(facts.name),
-            facts.is_ready,
-            facts.reaches_upstreams,
-        )
-
     def age_ms(self, name: str) -> int:
         """Return the time since a VM has sent what is known of it.
 
@@ -187,10 +177,12 @@
         self.record_facts((sender,))
         # VMs of an older version tell no ages.
         ages_ms = itertools.chain(heartbeat.heard_ages_ms, itertools.repeat(0))
-        for facts, age_ms in zip(heartbeat.heard, ages_ms, strict=False):
+        told = itertools.chain(
+            zip(heartbeat.heard, ages_ms, strict=False),
+            _newer_facts(self._members, heartbeat.sightings),
+        )
+        for facts, age_ms in told:
             self.record_facts((facts,), age_ms)
-        for sighting in heartbeat.sightings:
-            self._record_sighting(sighting)
         for name, record_age_ms in heartbeat.unheard:
             self.record_registration(name, record_age_ms)
         return is_new
@@ -206,14 +198,15 @@
         """
         now_ms = self._clock.now_ms()
         sent_ms = now_ms - age_ms
+        timeout_ms = _timeout_ms(len(self._members))
         for each in facts:
             known = self._members.get(each.name)
             if each.name == self._own_name:
                 continue
             if known is None:
                 self._members[each.name] = _Member(each, now_ms, sent_ms)
-            else:
-                self._update(known, each, sent_ms)
+            elif known.update(each, sent_ms, now_ms, timeout_ms):
+                self.last_recovery_ms = now_ms
 
     def record_registration(self, name: str, age_ms: int) -> None:
         """Record that a VM has written its record in the store.
@@ -246,41 +239,6 @@
         """Record that this VM has written its record in the store."""
         self._known_to_others_ms = self._clock.now_ms()
 
-    @property
-    def _timeout_ms(self) -> int:
-        if len(self._members) > MAX_DIRECT_MEMBERS:
-            return _GOSSIP_TIMEOUT_MS
-        return _HEARTBEAT_TIMEOUT_MS
-
-    def _record_sighting(self, seen: Sighting) -> None:
-        """Take a sign of life; a process that is new here tells its facts."""
-        known = self._members.get(seen.name)
-        if known is None or known.facts.started_ms != seen.started_ms:
-            return
-        facts = known.facts
-        if seen.count <= facts.count:
-            return
-        newer = MemberFacts(
-            facts.name,
-            facts.started_ms,
-            facts.zone,
-            facts.region,
-            facts.callers,
-            facts.peers,
-            seen.is_ready,
-            seen.count,
-            seen.reaches_upstreams,
-        )
-        self._update(known, newer, self._clock.now_ms() - seen.age_ms)
-
-    def _update(self, known: _Member, facts: MemberFacts, sent_ms: int) -> None:
-        now_ms = self._clock.now_ms()
-        timeout_ms = self._timeout_ms
-        was_alive = known.is_alive(now_ms, timeout_ms)
-        known.update(facts, sent_ms, now_ms)
-        if not was_alive and known.is_alive(now_ms, timeout_ms):
-            self.last_recovery_ms = now_ms
-
     def forget_silent(self) -> None:
         """Remove VMs that have been silent for the retention time."""
         oldest_ms = self._clock.now_ms() - _RETENTION_MS
@@ -291,3 +249,21 @@
         ]
         for name in silent:
             self._members.pop(name)
+
+
+def _newer_facts(
+    known: Mapping[str, _Member], sightings: Iterable[Sighting]
+) -> Iterator[tuple[MemberFacts, int]]:
+    """Yield facts about known VMs with later signs of life, and their ages."""
+    for seen in sightings:
+        member = known.get(seen.name)
+        facts = seen.newer_facts(member.facts) if member else None
+        if facts:
+            yield facts, seen.age_ms
+
+
+def _timeout_ms(known: int) -> int:
+    """Return after how long without news one of `known` VMs is dead."""
+    if known > MAX_DIRECT_MEMBERS:
+        return _GOSSIP_TIMEOUT_MS
+    return _HEARTBEAT_TIMEOUT_MS
--- a/tests/test_membership_at_size.py
+++ b/tests/test_membership_at_size.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+from collections import deque
 from types import SimpleNamespace
 
 import attrs
@@ -45,6 +46,7 @@
     members: list = attrs.field(init=False)
     heartbeats: list = attrs.field(init=False)
     dead: set = attrs.field(factory=set)
+    handled: deque = attrs.field(factory=lambda: deque(maxlen=1))
     datagrams: int = 0
     size_bytes: int = 0
     _events: list = attrs.field(factory=list)
@@ -119,11 +121,11 @@
             SimpleNamespace(answer_age_ms=1000),
             SimpleNamespace(notices=tuple),
             SimpleNamespace(reached_age_ms=10),
-            lambda _heartbeat: None,
+            self.handled.append,
         )
         heartbeats._rng = random.Random(number)
         heartbeats.connection_made(
-            SimpleNamespace(sendto=self.send, is_closing=lambda: False)
+            SimpleNamespace(sendto=self.send, is_closing=bool)
         )
         return heartbeats
 
