Send signs of life to fewer entry VMs, and seeds nothing once they are known

Change: an address known of a live VM is no seed. A sign of life names a process by a hash (17 bytes); those sent are the newer half of a random choice. Above 16 VMs a heartbeat goes to 6 VMs of the region and, every second one, to 3 of other regions, since that traffic is priced; news go to 16 as before.

--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+import operator
 import random
 from collections.abc import Callable, Sequence
 from typing import TypeVar, final
@@ -31,11 +32,15 @@
 _INTERVAL_SECONDS = 0.5
 # Only every second heartbeat goes to other regions: that traffic is billed.
 _ALL_REGIONS_EVERY = 2
-# Receivers of one heartbeat if there are more VMs than `MAX_DIRECT_MEMBERS`;
-# these gossip the sender's state to the others.
-_GOSSIP_RECEIVERS = 10
-# Signs of life of others in one heartbeat; each takes about 30 bytes.
+# Receivers of one heartbeat in the own region and in all others, if there are
+# more VMs than `MAX_DIRECT_MEMBERS`; they gossip the sender's state.
+_NEAR_RECEIVERS = 6
+_FAR_RECEIVERS = 3
+# Signs of life of others in one heartbeat; each takes about 17 bytes.
 _MAX_SIGHTINGS = 40
+# They are the newest of so many times more: those are news to most receivers,
+# and the random part keeps any VM from being left out.
+_SIGHTING_CHOICES = 2
 # Records of other VMs that one heartbeat carries.
 _MAX_GOSSIPED_MEMBERS = 2
 # Names of VMs that are known from the store only; each takes about 30 bytes.
@@ -72,7 +77,7 @@
     _limits: UpstreamLimits
     _reachability: UpstreamReachability
     _on_heartbeat: Callable[[Heartbeat], None]
-    _receivers: dict[str, tuple[str, int]] = attrs.field(
+    _endpoints: dict[str, tuple[str, int]] = attrs.field(
         init=False, factory=dict
     )
     _seeds: set[str] = attrs.field(init=False, factory=set)
@@ -131,14 +136,20 @@
             to_all_regions: Whether VMs of other regions receive it too.
         """
         known = self._members.facts
-        if not to_all_regions:
-            own = self._own_member.region
-            known = tuple(each for each in known if each.region == own)
-        self._send_to_some(known, _GOSSIP_RECEIVERS)
+        own = self._own_member.region
+        chosen = [each for each in known if each.region == own]
+        far = [each for each in known if each.region != own]
+        if len(known) > MAX_DIRECT_MEMBERS:
+            chosen = _sample(self._rng, chosen, _NEAR_RECEIVERS)
+            far = _sample(self._rng, far, _FAR_RECEIVERS)
+        if to_all_regions:
+            chosen += far
+        self._send_to_all(chosen)
 
     def send_news(self) -> None:
         """Send a heartbeat to more VMs of all regions than usual."""
-        self._send_to_some(self._members.facts, MAX_DIRECT_MEMBERS)
+        known = self._members.facts
+        self._send_to_all(_sample(self._rng, known, MAX_DIRECT_MEMBERS))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -177,47 +188,43 @@
             self._send(datagram, address)
 
     def _build_heartbeat(self) -> Heartbeat:
-        alive = self._members.alive()
         members = self._members
-        gossiped = _sample(self._rng, alive, _MAX_GOSSIPED_MEMBERS)
-        is_gossiping = len(alive) > MAX_DIRECT_MEMBERS
-        sighted = _sample(
-            self._rng, alive, _MAX_SIGHTINGS if is_gossiping else 0
-        )
+        alive = members.alive()
+        heard = _sample(self._rng, alive, _MAX_GOSSIPED_MEMBERS)
+        sightings: tuple[Sighting, ...] = ()
+        if len(alive) > MAX_DIRECT_MEMBERS:
+            heard = heard[:1]
+            sightings = _sightings(self._rng, members, alive)
+        unheard = members.unheard_records
         return Heartbeat(
             self._own_member,
-            tuple(gossiped),
+            tuple(heard),
             self._revisions(),
             self._crashes.reports.next_crashes(),
             self._health.answer_age_ms,
             self._crashes.reports.newest_cleared(),
             self._limits.notices(),
-            tuple(
-                _sample(
-                    self._rng, members.unheard_records, _MAX_UNHEARD_MEMBERS
-                )
-            ),
+            tuple(_sample(self._rng, unheard, _MAX_UNHEARD_MEMBERS)),
             self._reachability.reached_age_ms,
-            tuple(members.age_ms(each.name) for each in gossiped),
-            tuple(
-                Sighting.of(each, members.age_ms(each.name)) for each in sighted
-            ),
+            tuple(members.age_ms(each.name) for each in heard),
+            sightings,
         )
 
-    def _send_to_some(self, known: Sequence[MemberFacts], count: int) -> None:
-        """Send to all VMs if there are few, else to `count` of them."""
-        if len(known) > MAX_DIRECT_MEMBERS:
-            known = _sample(self._rng, known, count)
-        self._send_to({*(each.peers for each in known), *self._seeds})
+    def _send_to_all(self, chosen: Sequence[MemberFacts]) -> None:
+        """Send to VMs, and to addresses that nothing is known of."""
+        if self._seeds:
+            alive = self._members.alive()
+            self._seeds.difference_update(each.peers for each in alive)
+        self._send_to({*(each.peers for each in chosen), *self._seeds})
 
     def _send(self, datagram: bytes, address: str) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        receiver = self._receivers.get(address)
+        receiver = self._endpoints.get(address)
         if receiver is None:
             endpoint = Endpoint.parse(address)
             receiver = (endpoint.host, endpoint.port)
-            self._receivers[address] = receiver
+            self._endpoints[address] = receiver
         self._transport.sendto(datagram, receiver)
 
 
@@ -226,3 +233,15 @@
 ) -> list[_Item]:
     """Return `count` random items, or all if there are fewer."""
     return rng.sample(known, min(len(known), count))
+
+
+def _sightings(
+    rng: random.Random, members: Members, alive: Sequence[MemberFacts]
+) -> tuple[Sighting, ...]:
+    """Return signs of life of some VMs, the newest of those chosen."""
+    seen = [
+        Sighting.of(each, members.age_ms(each.name))
+        for each in _sample(rng, alive, _MAX_SIGHTINGS * _SIGHTING_CHOICES)
+    ]
+    seen.sort(key=operator.attrgetter('age_ms'))
+    return tuple(seen[:_MAX_SIGHTINGS])
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple, final
 
 import attrs
+import xxhash
 
 from catkindrift.blame import Cleared, Crash
 from catkindrift.steering._limit_notice import LimitNotice
@@ -41,6 +42,12 @@
         """Whether the VM takes requests and reaches upstreams."""
         return self.is_ready and self.reaches_upstreams
 
+    @property
+    def process(self) -> int:
+        """Hash of the name and the start of the process, 64 bits."""
+        identity = f'{self.name}/{self.started_ms}'
+        return int(xxhash.xxh3_64_intdigest(identity.encode()))
+
     @property
     def version(self) -> tuple[int, int]:
         """Version of the facts about one VM; newer facts compare greater."""
@@ -51,19 +58,17 @@
 class Sighting(NamedTuple):
     """Sign of life of an entry VM whose facts the receiver knows.
 
-    It is encoded as a list, so that one heartbeat can carry many.
+    It is encoded as a short list, so that one heartbeat can carry many.
 
     Args:
-        name: Name of the VM.
-        started_ms: Wall time of its process start.
+        process: Hash of the VM's name and the start of its process.
         sequence: Number of its newest heartbeat that is known.
         age_ms: Time since it has sent that one.
         is_ready: Whether callers may be sent to it.
         reaches_upstreams: Whether it is not cut off from all upstreams.
     """
 
-    name: str
-    started_ms: int
+    process: int
     sequence: int
     age_ms: int
     is_ready: bool
@@ -78,8 +83,7 @@
             age_ms: Time since it has sent that.
         """
         return cls(
-            facts.name,
-            facts.started_ms,
+            facts.process,
             facts.count,
             age_ms,
             facts.is_ready,
@@ -89,13 +93,10 @@
     def newer_facts(self, known: MemberFacts) -> MemberFacts | None:
         """Return the facts with this news, None if it brings none.
 
-        A process that is new to the receiver has to tell its facts first.
-
         Args:
-            known: Facts about the same VM.
+            known: Facts about the same process.
         """
-        is_same_process = known.started_ms == self.started_ms
-        if not is_same_process or self.sequence <= known.count:
+        if self.sequence <= known.count:
             return None
         return MemberFacts(
             known.name,
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -1,7 +1,7 @@
 """Membership and liveness of entry VMs."""
 
 import itertools
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import final
 
 import attrs
@@ -42,6 +42,11 @@
     facts: MemberFacts
     updated_ms: int
     sent_ms: int
+    process: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Identify the process."""
+        self.process = self.facts.process
 
     def update(
         self, facts: MemberFacts, sent_ms: int, now_ms: int, timeout_ms: int
@@ -49,6 +54,8 @@
         """Take newer facts and return whether the VM has become alive."""
         if facts.version <= self.facts.version:
             return False
+        if facts.started_ms != self.facts.started_ms:
+            self.process = facts.process
         was_alive = self.is_alive(now_ms, timeout_ms)
         self.facts = facts
         self.updated_ms = now_ms
@@ -179,7 +186,7 @@
         ages_ms = itertools.chain(heartbeat.heard_ages_ms, itertools.repeat(0))
         told = itertools.chain(
             zip(heartbeat.heard, ages_ms, strict=False),
-            _newer_facts(self._members, heartbeat.sightings),
+            _newer_facts(self._members.values(), heartbeat.sightings),
         )
         for facts, age_ms in told:
             self.record_facts((facts,), age_ms)
@@ -252,11 +259,15 @@
 
 
 def _newer_facts(
-    known: Mapping[str, _Member], sightings: Iterable[Sighting]
+    known: Iterable[_Member], sightings: Sequence[Sighting]
 ) -> Iterator[tuple[MemberFacts, int]]:
-    """Yield facts about known VMs with later signs of life, and their ages."""
+    """Yield facts about known VMs with later signs of life, and their ages.
+
+    A process that is not known here has to tell its facts first.
+    """
+    by_process = {each.process: each for each in known} if sightings else {}
     for seen in sightings:
-        member = known.get(seen.name)
+        member = by_process.get(seen.process)
         facts = seen.newer_facts(member.facts) if member else None
         if facts:
             yield facts, seen.age_ms
--- a/tests/test_membership_at_size.py
+++ b/tests/test_membership_at_size.py
@@ -25,6 +25,10 @@
 NAMED_MS = 7000
 # Share of pairs of VMs that may take each other for dead at any moment.
 TOLERATED = 0.001
+# Two heartbeats a second to 16 VMs, as where each hears all others itself.
+MAX_DATAGRAMS_PER_SECOND = 32
+# For control, a VM may send 10 KB a second.
+MAX_BYTES_PER_SECOND = 10_000
 
 
 def address(number):
@@ -154,6 +158,35 @@
     assert max(shares) < TOLERATED
 
 
+@pytest.fixture(scope='module')
+def seeded_fleet():
+    """Run VMs that know the addresses of all others from the store.
+
+    The figures are those of one second after the fleet has settled.
+    """
+    fleet = Fleet(195)
+    for heartbeats in fleet.heartbeats:
+        for other in range(fleet.size):
+            heartbeats.add_seed(address(other))
+    fleet.run(SETTLED_MS)
+    fleet.datagrams = 0
+    fleet.size_bytes = 0
+    fleet.run(1000)
+    return fleet
+
+
+def test_heartbeats_go_to_few(seeded_fleet):
+    """Guard against datagrams to each address that was ever known."""
+    datagrams = seeded_fleet.datagrams / seeded_fleet.size
+    assert datagrams <= MAX_DATAGRAMS_PER_SECOND
+
+
+def test_heartbeats_take_few_bytes(seeded_fleet):
+    """Control traffic stays within its share of a VM's link."""
+    sent = seeded_fleet.size_bytes / seeded_fleet.size
+    assert sent <= MAX_BYTES_PER_SECOND
+
+
 def test_vm_that_ends_leaves_all_lists_in_time():
     """Guard against a directory that names a VM long after it has ended."""
     fleet = Fleet(195)
