--- a/src/catkindrift/gateway/_handed_over_requests.py
+++ b/src/catkindrift/gateway/_handed_over_requests.py
@@ -1,6 +1,7 @@
 """Requests that other entry VMs hand over to this one."""
 
 import contextlib
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, final
 
@@ -14,6 +15,9 @@
 CALLER_HEADER: Final = b'catkindrift-caller'
 # In a refusal by a VM that is cut off itself.
 CUT_OFF_HEADER: Final = b'catkindrift-cut-off'
+# Version of the configuration by which the sender has found the route.
+CONFIGURATION_HEADER: Final = b'catkindrift-configuration'
+_OWN_HEADERS = frozenset((CALLER_HEADER, CONFIGURATION_HEADER))
 # More at a time would delay this VM's own callers.
 _MAX_IN_FLIGHT = 256
 
@@ -28,12 +32,14 @@
         other_pages: Handler of requests that are not handed over.
         reachability: Whether this VM is cut off from all upstreams.
         metrics: Counts the requests.
+        version: Returns the version of the configuration in force.
     """
 
     _forwarder: Handler
     _other_pages: Handler
     _reachability: UpstreamReachability
     _metrics: GatewayMetrics
+    _version: Callable[[], int]
     _in_flight: int = attrs.field(init=False, default=0)
 
     async def __call__(self, request: CallerRequest) -> Response:
@@ -42,7 +48,8 @@
         if not caller:
             return await self._other_pages(request)
         is_full = self._in_flight >= _MAX_IN_FLIGHT
-        if self._reachability.is_cut_off or is_full:
+        is_older = self._version() < _sent_version(request)
+        if self._reachability.is_cut_off or is_full or is_older:
             self._metrics.handed_over_requests.labels('refused').inc()
             return Response(
                 HTTPStatus.SERVICE_UNAVAILABLE, [(CUT_OFF_HEADER, b'1')]
@@ -57,10 +64,16 @@
         self._in_flight -= 1
 
 
+def _sent_version(request: CallerRequest) -> int:
+    """Return the sender's configuration; 0 from builds that don't tell it."""
+    sent = request.header(CONFIGURATION_HEADER)
+    return int(sent) if sent.isdigit() else 0
+
+
 def _as_sent(request: CallerRequest, caller: bytes) -> CallerRequest:
     """Return a request as its caller sent it to the other entry VM."""
     headers = [
-        each for each in request.headers if each[0].lower() != CALLER_HEADER
+        each for each in request.headers if each[0].lower() not in _OWN_HEADERS
     ]
     return attrs.evolve(
         request, headers=headers, caller=caller.decode('latin-1')
--- a/src/catkindrift/gateway/_handover.py
+++ b/src/catkindrift/gateway/_handover.py
@@ -4,6 +4,7 @@
 import functools
 import random
 from collections import Counter
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import final
 
@@ -12,6 +13,7 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._handed_over_requests import (
     CALLER_HEADER,
+    CONFIGURATION_HEADER,
     CUT_OFF_HEADER,
 )
 from catkindrift.gateway._metrics import GatewayMetrics
@@ -64,6 +66,7 @@
         refusals: Refuses what no VM takes.
         metrics: Counts outcomes.
         log: Log of requests.
+        version: Returns the version of the configuration in force.
     """
 
     _clock: Clock
@@ -73,6 +76,7 @@
     _refusals: Refusals
     _metrics: GatewayMetrics
     _log: RequestLog
+    _version: Callable[[], int]
     _connections: ConnectionPool = attrs.field(init=False)
     _in_flight: Counter[str] = attrs.field(init=False, factory=Counter)
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
@@ -153,7 +157,10 @@
         exchange = Exchange(request, connection, pending.matches_response)
         left_ms = pending.deadline_ms - self._clock.now_ms()
         headers = with_deadline(end_to_end(request.headers), max(1, left_ms))
-        headers.append((CALLER_HEADER, request.caller.encode()))
+        headers += [
+            (CALLER_HEADER, request.caller.encode()),
+            (CONFIGURATION_HEADER, b'%d' % self._version()),
+        ]
         pending.may_have_run = True
         exchange.send_head(request.target, headers)
         try:
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -256,6 +256,7 @@
             refusals,
             self.metrics,
             self.log,
+            self._configuration_version,
         )
         self._listen(
             attrs.evolve(own_forwarder, handover=self.handover), own_forwarder
@@ -275,6 +276,7 @@
             ZoneChangesPage(clock, self.watches.find_shared_watch),
             self.reachability,
             self.metrics,
+            self._configuration_version,
         )
         self.caller_server = HttpServer(clock, forwarder, self._caller_limits)
         self.servers = [
@@ -316,6 +318,10 @@
         known = self.registry.find(upstream_id)
         return known.upstream if known else None
 
+    def _configuration_version(self) -> int:
+        configuration = self.state.configuration
+        return configuration.version if configuration else 0
+
     def _cold_start_ms(self, service: str) -> int:
         rules = self.state.rules.get(service)
         return rules.cold_start_ms if rules else 0
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 
+import attrs
 import pytest
 
 from tests.platform_deployment import (
@@ -180,6 +181,30 @@
     run(scenario())
 
 
+def test_hand_over_keeps_to_the_configuration(tmp_path):
+    """A VM that has an older configuration does not answer for a newer one."""
+
+    async def scenario():
+        async with stranded(tmp_path, 'refuse') as (deployment, _):
+            await cut_off(deployment)
+            late = deployment.gateways[1]._parts.state
+            late.configuration = attrs.evolve(
+                late.configuration,
+                version=late.configuration.version - 1,
+                routes=(),
+            )
+            answers = [
+                await ask(
+                    deployment.address(),
+                    head(f'/safe/{number}', 'GET', f'o{number}'),
+                )
+                for number in range(8)
+            ]
+            assert {status for status, _, _ in answers} == {200}
+
+    run(scenario())
+
+
 def test_body_is_not_handed_over_to_another_region(tmp_path):
     """A route with homes is refused if no VM there reaches upstreams."""
     homes = {**UNSAFE, 'home_regions': ['cantabria']}
