--- a/benchmarks/heartbeats.py
+++ b/benchmarks/heartbeats.py
@@ -6,11 +6,18 @@
 
 from benchmarks.report import show
 from catkindrift.clock import ManualClock
-from catkindrift.steering import Heartbeat, MemberFacts, Members
+from catkindrift.steering import (
+    MAX_DIRECT_MEMBERS,
+    Heartbeat,
+    MemberFacts,
+    Members,
+    Sighting,
+)
 
 ROUNDS = 20_000
 ANSWER_AGE_MS = 1400
 NANOSECONDS_PER_MICROSECOND = 1000
+MAX_SIGHTINGS = 40
 REVISIONS = {'config': 1234, 'servers': 5678, 'evacuations': 91}
 
 
@@ -28,6 +35,15 @@
     )
 
 
+def sightings(members):
+    """Return the signs of life that a heartbeat carries."""
+    count = MAX_SIGHTINGS if members > MAX_DIRECT_MEMBERS else 0
+    return tuple(
+        Sighting.of(sample_facts(index, 1), age_ms=index)
+        for index in range(3, 3 + count)
+    )
+
+
 def measure(members):
     """Return the table row for a number of known entry VMs."""
     known = Members(ManualClock(0), 'own')
@@ -36,7 +52,12 @@
     decoder = msgspec.msgpack.Decoder(Heartbeat)
     heard = (sample_facts(1, 1), sample_facts(2, 1))
     heartbeat = Heartbeat(
-        sample_facts(0, 1), heard, REVISIONS, (), ANSWER_AGE_MS
+        sample_facts(0, 1),
+        heard,
+        REVISIONS,
+        (),
+        ANSWER_AGE_MS,
+        sightings=sightings(members),
     )
     datagram = encoder.encode(heartbeat)
     started = time.perf_counter_ns()
