--- a/tests/test_membership_at_size.py
+++ b/tests/test_membership_at_size.py
@@ -146,7 +146,7 @@
         )
 
 
-@pytest.mark.parametrize('size', [72, 195])
+@pytest.mark.parametrize('size', [18, 27, 72, 195])
 def test_live_vms_do_not_count_as_dead(size):
     """Guard against roles and retries that change with each heartbeat."""
     fleet = Fleet(size)
