Take the import cycle out of the settings packages

Cause: settings/_gateway_loader.py imports strict_settings, which imported read_document from settings. Change: TOML files have a module of their own, toml_document. The new test in tests/test_start.py failed before: strict_settings loaded catkindrift.settings.

--- a/src/catkindrift/cli/_processes.py
+++ b/src/catkindrift/cli/_processes.py
@@ -15,8 +15,9 @@
 from catkindrift.entry_settings import Deployment, EntrySettings
 from catkindrift.report import Objectives
 from catkindrift.server import EntryVm
-from catkindrift.settings import GatewaySettings, read_document
+from catkindrift.settings import GatewaySettings
 from catkindrift.strict_settings import load_settings
+from catkindrift.toml_document import read_document
 
 _THREAD_SWITCH_SECONDS = 0.0005
 
--- a/src/catkindrift/gateway/_settings_file.py
+++ b/src/catkindrift/gateway/_settings_file.py
@@ -7,11 +7,8 @@
 import attrs
 
 from catkindrift.errors import SettingsFileError
-from catkindrift.settings import (
-    GatewaySettings,
-    parse_gateway_settings,
-    read_text,
-)
+from catkindrift.settings import GatewaySettings, parse_gateway_settings
+from catkindrift.toml_document import read_text
 
 
 @final
--- a/src/catkindrift/settings/__init__.py
+++ b/src/catkindrift/settings/__init__.py
@@ -1,6 +1,5 @@
-"""Settings of an entry VM on the users' platform, and TOML files."""
+"""Settings of an entry VM on the users' platform."""
 
-from catkindrift.settings._document import read_document, read_text
 from catkindrift.settings._endpoint import Endpoint, check_endpoint
 from catkindrift.settings._gateway import (
     GatewayBoundSettings,
@@ -24,6 +23,4 @@
     'check_endpoint',
     'load_gateway_settings',
     'parse_gateway_settings',
-    'read_document',
-    'read_text',
 ]
--- a/src/catkindrift/settings/_gateway_loader.py
+++ b/src/catkindrift/settings/_gateway_loader.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from catkindrift.settings._document import parse_document, read_text
 from catkindrift.settings._gateway import GatewaySettings
+from catkindrift.toml_document import parse_document, read_text
 
 
 def load_gateway_settings(path: Path) -> GatewaySettings:
--- a/src/catkindrift/strict_settings.py
+++ b/src/catkindrift/strict_settings.py
@@ -12,7 +12,7 @@
 )
 
 from catkindrift.errors import SettingError
-from catkindrift.settings import read_document
+from catkindrift.toml_document import read_document
 
 _Settings = TypeVar('_Settings')
 
--- a/src/catkindrift/toml_document.py
+++ b/src/catkindrift/toml_document.py
@@ -6,6 +6,8 @@
 
 from catkindrift.errors import SettingsFileError
 
+__all__ = ['parse_document', 'read_document', 'read_text']
+
 
 def read_document(path: Path) -> dict[str, Any]:
     """Read a TOML file.
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -74,3 +74,19 @@
         timeout=60,
         check=True,
     )
+
+
+def test_strict_settings_load_without_the_settings_of_entry_vms():
+    """Guard against packages that import each other, as these two did."""
+    printed = subprocess.run(
+        [
+            sys.executable,
+            '-c',
+            'import sys, catkindrift.strict_settings; print(*sys.modules)',
+        ],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    assert 'catkindrift.settings' not in printed.stdout.split()
