Check the API keys of workspaces, and hide them from upstreams

Change: package workspaces/ (table of keyed digests, access check, common home regions), decoded in platform/; upstreams get the workspace's name; hand-over carries a digest; invalid configurations are refused with every mistake named. Without workspaces requests are forwarded unchanged.

--- a/src/catkindrift/errors.py
+++ b/src/catkindrift/errors.py
@@ -8,6 +8,7 @@
     'BrokenAnswerError',
     'CannotListenError',
     'CatkindriftError',
+    'ConfigurationEntryError',
     'ConflictError',
     'ForbiddenError',
     'HistoryGoneError',
@@ -115,6 +116,24 @@
     """A response broke off; the caller's connection must be closed."""
 
 
+@final
+class ConfigurationEntryError(CatkindriftError, ValueError):
+    """An entry of an operator's configuration is invalid.
+
+    Args:
+        place: Kind and name of the entry.
+        mistake: What is wrong with it.
+        remedy: What the operator can do.
+    """
+
+    def __init__(self, place: str, mistake: str, remedy: str) -> None:
+        """Store the parts as attributes besides the message."""
+        super().__init__(f'{place}: {mistake}; {remedy}')
+        self.place = place
+        self.mistake = mistake
+        self.remedy = remedy
+
+
 @final
 class MalformedLimitError(CatkindriftError):
     """An upstream names a limit that is no number of requests.
--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -18,6 +18,7 @@
 )
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.gateway._permitted_headers import headers_for_upstream
 from catkindrift.gateway._running_attempt import RunningAttempt
 from catkindrift.gateway._upstream_check import Liveness, UpstreamCheck
 from catkindrift.gateway._upstream_observer import UpstreamObserver
@@ -30,7 +31,6 @@
     Exchange,
     ResponseFailure,
     ResponseHead,
-    end_to_end,
 )
 from catkindrift.platform import (
     forwarded_headers,
@@ -169,7 +169,7 @@
         request = pending.request
         pending.may_have_run = True
         headers = forwarded_headers(
-            end_to_end(request.headers),
+            headers_for_upstream(pending),
             max(1, pending.deadline_ms - attempt.began_ms),
             attempt.upstream.id,
         )
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -26,7 +26,7 @@
 from catkindrift.gateway._request_log import RequestLog
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.http1 import CallerRequest, Response
-from catkindrift.platform import object_key, request_id
+from catkindrift.platform import api_key, object_key, request_id
 from catkindrift.steering import (
     ColdRateLimiter,
     NotPlaced,
@@ -35,6 +35,7 @@
     SharedRetryBudget,
     UpstreamLimits,
 )
+from catkindrift.workspaces import Denied, check_access, key_digest
 
 _MILLISECONDS_PER_SECOND = 1000
 _BLAME_REASONS = frozenset(
@@ -85,14 +86,30 @@
     _keyless_count: int = attrs.field(init=False, default=0)
 
     async def __call__(self, request: CallerRequest) -> Response:
-        """Return the response to one request."""
-        response = await self._handle(request)
+        """Return the response to one request of a caller."""
+        stated = api_key(request.headers)
+        return await self.forward(
+            request, key_digest(stated) if stated else None
+        )
+
+    async def forward(
+        self, request: CallerRequest, digest: bytes | None
+    ) -> Response:
+        """Return the response to one request.
+
+        Args:
+            request: The request.
+            digest: Digest of its API key; None if it has no valid one.
+        """
+        response = await self._handle(request, digest)
         self._metrics.answers.labels(str(response.status)).inc()
         took_ms = self._clock.now_ms() - request.arrived_ms
         self._metrics.answer_seconds.observe(took_ms / _MILLISECONDS_PER_SECOND)
         return response
 
-    async def _handle(self, request: CallerRequest) -> Response:
+    async def _handle(
+        self, request: CallerRequest, digest: bytes | None
+    ) -> Response:
         configuration = self._state.configuration
         if configuration is None or not self._state.is_complete:
             return self._refusals.refuse(
@@ -102,6 +119,11 @@
         route = configuration.find_route(host, request.path)
         if route is None:
             return self._refusals.refuse_unrouted(request)
+        access = check_access(
+            configuration.workspaces, digest, is_anonymous=route.is_anonymous
+        )
+        if isinstance(access, Denied):
+            return self._refusals.refuse_without_key(request)
         key = object_key(request.headers) or self._next_keyless_key()
         service = self._state.rotation(route).next_service()
         pending = PendingRequest(
@@ -113,6 +135,8 @@
             deadline_ms=request.arrived_ms
             + response_timeout_ms(route, request),
             is_urgent=configuration.is_most_urgent(route, service),
+            access=access,
+            key_digest=digest,
         )
         response = await self._serve_before_deadline(pending)
         if (
--- a/src/catkindrift/gateway/_handed_over_requests.py
+++ b/src/catkindrift/gateway/_handed_over_requests.py
@@ -1,7 +1,8 @@
 """Requests that other entry VMs hand over to this one."""
 
 import contextlib
-from collections.abc import Callable
+import re
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Final, final
 
@@ -9,7 +10,9 @@
 
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.http1 import CallerRequest, Handler, Response
+from catkindrift.platform import api_key
 from catkindrift.steering import UpstreamReachability
+from catkindrift.workspaces import key_digest
 
 # IP address of the caller; marks a request that is handed over.
 CALLER_HEADER: Final = b'catkindrift-caller'
@@ -17,7 +20,10 @@
 CUT_OFF_HEADER: Final = b'catkindrift-cut-off'
 # Version of the configuration by which the sender has found the route.
 CONFIGURATION_HEADER: Final = b'catkindrift-configuration'
-_OWN_HEADERS = frozenset((CALLER_HEADER, CONFIGURATION_HEADER))
+# Digest of the caller's API key, which itself is not handed over.
+KEY_HEADER: Final = b'catkindrift-key-digest'
+_OWN_HEADERS = frozenset((CALLER_HEADER, CONFIGURATION_HEADER, KEY_HEADER))
+_DIGEST = re.compile(rb'[0-9a-f]{32}')
 # More at a time would delay this VM's own callers.
 _MAX_IN_FLIGHT = 256
 
@@ -28,14 +34,15 @@
     """Serves requests from other entry VMs, and all other internal pages.
 
     Args:
-        forwarder: Forwards requests to upstreams, without a further hop.
+        forward: Forwards a request with the digest of its API key to
+            upstreams, without a further hop.
         other_pages: Handler of requests that are not handed over.
         reachability: Whether this VM is cut off from all upstreams.
         metrics: Counts the requests.
         version: Returns the version of the configuration in force.
     """
 
-    _forwarder: Handler
+    _forward: Callable[[CallerRequest, bytes | None], Awaitable[Response]]
     _other_pages: Handler
     _reachability: UpstreamReachability
     _metrics: GatewayMetrics
@@ -58,7 +65,9 @@
         with contextlib.ExitStack() as stack:
             self._in_flight += 1
             stack.callback(self._record_end)
-            return await self._forwarder(_as_sent(request, caller))
+            return await self._forward(
+                _as_sent(request, caller), _sent_digest(request)
+            )
 
     def _record_end(self) -> None:
         self._in_flight -= 1
@@ -70,6 +79,18 @@
     return int(sent) if sent.isdigit() else 0
 
 
+def _sent_digest(request: CallerRequest) -> bytes | None:
+    """Return the digest of the caller's API key, None if it has none.
+
+    Builds that know no workspaces send the key itself.
+    """
+    sent = request.header(KEY_HEADER)
+    if _DIGEST.fullmatch(sent):
+        return bytes.fromhex(sent.decode())
+    stated = api_key(request.headers)
+    return key_digest(stated) if stated else None
+
+
 def _as_sent(request: CallerRequest, caller: bytes) -> CallerRequest:
     """Return a request as its caller sent it to the other entry VM."""
     headers = [
--- a/src/catkindrift/gateway/_handover.py
+++ b/src/catkindrift/gateway/_handover.py
@@ -18,6 +18,7 @@
 )
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.gateway._permitted_headers import headers_for_peer
 from catkindrift.gateway._refusals import Refusals
 from catkindrift.gateway._request_log import RequestLog
 from catkindrift.gateway._upstream_response import (
@@ -30,7 +31,6 @@
     Exchange,
     Response,
     ResponseHead,
-    end_to_end,
 )
 from catkindrift.platform import with_deadline
 from catkindrift.settings import Endpoint
@@ -119,13 +119,13 @@
         self, pending: PendingRequest, tried: set[str]
     ) -> MemberFacts | None:
         """Return the less busy one of two near VMs that may take a request."""
-        homes = pending.route.home_regions
+        homes = pending.home_regions
         able = [
             each
             for each in self._members.alive()
             if each.can_serve
             and each.name not in tried
-            and (not homes or each.region in homes)
+            and (homes is None or each.region in homes)
         ]
         near = nearest(able, self._own.zone, self._own.region, _MIN_RECEIVERS)
         sample = self._rng.sample(near, min(len(near), 2))
@@ -156,7 +156,7 @@
         request = pending.request
         exchange = Exchange(request, connection, pending.matches_response)
         left_ms = pending.deadline_ms - self._clock.now_ms()
-        headers = with_deadline(end_to_end(request.headers), max(1, left_ms))
+        headers = with_deadline(headers_for_peer(pending), max(1, left_ms))
         headers += [
             (CALLER_HEADER, request.caller.encode()),
             (CONFIGURATION_HEADER, b'%d' % self._version()),
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -272,7 +272,7 @@
         )
         readiness = Readiness(lambda: self.heartbeats.own_member.can_serve)
         internal_pages = HandedOverRequests(
-            last_hop,
+            last_hop.forward,
             ZoneChangesPage(clock, self.watches.find_shared_watch),
             self.reachability,
             self.metrics,
--- a/src/catkindrift/gateway/_pending_request.py
+++ b/src/catkindrift/gateway/_pending_request.py
@@ -8,6 +8,13 @@
 from catkindrift.http1 import CallerRequest, Response, ResponseHead
 from catkindrift.platform import is_from_upstream, matches_attempt, remaining_ms
 from catkindrift.steering import Placed, PlacementRequest, Route
+from catkindrift.workspaces import (
+    Access,
+    Granted,
+    Unchecked,
+    Workspace,
+    common_homes,
+)
 
 _FIRST_REDIRECT_STATUS = 300
 # Callers take these statuses to mean that the request did not run, which only
@@ -39,6 +46,8 @@
         key: Affinity key: the object that the request is about.
         deadline_ms: When the final response is due.
         is_urgent: Whether no other route to the service has higher priority.
+        access: Result of the check of its API key.
+        key_digest: Digest of that key; None if it has none.
         fingerprint: Digest that the request shares with its retries.
         may_have_run: Whether some upstream may have started it.
         was_queued: Whether the upstream's slots were all taken when the
@@ -57,6 +66,8 @@
     key: str
     deadline_ms: int
     is_urgent: bool
+    access: Access = Unchecked()
+    key_digest: bytes | None = None
     fingerprint: str = ''
     may_have_run: bool = False
     was_queued: bool = False
@@ -71,6 +82,21 @@
         """Return whether a retry is safe when the request may have run."""
         return self.route.kind.is_idempotent
 
+    @property
+    def workspace(self) -> Workspace | None:
+        """Workspace that the request belongs to, if any."""
+        access = self.access
+        return access.workspace if isinstance(access, Granted) else None
+
+    @property
+    def home_regions(self) -> frozenset[str] | None:
+        """Regions that may serve the request; None for all."""
+        workspace = self.workspace
+        return common_homes(
+            self.route.home_regions,
+            workspace.home_regions if workspace else frozenset(),
+        )
+
     @property
     def can_resend(self) -> bool:
         """Return whether the whole body can be sent again."""
@@ -100,6 +126,7 @@
             self.deadline_ms - now_ms,
             self.is_urgent,
             frozenset(self.excluded),
+            self.home_regions,
         )
 
 
--- /dev/null
+++ b/src/catkindrift/gateway/_permitted_headers.py
@@ -0,0 +1,32 @@
+"""Headers of a caller's request that others may see."""
+
+from catkindrift.gateway._handed_over_requests import KEY_HEADER
+from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.http1 import Headers, end_to_end
+from catkindrift.platform import with_workspace, without_credentials
+from catkindrift.workspaces import Granted, Unchecked
+
+
+def headers_for_upstream(pending: PendingRequest) -> Headers:
+    """Return the headers that an upstream may see.
+
+    If the configuration holds workspaces, the API key is left out and the name
+    of its workspace is set.
+    """
+    headers = end_to_end(pending.request.headers)
+    access = pending.access
+    if not isinstance(access, Granted):
+        return headers
+    workspace = access.workspace
+    return with_workspace(headers, workspace.name if workspace else '')
+
+
+def headers_for_peer(pending: PendingRequest) -> Headers:
+    """Return the headers for another entry VM, with a digest of the API key."""
+    headers = end_to_end(pending.request.headers)
+    if isinstance(pending.access, Unchecked):
+        return headers
+    headers = without_credentials(headers)
+    if pending.key_digest:
+        headers.append((KEY_HEADER, pending.key_digest.hex().encode()))
+    return headers
--- a/src/catkindrift/gateway/_refusals.py
+++ b/src/catkindrift/gateway/_refusals.py
@@ -58,6 +58,11 @@
         self._record(request, 'no_route', 0)
         return Response(HTTPStatus.NOT_FOUND)
 
+    def refuse_without_key(self, request: CallerRequest) -> Response:
+        """Return a 401 for a request without the key of a workspace."""
+        self._record(request, 'no_key', 0)
+        return Response(HTTPStatus.UNAUTHORIZED)
+
     def _record(
         self,
         request: CallerRequest,
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -181,7 +181,9 @@
     """Return by what repeats of a request can be recognized."""
     request = pending.request
     target = request.target.decode('latin-1')
+    workspace = pending.workspace
     return {
+        **({'workspace': workspace.name} if workspace else {}),
         'fingerprint': pending.fingerprint,
         'target': target[:_MAX_TARGET_CHARS],
         'caller': request.caller,
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -9,6 +9,7 @@
     decode_entry_vm,
     decode_upstream,
     encode_entry_vm,
+    parse_configuration,
 )
 from catkindrift.platform._kinds import (
     CONFIGURATION_KIND,
@@ -20,6 +21,7 @@
     UPSTREAM_KIND,
 )
 from catkindrift.platform._request_messages import (
+    api_key,
     caller_location,
     directory_body,
     forwarded_headers,
@@ -29,6 +31,8 @@
     request_id,
     retry_after,
     with_deadline,
+    with_workspace,
+    without_credentials,
 )
 from catkindrift.platform._response_messages import (
     cold_remaining_ms,
@@ -58,6 +62,7 @@
     'StoreClient',
     'StoreObject',
     'StorePage',
+    'api_key',
     'caller_location',
     'cold_remaining_ms',
     'decode_configuration',
@@ -73,6 +78,7 @@
     'is_other_upstream',
     'matches_attempt',
     'object_key',
+    'parse_configuration',
     'parse_load_report',
     'remaining_ms',
     'reports_not_run',
@@ -82,4 +88,6 @@
     'retry_after',
     'stated_start_ms',
     'with_deadline',
+    'with_workspace',
+    'without_credentials',
 ]
--- a/src/catkindrift/platform/_entries.py
+++ b/src/catkindrift/platform/_entries.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from catkindrift.errors import ConfigurationEntryError
 from catkindrift.platform._store_object import StoreObject
 from catkindrift.platform._wire_config import WireConfiguration
 from catkindrift.platform._wire_server import WireServer
@@ -19,14 +20,37 @@
 
 
 def decode_configuration(stored: StoreObject) -> RoutingConfiguration | None:
-    """Return the configuration in an object, or None if it is malformed."""
+    """Return the configuration in an object, or None if it is invalid.
+
+    Each mistake is logged.
+    """
     try:
-        return msgspec.convert(stored.spec, WireConfiguration).decode()
-    except (msgspec.ValidationError, ValueError) as malformed:
-        _LOG.error('configuration %s is malformed: %s', stored.name, malformed)
+        return parse_configuration(stored.spec)
+    except ExceptionGroup as invalid:
+        for mistake in invalid.exceptions:
+            _LOG.error('configuration %s: %s', stored.name, mistake)
         return None
 
 
+def parse_configuration(document: Any) -> RoutingConfiguration:
+    """Return the configuration in a document.
+
+    Args:
+        document: What the operator writes, decoded from JSON.
+
+    Raises:
+        ExceptionGroup: Holds a `ConfigurationEntryError` for each mistake.
+    """
+    try:
+        wire = msgspec.convert(document, WireConfiguration)
+    except msgspec.ValidationError as malformed:
+        mistake = ConfigurationEntryError(
+            'configuration', str(malformed), 'correct the list of resources'
+        )
+        raise ExceptionGroup('configuration', [mistake]) from malformed
+    return wire.decode()
+
+
 def decode_upstream(
     stored: StoreObject,
     regions: Mapping[str, str],
--- a/src/catkindrift/platform/_headers.py
+++ b/src/catkindrift/platform/_headers.py
@@ -7,6 +7,10 @@
 REQUEST_ID: Final = b'attempt-id'
 # Milliseconds until the sender stops waiting for the response.
 DEADLINE: Final = b'deadline-remaining'
+# Holds the caller's API key; upstreams never receive it.
+CREDENTIALS: Final = b'authorization'
+# Name of the workspace that holds the key of a request.
+WORKSPACE: Final = b'tenant'
 # Cookie that holds the key of the object that a request concerns.
 OBJECT_COOKIE: Final = b'Affinity-Key'
 # Set on each response that an upstream itself generated.
--- a/src/catkindrift/platform/_request_messages.py
+++ b/src/catkindrift/platform/_request_messages.py
@@ -1,22 +1,28 @@
 """Reads and writes the platform's request headers and queries."""
 
+import re
 from urllib.parse import parse_qs
 
 import msgspec
 
 from catkindrift.http1 import Headers, find_header
 from catkindrift.platform._headers import (
+    CREDENTIALS,
     DEADLINE,
     EXPECTED_UPSTREAM,
     OBJECT_COOKIE,
     REQUEST_ID,
     RETRY_AFTER,
+    WORKSPACE,
 )
 
 _MILLISECONDS_PER_SECOND = 1000
 # Latin-1 maps each byte to one character, so that header bytes which are not
 # ASCII pass through unchanged (RFC 9110, section 5.5).
 _ENCODING = 'latin-1'
+# Longer than any key; longer values aren't searched.
+_MAX_CREDENTIALS_BYTES = 4096
+_BEARER = re.compile(rb'(?i:bearer) +(?P<key>[\w.~+/-]+=*)')
 
 
 def request_id(headers: Headers) -> str:
@@ -33,6 +39,41 @@
     return ''
 
 
+def api_key(headers: Headers) -> bytes:
+    """Return the API key of a request, empty bytes if it has no valid one.
+
+    Credentials of another scheme, in several headers, or with bytes that no
+    token may have (RFC 6750, section 2.1) are not valid.
+    """
+    stated = [each for name, each in headers if name.lower() == CREDENTIALS]
+    if len(stated) != 1 or len(stated[0]) > _MAX_CREDENTIALS_BYTES:
+        return b''
+    found = _BEARER.fullmatch(stated[0].strip())
+    return found['key'] if found else b''
+
+
+def with_workspace(headers: Headers, name: str) -> Headers:
+    """Return headers without credentials, and with a workspace's name.
+
+    Args:
+        headers: Headers of a caller, who may have sent either header.
+        name: Name of the workspace; empty for a request without one.
+    """
+    kept = without_credentials(headers)
+    if name:
+        kept.append((WORKSPACE.title(), name.encode()))
+    return kept
+
+
+def without_credentials(headers: Headers) -> Headers:
+    """Return headers without credentials and without a workspace's name."""
+    return [
+        each
+        for each in headers
+        if each[0].lower() not in {CREDENTIALS, WORKSPACE}
+    ]
+
+
 def remaining_ms(headers: Headers) -> int | None:
     """Return how long the caller still waits, or None if not stated."""
     deadline = find_header(headers, DEADLINE).strip()
--- a/src/catkindrift/platform/_wire_config.py
+++ b/src/catkindrift/platform/_wire_config.py
@@ -5,10 +5,12 @@
 import attrs
 import msgspec
 
+from catkindrift.errors import ConfigurationEntryError
 from catkindrift.platform._wire_resources import (
     WireLimits,
     WireRoute,
     WireService,
+    WireWorkspace,
 )
 from catkindrift.steering import (
     CallerLimits,
@@ -16,6 +18,7 @@
     RoutingConfiguration,
     ServiceRules,
 )
+from catkindrift.workspaces import KeyedWorkspace, WorkspaceTable
 
 _HEXADECIMAL = 16
 
@@ -52,22 +55,92 @@
         Resources of other kinds are ignored.
 
         Raises:
-            ValidationError: A field is missing or has the wrong type.
-            ValueError: A value is out of range or the version malformed.
+            ExceptionGroup: Holds a `ConfigurationEntryError` for each mistake.
         """
-        routes: list[Route] = []
-        services: dict[str, ServiceRules] = {}
-        limits = CallerLimits()
+        decoder = _Decoder()
         for each in self.resources:
-            name = each.metadata.name
-            match each.entry_kind:
-                case 'routes':
-                    wire_route = msgspec.convert(each.spec, WireRoute)
-                    routes.append(wire_route.decode(name))
-                case 'services':
-                    wire_service = msgspec.convert(each.spec, WireService)
-                    services[name] = wire_service.decode(name)
-                case 'limits':
-                    limits = msgspec.convert(each.spec, WireLimits).decode()
-        version = int(self.version, _HEXADECIMAL)
-        return RoutingConfiguration(version, tuple(routes), services, limits)
+            decoder.add(each)
+        return decoder.build(self.version)
+
+
+@final
+@attrs.define
+class _Decoder:
+    """Collects the entries of a configuration, and all mistakes in them."""
+
+    _routes: list[Route] = attrs.field(factory=list)
+    _services: dict[str, ServiceRules] = attrs.field(factory=dict)
+    _workspaces: list[KeyedWorkspace] = attrs.field(factory=list)
+    _limits: CallerLimits = attrs.field(factory=CallerLimits)
+    _mistakes: list[ConfigurationEntryError] = attrs.field(factory=list)
+
+    def add(self, resource: WireResource) -> None:
+        """Decode one resource, or keep the mistake in it."""
+        try:
+            self._decode(resource)
+        except (msgspec.ValidationError, ValueError) as malformed:
+            place = f'{resource.entry_kind} {resource.metadata.name!r}'
+            self._mistakes.append(_mistake(place, malformed))
+
+    def build(self, version: str) -> RoutingConfiguration:
+        """Return the configuration of all entries.
+
+        Args:
+            version: Version as a hexadecimal number.
+
+        Raises:
+            ExceptionGroup: An entry or the version is invalid.
+        """
+        number = self._number(version)
+        table = self._table()
+        if self._mistakes or number is None:
+            raise ExceptionGroup('configuration', self._mistakes)
+        return RoutingConfiguration(
+            number, tuple(self._routes), self._services, self._limits, table
+        )
+
+    def _decode(self, resource: WireResource) -> None:
+        name = resource.metadata.name
+        match resource.entry_kind:
+            case 'routes':
+                route = msgspec.convert(resource.spec, WireRoute)
+                self._routes.append(route.decode(name))
+            case 'services':
+                service = msgspec.convert(resource.spec, WireService)
+                self._services[name] = service.decode(name)
+            case 'tenants':
+                tenant = msgspec.convert(resource.spec, WireWorkspace)
+                workspace = tenant.decode(name)
+                self._workspaces.append((workspace, tenant.api_keys))
+            case 'limits':
+                limits = msgspec.convert(resource.spec, WireLimits)
+                self._limits = limits.decode()
+
+    def _number(self, version: str) -> int | None:
+        try:
+            return int(version, _HEXADECIMAL)
+        except ValueError:
+            self._mistakes.append(
+                ConfigurationEntryError(
+                    'version',
+                    f'{version!r} is no hexadecimal number',
+                    'write it as eight hexadecimal digits',
+                )
+            )
+            return None
+
+    def _table(self) -> WorkspaceTable:
+        table, mistakes = WorkspaceTable.build(self._workspaces)
+        self._mistakes.extend(mistakes)
+        return table
+
+
+def _mistake(place: str, malformed: Exception) -> ConfigurationEntryError:
+    """Return the error of an entry, which never shows values of the entry.
+
+    A value may be an API key; messages of the decoder name types and paths
+    only, those of range checks may show the value.
+    """
+    return ConfigurationEntryError(
+        place, str(malformed.args[0]), 'correct the entry and send it again'
+    )
--- a/src/catkindrift/platform/_wire_resources.py
+++ b/src/catkindrift/platform/_wire_resources.py
@@ -11,6 +11,7 @@
     ServiceRules,
     WeightedService,
 )
+from catkindrift.workspaces import Workspace
 
 _MILLISECONDS_PER_SECOND = 1000
 
@@ -43,6 +44,7 @@
     service: str = ''
     split: list[WireSplit] = attrs.field(factory=list)
     home_regions: list[str] = attrs.field(factory=list)
+    anonymous: bool = False
 
     def decode(self, name: str) -> Route:
         """Return the route.
@@ -66,6 +68,7 @@
             max_attempts=self.max_attempts,
             home_regions=frozenset(self.home_regions),
             targets=tuple(targets),
+            is_anonymous=self.anonymous,
         )
 
 
@@ -90,6 +93,32 @@
         )
 
 
+@final
+@attrs.frozen
+class WireWorkspace:
+    """A workspace, its API keys and its quota."""
+
+    api_keys: list[str] = attrs.field(factory=list)
+    priority: int | None = None
+    rate_per_s: float = 0
+    burst: float = 0
+    home_regions: list[str] = attrs.field(factory=list)
+
+    def decode(self, name: str) -> Workspace:
+        """Return the workspace without its keys.
+
+        Raises:
+            ValueError: A value is out of range.
+        """
+        return Workspace(
+            name,
+            self.priority,
+            self.rate_per_s,
+            self.burst,
+            frozenset(self.home_regions),
+        )
+
+
 @final
 @attrs.frozen
 class WireLimits:
--- a/src/catkindrift/steering/_configuration.py
+++ b/src/catkindrift/steering/_configuration.py
@@ -8,6 +8,7 @@
 from catkindrift.steering._caller_limits import CallerLimits
 from catkindrift.steering._route import Route
 from catkindrift.steering._service_rules import ServiceRules
+from catkindrift.workspaces import WorkspaceTable
 
 
 def _by_host(routes: tuple[Route, ...]) -> dict[str, list[Route]]:
@@ -31,12 +32,14 @@
         routes: All routes.
         services: Rules by name of the service.
         limits: Limits on caller connections.
+        workspaces: Workspaces and their keys; none if requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceRules]
     limits: CallerLimits
+    workspaces: WorkspaceTable = WorkspaceTable()
     _routes_by_host: Mapping[str, list[Route]] = attrs.field(
         init=False,
         repr=False,
--- a/src/catkindrift/steering/_route.py
+++ b/src/catkindrift/steering/_route.py
@@ -37,6 +37,7 @@
         max_attempts: Maximum number of upstreams that a request is sent to.
         home_regions: Regions that may serve its requests; empty for all.
         targets: Services with their weights.
+        is_anonymous: Whether its requests need no API key.
     """
 
     name: str
@@ -51,3 +52,4 @@
     targets: tuple[WeightedService, ...] = attrs.field(
         validator=attrs.validators.min_len(1),
     )
+    is_anonymous: bool = False
--- /dev/null
+++ b/src/catkindrift/workspaces/__init__.py
@@ -0,0 +1,33 @@
+"""Workspaces: API keys, precedence, home regions and quotas.
+
+The package has no input or output. A deployment whose configuration holds no
+workspaces never calls it.
+"""
+
+from catkindrift.workspaces._access import (
+    Access,
+    Denied,
+    Granted,
+    Unchecked,
+    check_access,
+)
+from catkindrift.workspaces._home_regions import common_homes
+from catkindrift.workspaces._workspace import Workspace
+from catkindrift.workspaces._workspace_table import (
+    KeyedWorkspace,
+    WorkspaceTable,
+    key_digest,
+)
+
+__all__ = [
+    'Access',
+    'Denied',
+    'Granted',
+    'KeyedWorkspace',
+    'Unchecked',
+    'Workspace',
+    'WorkspaceTable',
+    'check_access',
+    'common_homes',
+    'key_digest',
+]
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -95,8 +95,15 @@
     }
 
 
-def configuration(version=1, routes=(), **limits):
-    """Return a configuration document as the operator writes it."""
+def configuration(version=1, routes=(), workspaces=(), **limits):
+    """Return a configuration document as the operator writes it.
+
+    Args:
+        version: Number of the version.
+        routes: Specs of the routes, without what all routes share.
+        workspaces: Pairs of the name and the spec of a workspace.
+        limits: Limits on callers that differ from the usual ones.
+    """
     resources = [
         {
             'entry_kind': 'routes',
@@ -139,6 +146,10 @@
             },
         }
     )
+    resources.extend(
+        {'entry_kind': 'tenants', 'metadata': {'name': name}, 'spec': spec}
+        for name, spec in workspaces
+    )
     return {'version': f'{version:08x}', 'resources': resources}
 
 
@@ -169,9 +180,11 @@
     upstreams: list = attrs.field(factory=list)
     restarts: set = attrs.field(factory=set)
 
-    async def start(self, *, routes=(SAFE, UNSAFE, UPLOAD), upstreams=2):
+    async def start(
+        self, *, routes=(SAFE, UNSAFE, UPLOAD), upstreams=2, workspaces=()
+    ):
         await self.store.start(self.store_port)
-        await self.configure(1, routes)
+        await self.configure(1, routes, workspaces=workspaces)
         for index in range(upstreams):
             await self.add_upstream(f'i-{index}')
 
