--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -314,6 +314,20 @@
     assert known.find_route('other.example', '/a/c') is None
 
 
+def test_long_path_costs_no_more_than_the_longest_prefix():
+    """Guard against a caller who sends thousands of slashes."""
+    known = RoutingConfiguration(1, (sample_route(),), {}, CallerLimits())
+    assert known.find_route('quotes.example', f'/a/{"/" * 9000}').name == 'r'
+    assert known.find_route('quotes.example', '/' * 9000) is None
+
+
+def test_first_of_two_equal_routes_is_used():
+    """Guard against a later route that hides an earlier, equal one."""
+    routes = (sample_route(name='first'), sample_route(name='second'))
+    known = RoutingConfiguration(1, routes, {}, CallerLimits())
+    assert known.find_route('quotes.example', '/a/b').name == 'first'
+
+
 def facts(name, zone='ovd-a', count=1, started_ms=1, is_ready=True):
     return MemberFacts(
         name,
