Restart background jobs that meet an unexpected error

Cause: the loops of heartbeats, registration, watches and steering were plain tasks; an exception that nothing expected ended one for good, with a log line, while the VM stayed ready. Change: a supervisor starts a failed job again with backoff and counts it; the components keep their state.

--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
-from typing import Any, final
+from typing import final
 
 import attrs
 
 from catkindrift.clock import Clock, SystemClock
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.gateway._parts import GatewayParts
+from catkindrift.gateway._supervisor import Job, Supervisor
 from catkindrift.settings import Endpoint, GatewaySettings
 
 _LOG = logging.getLogger(__name__)
@@ -41,10 +41,12 @@
     _parts: GatewayParts = attrs.field(init=False)
     _tasks: list[asyncio.Task[None]] = attrs.field(init=False, factory=list)
     _is_stopping: bool = attrs.field(init=False, default=False)
+    _supervisor: Supervisor = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the components."""
         self._parts = GatewayParts(self._settings, self._clock)
+        self._supervisor = Supervisor(self._parts.metrics)
 
     @property
     def is_ready(self) -> bool:
@@ -66,10 +68,9 @@
             self._heartbeat_protocol,
             local_addr=(peers.host, peers.port),
         )
-        for job in self._jobs():
-            task = loop.create_task(job)
-            task.add_done_callback(_log_task_failure)
-            self._tasks.append(task)
+        for name, job in self._jobs().items():
+            supervised = self._supervisor.keep_running(name, job)
+            self._tasks.append(loop.create_task(supervised))
         _LOG.info('entry VM %s has started', self._settings.vm.name)
 
     def apply(self, settings: GatewaySettings) -> None:
@@ -102,14 +103,14 @@
         await asyncio.sleep(_SHORT_TICK_SECONDS)
         _LOG.info('stopped')
 
-    def _jobs(self) -> list[Coroutine[Any, Any, None]]:
-        return [
-            self._parts.heartbeats.run(),
-            self._parts.registration.run(),
-            self._run_ticks(),
-            self._run_short_ticks(),
-            *self._parts.watches.jobs(),
-        ]
+    def _jobs(self) -> dict[str, Job]:
+        return {
+            'heartbeats': self._parts.heartbeats.run,
+            'registration': self._parts.registration.run,
+            'steering': self._run_ticks,
+            'readiness': self._run_short_ticks,
+            **self._parts.watches.jobs(),
+        }
 
     async def _wait_until_idle(self) -> None:
         began_ms = self._clock.now_ms()
@@ -163,9 +164,3 @@
 
     def _heartbeat_protocol(self) -> Heartbeats:
         return self._parts.heartbeats
-
-
-def _log_task_failure(task: asyncio.Task[None]) -> None:
-    """Log a background task that failed; none returns by itself."""
-    if not task.cancelled() and task.exception():
-        _LOG.error('background task failed', exc_info=task.exception())
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -67,6 +67,9 @@
     upstream_connections_opened: Labeled = _labeled(
         'outcome', 'Connections to upstreams'
     )
+    job_restarts: Labeled = _labeled(
+        'job', 'Background jobs that were started again after an error'
+    )
     store_calls: Labeled = _labeled(
         'method', 'Calls to the platform store since the start', is_gauge=True
     )
--- a/src/catkindrift/gateway/_store_watches.py
+++ b/src/catkindrift/gateway/_store_watches.py
@@ -1,7 +1,7 @@
 """The store watches of this entry VM and their roles in its zone."""
 
-from collections.abc import Callable, Coroutine
-from typing import Any, final
+from collections.abc import Callable
+from typing import final
 
 import attrs
 
@@ -9,6 +9,7 @@
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._store_watch import StoreWatch
+from catkindrift.gateway._supervisor import Job
 from catkindrift.platform import (
     CONFIGURATION_KIND,
     ENTRY_VM_KIND,
@@ -92,9 +93,9 @@
         watch = self._create(ENTRY_VM_KIND, on_list, on_change, relists=False)
         self._watches = (*self._watches, watch)
 
-    def jobs(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the coroutines of all watches, to be run as tasks."""
-        return [watch.run() for watch in self._watches]
+    def jobs(self) -> dict[str, Job]:
+        """Return the jobs of all watches, by the kind that they watch."""
+        return {f'watch {watch.kind}': watch.run for watch in self._watches}
 
     def revisions(self) -> dict[str, int]:
         """Return the newest known revision of each kind."""
