Add a check of a configuration before it is sent

Cause: an operator learned of a mistake only from the log of an entry VM that refused the configuration, and of an entry without effect not at all. Change: catkindrift check-configuration, with the decoder of the entry VM: every mistake with its place and remedy, hidden routes, unused services, workspaces without keys, contradicting limits, differences from a file or the store in force, keys by digest; JSON; exit codes 0, 1, 2; the product's own format too. The number of upstreams is not known offline, so attempts beyond it are only checked where it is given.

--- a/src/catkindrift/cli/_local_parsers.py
+++ b/src/catkindrift/cli/_local_parsers.py
@@ -6,7 +6,14 @@
 _FILE_METAVAR = 'FILE'
 
 
-def add_process_commands(commands: Any) -> None:
+def add_local_commands(commands: Any) -> None:
+    """Add the commands that don't use the operator API."""
+    _add_process_commands(commands)
+    _add_configuration_check(commands)
+    _add_report_command(commands)
+
+
+def _add_process_commands(commands: Any) -> None:
     """Add the commands that run a process or read local files."""
     demo = commands.add_parser(
         'demo',
@@ -50,7 +57,32 @@
     check.add_argument('file', metavar=_FILE_METAVAR)
 
 
-def add_report_command(commands: Any) -> None:
+def _add_configuration_check(commands: Any) -> None:
+    """Add the command that checks a configuration before it is sent."""
+    check = commands.add_parser(
+        'check-configuration',
+        help='report every mistake in a configuration before it is sent',
+        description='Exit codes: 0 no mistakes, 1 entries without effect or '
+        'contradicting limits, 2 mistakes for which entry VMs refuse it.',
+    )
+    check.add_argument('file', metavar=_FILE_METAVAR)
+    other = check.add_mutually_exclusive_group()
+    other.add_argument(
+        '--against',
+        metavar=_FILE_METAVAR,
+        default='',
+        help='show what differs from the version in this file',
+    )
+    other.add_argument(
+        '--in-force',
+        metavar='IP:PORT',
+        default='',
+        help='show what differs from the version in the store at an address',
+    )
+    check.add_argument('--json', action='store_true', help='print JSON')
+
+
+def _add_report_command(commands: Any) -> None:
     """Add the command that reports on service-level objectives."""
     parser = commands.add_parser(
         'report',
--- a/src/catkindrift/cli/_main.py
+++ b/src/catkindrift/cli/_main.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from http import HTTPStatus
 
+from catkindrift.cli._check_configuration import run_check_configuration
 from catkindrift.cli._client import (
     OperatorClient,
     RefusedError,
@@ -25,6 +26,7 @@
 from catkindrift.errors import (
     InvalidInputError,
     NotFoundError,
+    PlatformUnavailableError,
     SettingsFileError,
 )
 from catkindrift.gateway import run_gateway
@@ -51,7 +53,7 @@
     except BrokenPipeError:
         _discard_output()
         return ExitCode.DONE
-    except UnreachableError as unreachable:
+    except (UnreachableError, PlatformUnavailableError) as unreachable:
         write_error(str(unreachable))
         return ExitCode.UNREACHABLE
     except RefusedError as refused:
@@ -74,6 +76,8 @@
             return _explain(args)
         case 'check-settings':
             return check_settings(args.file)
+        case 'check-configuration':
+            return run_check_configuration(args)
         case 'report':
             run_report(args)
             return ExitCode.DONE
--- a/src/catkindrift/cli/_parser.py
+++ b/src/catkindrift/cli/_parser.py
@@ -5,10 +5,7 @@
 from typing import Any
 
 from catkindrift import __version__
-from catkindrift.cli._local_parsers import (
-    add_process_commands,
-    add_report_command,
-)
+from catkindrift.cli._local_parsers import add_local_commands
 from catkindrift.cli._operator_commands import (
     run_headroom,
     run_intent,
@@ -46,14 +43,13 @@
         required=True,
         metavar='COMMAND',
     )
-    add_process_commands(commands)
+    add_local_commands(commands)
     common = _common_options()
     _add_service(commands, common)
     _add_place(commands, common)
     _add_intent(commands, common)
     _add_plan(commands, common)
     _add_status_commands(commands, common)
-    add_report_command(commands)
     return parser
 
 
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -9,7 +9,9 @@
     decode_entry_vm,
     decode_upstream,
     encode_entry_vm,
+    is_configuration,
     parse_configuration,
+    workspace_keys,
 )
 from catkindrift.platform._kinds import (
     CONFIGURATION_KIND,
@@ -72,6 +74,7 @@
     'encode_entry_vm',
     'forwarded_headers',
     'health_headers',
+    'is_configuration',
     'is_from_upstream',
     'is_leaving',
     'is_misdirected',
@@ -90,4 +93,5 @@
     'with_deadline',
     'with_workspace',
     'without_credentials',
+    'workspace_keys',
 ]
--- a/src/catkindrift/platform/_entries.py
+++ b/src/catkindrift/platform/_entries.py
@@ -32,6 +32,21 @@
         return None
 
 
+def is_configuration(document: Any) -> bool:
+    """Return whether a document has the format of a configuration."""
+    return isinstance(document, dict) and 'resources' in document
+
+
+def workspace_keys(document: Any) -> dict[str, frozenset[str]]:
+    """Return the digests of all API keys in a configuration, by workspace.
+
+    Args:
+        document: A valid configuration.
+    """
+    wire = msgspec.convert(document, WireConfiguration)
+    return wire.key_digests()
+
+
 def parse_configuration(document: Any) -> RoutingConfiguration:
     """Return the configuration in a document.
 
--- a/src/catkindrift/platform/_wire_config.py
+++ b/src/catkindrift/platform/_wire_config.py
@@ -1,6 +1,6 @@
 """Wire format of the operators' configuration in the platform's store."""
 
-from typing import Any, final
+from typing import Any, Final, final
 
 import attrs
 import msgspec
@@ -18,9 +18,10 @@
     RoutingConfiguration,
     ServiceRules,
 )
-from catkindrift.workspaces import KeyedWorkspace, WorkspaceTable
+from catkindrift.workspaces import KeyedWorkspace, WorkspaceTable, key_digest
 
 _HEXADECIMAL = 16
+_WORKSPACES: Final = 'tenants'
 
 
 @final
@@ -62,6 +63,17 @@
             decoder.add(each)
         return decoder.build(self.version)
 
+    def key_digests(self) -> dict[str, frozenset[str]]:
+        """Return the digests of the API keys by name of the workspace."""
+        return {
+            each.metadata.name: frozenset(
+                key_digest(api_key.encode()).hex()
+                for api_key in each.spec.get('api_keys', ())
+            )
+            for each in self.resources
+            if each.entry_kind == _WORKSPACES
+        }
+
 
 @final
 @attrs.define
