--- a/src/catkindrift/configuration_check/_differences.py
+++ b/src/catkindrift/configuration_check/_differences.py
@@ -8,6 +8,9 @@
 
 from catkindrift.steering import RoutingConfiguration, WeightedService
 
+# Digests of API keys by name of the workspace.
+_Keys = Mapping[str, frozenset[str]]
+
 _ADDED = 'added'
 _REMOVED = 'removed'
 _CHANGED = 'changed'
@@ -50,8 +53,8 @@
 def compare_configurations(
     before: RoutingConfiguration,
     after: RoutingConfiguration,
-    keys_before: Mapping[str, frozenset[str]],
-    keys_after: Mapping[str, frozenset[str]],
+    keys_before: _Keys,
+    keys_after: _Keys,
 ) -> list[Difference]:
     """Return what a new version changes.
 
@@ -118,9 +121,7 @@
     return str(found)
 
 
-def _keys(
-    before: Mapping[str, frozenset[str]], after: Mapping[str, frozenset[str]]
-) -> Iterator[Difference]:
+def _keys(before: _Keys, after: _Keys) -> Iterator[Difference]:
     for workspace in sorted(before.keys() & after.keys()):
         old = before[workspace]
         new = after[workspace]
