Send heartbeats by availability zone in fleets of many entry VMs

Cause: with more than 16 other VMs each heartbeat went to six random VMs of the region and each second one to three of other regions, 1 KB each. Change: VMs of the own zone get signs of life, two delegates a pair of zones send digests of nine bytes a VM, and their receivers spread them in their zone. A VM advertises that it reads them; with one alive that does not, all is as before.

--- /dev/null
+++ b/src/catkindrift/gateway/_heartbeat_sender.py
@@ -0,0 +1,69 @@
+"""Encoding and sending of heartbeats."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any, final
+
+import attrs
+import msgspec
+
+from catkindrift.settings import Endpoint
+from catkindrift.steering import Heartbeat
+
+_DEFAULTS = tuple(
+    (field.name, field.default) for field in attrs.fields(Heartbeat)
+)
+
+
+@final
+@attrs.define(eq=False, repr=False)
+class HeartbeatSender:
+    """Sends heartbeats over UDP."""
+
+    transport: asyncio.DatagramTransport | None = attrs.field(
+        init=False,
+        default=None,
+    )
+    _endpoints: dict[str, tuple[str, int]] = attrs.field(
+        init=False, factory=dict
+    )
+    _encoder: msgspec.msgpack.Encoder = attrs.field(
+        init=False,
+        factory=msgspec.msgpack.Encoder,
+    )
+
+    def send_whole(
+        self, heartbeat: Heartbeat, addresses: Iterable[str]
+    ) -> None:
+        """Send a heartbeat with all its fields.
+
+        Args:
+            heartbeat: What to send.
+            addresses: Receivers.
+        """
+        self._send(self._encoder.encode(heartbeat), addresses)
+
+    def send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> None:
+        """Send a heartbeat without the fields that have their defaults.
+
+        Args:
+            heartbeat: What to send.
+            addresses: Receivers.
+        """
+        fields: dict[str, Any] = {}
+        for name, default in _DEFAULTS:
+            found = getattr(heartbeat, name)
+            if found != default:
+                fields[name] = found
+        self._send(self._encoder.encode(fields), addresses)
+
+    def _send(self, datagram: bytes, addresses: Iterable[str]) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        for address in addresses:
+            receiver = self._endpoints.get(address)
+            if receiver is None:
+                endpoint = Endpoint.parse(address)
+                receiver = (endpoint.host, endpoint.port)
+                self._endpoints[address] = receiver
+            self.transport.sendto(datagram, receiver)
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -3,31 +3,33 @@
 import asyncio
 import itertools
 import logging
-import operator
 import random
 from collections.abc import Callable, Sequence
-from typing import TypeVar, final
+from typing import final
 
 import attrs
 import msgspec
 
 from catkindrift.clock import Clock
 from catkindrift.gateway._crash_watch import CrashWatch
+from catkindrift.gateway._heartbeat_contents import HeartbeatContents
+from catkindrift.gateway._heartbeat_seeds import HeartbeatSeeds
+from catkindrift.gateway._heartbeat_sender import HeartbeatSender
 from catkindrift.gateway._log_sampler import LogSampler
 from catkindrift.gateway._store_health import StoreHealth
-from catkindrift.settings import Endpoint
+from catkindrift.gateway._zone_news import ZoneNews
+from catkindrift.gateway._zone_receivers import ZoneReceivers, sample
 from catkindrift.steering import (
     MAX_DIRECT_MEMBERS,
     Heartbeat,
+    LimitNotice,
     MemberFacts,
     Members,
-    Sighting,
     UpstreamLimits,
     UpstreamReachability,
 )
 
 _LOG = logging.getLogger(__name__)
-_Item = TypeVar('_Item')
 # A VM counts as failed after several missed heartbeats.
 _INTERVAL_SECONDS = 0.5
 # Only every second heartbeat goes to other regions: that traffic is billed.
@@ -36,18 +38,13 @@
 # more VMs than `MAX_DIRECT_MEMBERS`; they gossip the sender's state.
 _NEAR_RECEIVERS = 6
 _FAR_RECEIVERS = 3
-# Signs of life of others in one heartbeat; each takes about 17 bytes.
-_MAX_SIGHTINGS = 40
-# They are the newest of so many times more: those are news to most receivers,
-# and the random part keeps any VM from being left out.
-_SIGHTING_CHOICES = 2
-# Records of other VMs that one heartbeat carries.
-_MAX_GOSSIPED_MEMBERS = 2
-# Names of VMs that are known from the store only; each takes about 30 bytes.
-_MAX_UNHEARD_MEMBERS = 4
 _LOG_EVERY = 100
 
 
+def _do_nothing() -> None:
+    """Ignore news where nobody is to be told."""
+
+
 @final
 @attrs.define(eq=False, repr=False)
 class Heartbeats(asyncio.DatagramProtocol):
@@ -66,6 +63,8 @@
         limits: Limits of upstreams, to report to other VMs.
         reachability: When this VM has reached an upstream.
         on_heartbeat: Called with each heartbeat received.
+        on_news: Called when others of the zone have to learn of news at once.
+        relayed_limits: Returns limits of upstreams that others have seen.
     """
 
     _clock: Clock
@@ -77,18 +76,12 @@
     _limits: UpstreamLimits
     _reachability: UpstreamReachability
     _on_heartbeat: Callable[[Heartbeat], None]
-    _endpoints: dict[str, tuple[str, int]] = attrs.field(
-        init=False, factory=dict
-    )
-    _seeds: set[str] = attrs.field(init=False, factory=set)
-    _transport: asyncio.DatagramTransport | None = attrs.field(
-        init=False,
-        default=None,
-    )
-    _encoder: msgspec.msgpack.Encoder = attrs.field(
-        init=False,
-        factory=msgspec.msgpack.Encoder,
-    )
+    on_news: Callable[[], None] = _do_nothing
+    _relayed_limits: Callable[[], tuple[LimitNotice, ...]] = tuple
+    _receivers: ZoneReceivers = attrs.field(init=False)
+    _builder: HeartbeatContents = attrs.field(init=False)
+    _seeds: HeartbeatSeeds = attrs.field(init=False, factory=HeartbeatSeeds)
+    _sender: HeartbeatSender = attrs.field(init=False, factory=HeartbeatSender)
     _decoder: msgspec.msgpack.Decoder[Heartbeat] = attrs.field(init=False)
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
     _malformed: LogSampler = attrs.field(
@@ -96,8 +89,22 @@
     )
 
     def __attrs_post_init__(self) -> None:
-        """Create the decoder."""
+        """Create the decoder and the choices by zone."""
         self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+        own = attrs.evolve(self._own_member, by_zone=True)
+        self._own_member = own
+        self._receivers = ZoneReceivers(self._members, own, lambda: self._rng)
+        self._builder = HeartbeatContents(
+            self._members,
+            ZoneNews(self._members, own, lambda: self._rng),
+            self._revisions,
+            self._crashes,
+            self._health,
+            self._limits,
+            self._reachability,
+            self._relayed_limits,
+            lambda: self._rng,
+        )
 
     @property
     def own_member(self) -> MemberFacts:
@@ -121,7 +128,10 @@
             self._own_member = attrs.evolve(
                 own, is_ready=is_ready, reaches_upstreams=reaches_upstreams
             )
-            self._send_to({each.peers for each in self._members.facts})
+            if self._receivers.is_active:
+                self.send_news()
+            else:
+                self._send_to({each.peers for each in self._members.facts})
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -135,25 +145,37 @@
         Args:
             to_all_regions: Whether VMs of other regions receive it too.
         """
+        if self._receivers.is_active:
+            self._send_by_zone(self._receivers.digest_receivers())
+            return
         known = self._members.facts
         own = self._own_member.region
         chosen = [each for each in known if each.region == own]
         far = [each for each in known if each.region != own]
         if len(known) > MAX_DIRECT_MEMBERS:
-            chosen = _sample(self._rng, chosen, _NEAR_RECEIVERS)
-            far = _sample(self._rng, far, _FAR_RECEIVERS)
+            chosen = sample(self._rng, chosen, _NEAR_RECEIVERS)
+            far = sample(self._rng, far, _FAR_RECEIVERS)
         if to_all_regions:
             chosen += far
         self._send_to_all(chosen)
 
-    def send_news(self) -> None:
-        """Send a heartbeat to more VMs of all regions than usual."""
+    def send_news(self, *, is_passed_on: bool = False) -> None:
+        """Send a heartbeat to more VMs of all regions than usual.
+
+        Args:
+            is_passed_on: Whether the news come from another VM, which has
+                told other zones itself.
+        """
+        if self._receivers.is_active:
+            far = () if is_passed_on else self._receivers.news_receivers()
+            self._send_by_zone(far)
+            return
         known = self._members.facts
-        self._send_to_all(_sample(self._rng, known, MAX_DIRECT_MEMBERS))
+        self._send_to_all(sample(self._rng, known, MAX_DIRECT_MEMBERS))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
-        self._transport = transport  # type: ignore[assignment]
+        self._sender.transport = transport  # type: ignore[assignment]
 
     def datagram_received(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Process a heartbeat; log and ignore a malformed datagram."""
@@ -165,83 +187,59 @@
                     'ignored malformed heartbeat from %s: %s', addr, malformed
                 )
             return
+        before = self._builder.news_known
         is_new = self._members.record_heartbeat(heartbeat)
         self._seeds.discard(heartbeat.sender.peers)
         self._on_heartbeat(heartbeat)
-        if is_new:
-            # Reply at once: a process that has just started has no crash
-            # records yet.
-            self._send(
-                self._encoder.encode(self._build_heartbeat()),
-                heartbeat.sender.peers,
-            )
+        is_active = self._receivers.is_active
+        reply = self._builder.reply(
+            self._own_member, heartbeat, is_new=is_new, by_zone=is_active
+        )
+        if reply:
+            self._sender.send(reply, (heartbeat.sender.peers,))
+        self._spread(heartbeat)
+        if is_active and before != self._builder.news_known:
+            self.on_news()
 
     def error_received(self, exc: Exception) -> None:
         """Ignore send errors; missing heartbeats reveal a failed peer."""
 
-    def _send_to(self, addresses: set[str]) -> None:
-        self._own_member = attrs.evolve(
-            self._own_member, count=self._own_member.count + 1
-        )
-        datagram = self._encoder.encode(self._build_heartbeat())
-        for address in addresses:
-            self._send(datagram, address)
-
-    def _build_heartbeat(self) -> Heartbeat:
-        members = self._members
-        alive = members.alive()
-        heard = _sample(self._rng, alive, _MAX_GOSSIPED_MEMBERS)
-        sightings: tuple[Sighting, ...] = ()
-        if len(alive) > MAX_DIRECT_MEMBERS:
-            heard = heard[:1]
-            sightings = _sightings(self._rng, members, alive)
-        unheard = members.unheard_records
-        return Heartbeat(
-            self._own_member,
-            tuple(heard),
-            self._revisions(),
-            self._crashes.reports.next_crashes(),
-            self._health.answer_age_ms,
-            self._crashes.reports.newest_cleared(),
-            self._limits.notices(),
-            tuple(_sample(self._rng, unheard, _MAX_UNHEARD_MEMBERS)),
-            self._reachability.reached_age_ms,
-            tuple(members.age_ms(each.name) for each in heard),
-            sightings,
-        )
+    def _spread(self, heartbeat: Heartbeat) -> None:
+        """Pass a digest of another zone on in the own zone."""
+        own = self._own_member
+        now_ms = self._clock.now_ms()
+        if heartbeat.spread_zone:
+            self._receivers.record_spread(heartbeat.spread_zone, now_ms)
+        zone = heartbeat.sender.zone
+        if not heartbeat.signs or zone == own.zone:
+            return
+        receivers = self._receivers.spread_receivers(zone, now_ms)
+        if receivers:
+            self._sender.send(
+                self._builder.spread(own, zone),
+                [each.peers for each in receivers],
+            )
+
+    def _send_by_zone(self, far: Sequence[MemberFacts]) -> None:
+        """Send to some VMs of the own zone, and a digest of it to others."""
+        self._own_member = self._own_member.next_heartbeat()
+        own = self._own_member
+        near = {each.peers for each in self._receivers.mates()}
+        near.update(self._seeds.chosen(self._rng, self._members.alive()))
+        self._sender.send(self._builder.by_zone(own, is_digest=False), near)
+        if far:
+            self._sender.send(
+                self._builder.by_zone(own, is_digest=True),
+                [each.peers for each in far],
+            )
 
     def _send_to_all(self, chosen: Sequence[MemberFacts]) -> None:
         """Send to VMs, and to addresses that nothing is known of."""
-        if self._seeds:
-            alive = self._members.alive()
-            self._seeds.difference_update(each.peers for each in alive)
-        self._send_to({*(each.peers for each in chosen), *self._seeds})
+        seeds = self._seeds.chosen(self._rng, self._members.alive())
+        self._send_to({*(each.peers for each in chosen), *seeds})
 
-    def _send(self, datagram: bytes, address: str) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        receiver = self._endpoints.get(address)
-        if receiver is None:
-            endpoint = Endpoint.parse(address)
-            receiver = (endpoint.host, endpoint.port)
-            self._endpoints[address] = receiver
-        self._transport.sendto(datagram, receiver)
-
-
-def _sample(
-    rng: random.Random, known: Sequence[_Item], count: int
-) -> list[_Item]:
-    """Return `count` random items, or all if there are fewer."""
-    return rng.sample(known, min(len(known), count))
-
-
-def _sightings(
-    rng: random.Random, members: Members, alive: Sequence[MemberFacts]
-) -> tuple[Sighting, ...]:
-    """Return signs of life of some VMs, the newest of those chosen."""
-    seen = [
-        Sighting.of(each, members.age_ms(each.name))
-        for each in _sample(rng, alive, _MAX_SIGHTINGS * _SIGHTING_CHOICES)
-    ]
-    seen.sort(key=operator.attrgetter('age_ms'))
-    return tuple(seen[:_MAX_SIGHTINGS])
+    def _send_to(self, addresses: set[str]) -> None:
+        self._own_member = self._own_member.next_heartbeat()
+        self._sender.send_whole(
+            self._builder.direct(self._own_member), addresses
+        )
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -185,6 +185,7 @@
             self._handle_heartbeat,
         )
         self.urgent = UrgentHeartbeats(clock, self.heartbeats)
+        self.heartbeats.on_news = self.urgent.pass_on
         records = EntryVmRecords(
             clock, self.heartbeats, self.urgent, self.crashes, self.members
         )
--- a/src/catkindrift/gateway/_urgent_heartbeats.py
+++ b/src/catkindrift/gateway/_urgent_heartbeats.py
@@ -29,9 +29,15 @@
     _heartbeats: Heartbeats
     _due_ms: int = attrs.field(init=False, default=0)
     _timer: asyncio.TimerHandle | None = attrs.field(init=False, default=None)
+    _has_own_news: bool = attrs.field(init=False, default=False)
 
     def send(self) -> None:
         """Send a heartbeat to some VMs of all regions as soon as allowed."""
+        self._has_own_news = True
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        """Send news of another VM, only to the own zone if there are many."""
         if self._timer is None:
             wait_ms = max(0, self._due_ms - self._clock.now_ms())
             self._timer = asyncio.get_running_loop().call_later(
@@ -41,4 +47,6 @@
     def _send(self) -> None:
         self._timer = None
         self._due_ms = self._clock.now_ms() + _MIN_INTERVAL_MS
-        self._heartbeats.send_news()
+        is_passed_on = not self._has_own_news
+        self._has_own_news = False
+        self._heartbeats.send_news(is_passed_on=is_passed_on)
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -17,8 +17,15 @@
 from catkindrift.steering._limit_change import LimitChange
 from catkindrift.steering._limit_notice import LimitNotice
 from catkindrift.steering._load_report import LoadReport
-from catkindrift.steering._members import MAX_DIRECT_MEMBERS, Members
+from catkindrift.steering._member_table import MAX_DIRECT_MEMBERS
+from catkindrift.steering._members import Members
 from catkindrift.steering._neighbours import neighbours_of
+from catkindrift.steering._packed_signs import (
+    PackedSign,
+    pack_signs,
+    process_key,
+    unpack_signs,
+)
 from catkindrift.steering._placement import Placement
 from catkindrift.steering._placement_request import PlacementRequest
 from catkindrift.steering._placement_result import (
@@ -41,6 +48,7 @@
 from catkindrift.steering._upstream_reachability import UpstreamReachability
 from catkindrift.steering._upstream_registry import UpstreamRegistry
 from catkindrift.steering._upstream_state import UpstreamState
+from catkindrift.steering._zone_delegates import ZoneDelegates
 
 __all__ = [
     'MAX_DIRECT_MEMBERS',
@@ -58,6 +66,7 @@
     'Members',
     'NotPlaced',
     'NotPlacedReason',
+    'PackedSign',
     'Placed',
     'Placement',
     'PlacementRequest',
@@ -79,8 +88,12 @@
     'UpstreamState',
     'WeightedRotation',
     'WeightedService',
+    'ZoneDelegates',
     'ZoneDistances',
     'addresses_for',
     'nearest',
     'neighbours_of',
+    'pack_signs',
+    'process_key',
+    'unpack_signs',
 ]
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -25,6 +25,9 @@
         is_ready: Whether callers may be sent to it.
         count: Sequence number of the heartbeat within one process.
         reaches_upstreams: Whether it is not cut off from all upstreams.
+        by_zone: Whether it reads packed signs of life, and so needs no
+            heartbeats from VMs of other zones; False from builds that don't
+            send it.
     """
 
     name: str
@@ -36,12 +39,17 @@
     is_ready: bool
     count: int
     reaches_upstreams: bool = True
+    by_zone: bool = False
 
     @property
     def can_serve(self) -> bool:
         """Whether the VM takes requests and reaches upstreams."""
         return self.is_ready and self.reaches_upstreams
 
+    def next_heartbeat(self) -> 'MemberFacts':
+        """Return the facts with the number of the next heartbeat."""
+        return attrs.evolve(self, count=self.count + 1)
+
     @property
     def process(self) -> int:
         """Hash of the name and the start of the process, 64 bits."""
@@ -108,6 +116,7 @@
             self.is_ready,
             self.sequence,
             self.reaches_upstreams,
+            known.by_zone,
         )
 
 
@@ -131,6 +140,12 @@
             it has not, or is cut off from all.
         heard_ages_ms: Time since each VM of `heard` has sent these facts.
         sightings: Signs of life of other VMs; none from builds without them.
+        signs: Packed signs of life, as `pack_signs` writes them, to VMs that
+            read them.
+        wanted: Keys of processes whose facts the sender needs.
+        relayed_limits: Limits of upstreams that the sender has from others.
+        spread_zone: Other zone whose signs of life the sender spreads in its
+            own; empty if it spreads none.
     """
 
     sender: MemberFacts
@@ -144,3 +159,7 @@
     reached_age_ms: int | None = None
     heard_ages_ms: tuple[int, ...] = ()
     sightings: tuple[Sighting, ...] = ()
+    signs: bytes = b''
+    wanted: tuple[int, ...] = ()
+    relayed_limits: tuple[LimitNotice, ...] = ()
+    spread_zone: str = ''
--- a/src/catkindrift/steering/_members.py
+++ b/src/catkindrift/steering/_members.py
@@ -12,16 +12,9 @@
     MemberFacts,
     Sighting,
 )
+from catkindrift.steering._member import Member
+from catkindrift.steering._member_table import MemberTable
 
-# A VM counts as alive while news of it arrive; of few VMs each hears all
-# others itself, and this tolerates six consecutive lost heartbeats.
-_HEARTBEAT_TIMEOUT_MS = 2500
-# Of many VMs, most are heard of by way of others, at random.
-_GOSSIP_TIMEOUT_MS = 4000
-# Number of other VMs up to which each is sent every heartbeat.
-MAX_DIRECT_MEMBERS = 16
-# What others tell of a VM may be news here and old all the same.
-_MAX_AGE_MS = 5000
 # Silent VMs keep their shares of the common limits for this time, since they
 # may be partitioned from this VM and still serve requests.
 _RETENTION_MS = 120_000
@@ -36,40 +29,6 @@
 _SHARE_LEASE_MS = 110_000
 
 
-@final
-@attrs.define(eq=False, repr=False)
-class _Member:
-    facts: MemberFacts
-    updated_ms: int
-    sent_ms: int
-    process: int = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Identify the process."""
-        self.process = self.facts.process
-
-    def update(
-        self, facts: MemberFacts, sent_ms: int, now_ms: int, timeout_ms: int
-    ) -> bool:
-        """Take newer facts and return whether the VM has become alive."""
-        if facts.version <= self.facts.version:
-            return False
-        if facts.started_ms != self.facts.started_ms:
-            self.process = facts.process
-        was_alive = self.is_alive(now_ms, timeout_ms)
-        self.facts = facts
-        self.updated_ms = now_ms
-        self.sent_ms = max(self.sent_ms, sent_ms)
-        return self.is_alive(now_ms, timeout_ms) and not was_alive
-
-    def is_alive(self, now_ms: int, timeout_ms: int) -> bool:
-        """Return whether the VM was heard of lately."""
-        return (
-            now_ms - self.updated_ms < timeout_ms
-            and now_ms - self.sent_ms < _MAX_AGE_MS
-        )
-
-
 @final
 @attrs.define(eq=False, repr=False)
 class Members:
@@ -80,12 +39,18 @@
         own_name: Name of this entry VM.
         last_recovery_ms: Time of the last heartbeat from a VM that had been
             silent beyond the heartbeat timeout; 0 if there was none.
+        table: What is known of each of them.
     """
 
     _clock: Clock
     _own_name: str
     last_recovery_ms: int = attrs.field(init=False, default=0)
-    _members: dict[str, _Member] = attrs.field(init=False, factory=dict)
+    table: MemberTable = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda members: MemberTable(members._clock), takes_self=True
+        ),
+    )
     _records_ms: dict[str, int] = attrs.field(init=False, factory=dict)
     _listed_ms: int | None = attrs.field(init=False, default=None)
     _known_to_others_ms: int = attrs.field(init=False, default=-_SHARE_LEASE_MS)
@@ -103,7 +68,7 @@
             for name, written_ms in self._records_ms.items()
             if written_ms > oldest_ms
         )
-        return tuple(sorted({self._own_name, *self._members, *registered}))
+        return tuple(sorted({self._own_name, *self.table.by_name, *registered}))
 
     @property
     def sharers(self) -> tuple[str, ...]:
@@ -138,7 +103,7 @@
         return tuple(
             (name, now_ms - written_ms)
             for name, written_ms in self._records_ms.items()
-            if name not in self._members
+            if name not in self.table.by_name
             and name != self._own_name
             and now_ms - written_ms < _RECORD_RETENTION_MS
         )
@@ -152,17 +117,11 @@
     @property
     def facts(self) -> tuple[MemberFacts, ...]:
         """Facts about all other known entry VMs, alive or silent."""
-        return tuple(each.facts for each in self._members.values())
+        return tuple(each.facts for each in self.table.by_name.values())
 
     def alive(self) -> tuple[MemberFacts, ...]:
         """Return the facts about the other entry VMs that are alive."""
-        now_ms = self._clock.now_ms()
-        timeout_ms = _timeout_ms(len(self._members))
-        return tuple(
-            each.facts
-            for each in self._members.values()
-            if each.is_alive(now_ms, timeout_ms)
-        )
+        return self.table.alive()
 
     def age_ms(self, name: str) -> int:
         """Return the time since a VM has sent what is known of it.
@@ -170,7 +129,7 @@
         Raises:
             KeyError: The VM is unknown.
         """
-        return self._clock.now_ms() - self._members[name].sent_ms
+        return self._clock.now_ms() - self.table.by_name[name].sent_ms
 
     def record_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Update the members from a heartbeat.
@@ -179,17 +138,19 @@
             Whether the sender is a process that was not known before.
         """
         sender = heartbeat.sender
-        known = self._members.get(sender.name)
+        known = self.table.by_name.get(sender.name)
         is_new = known is None or known.facts.started_ms < sender.started_ms
         self.record_facts((sender,))
         # VMs of an older version tell no ages.
         ages_ms = itertools.chain(heartbeat.heard_ages_ms, itertools.repeat(0))
         told = itertools.chain(
             zip(heartbeat.heard, ages_ms, strict=False),
-            _newer_facts(self._members.values(), heartbeat.sightings),
+            _newer_facts(self.table.by_name.values(), heartbeat.sightings),
         )
         for facts, age_ms in told:
             self.record_facts((facts,), age_ms)
+        if self.table.record_signs(heartbeat.signs):
+            self.last_recovery_ms = self._clock.now_ms()
         for name, record_age_ms in heartbeat.unheard:
             self.record_registration(name, record_age_ms)
         return is_new
@@ -205,14 +166,10 @@
         """
         now_ms = self._clock.now_ms()
         sent_ms = now_ms - age_ms
-        timeout_ms = _timeout_ms(len(self._members))
         for each in facts:
-            known = self._members.get(each.name)
             if each.name == self._own_name:
                 continue
-            if known is None:
-                self._members[each.name] = _Member(each, now_ms, sent_ms)
-            elif known.update(each, sent_ms, now_ms, timeout_ms):
+            if self.table.record(each, sent_ms):
                 self.last_recovery_ms = now_ms
 
     def record_registration(self, name: str, age_ms: int) -> None:
@@ -251,15 +208,15 @@
         oldest_ms = self._clock.now_ms() - _RETENTION_MS
         silent = [
             name
-            for name, each in self._members.items()
+            for name, each in self.table.by_name.items()
             if each.updated_ms < oldest_ms
         ]
         for name in silent:
-            self._members.pop(name)
+            self.table.remove(name)
 
 
 def _newer_facts(
-    known: Iterable[_Member], sightings: Sequence[Sighting]
+    known: Iterable[Member], sightings: Sequence[Sighting]
 ) -> Iterator[tuple[MemberFacts, int]]:
     """Yield facts about known VMs with later signs of life, and their ages.
 
@@ -271,10 +228,3 @@
         facts = seen.newer_facts(member.facts) if member else None
         if facts:
             yield facts, seen.age_ms
-
-
-def _timeout_ms(known: int) -> int:
-    """Return after how long without news one of `known` VMs is dead."""
-    if known > MAX_DIRECT_MEMBERS:
-        return _GOSSIP_TIMEOUT_MS
-    return _HEARTBEAT_TIMEOUT_MS
