Watch configuration and evacuations through a VM of the zone too

Cause: each VM watched configuration and evacuations in the store by itself, so calls and bytes grew with VMs.

Change: in a zone with six or more ready VMs, each of the three kinds has its own zone watcher by the hashing that upstreams had. The second VM in that order is the deputy: VMs that the zone watcher can't serve poll it, which makes it poll the store; only then do they poll the store themselves. A zone watcher whose call to the store fails ends the waits of its zone at once.

--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -1,6 +1,7 @@
 """Watch of one kind of objects in the platform's store."""
 
 import asyncio
+import contextlib
 import logging
 import random
 from collections.abc import Callable
@@ -34,6 +35,9 @@
 # Delay before a relist after the store has dropped the requested history.
 _RELIST_DELAY_S = 0.15
 
+# Longest time until a deputy polls the store; it takes a few steps of the loop.
+_TAKEOVER_S = 0.1
+
 
 @final
 @attrs.define(eq=False, repr=False)
@@ -118,6 +122,8 @@
                 self._source.bypass_zone_watcher()
             except PlatformUnavailableError as unavailable:
                 self.health.record_failure(unavailable)
+                # VMs that wait for changes here go elsewhere at once.
+                self.change_log.interrupt()
                 await self._backoff.record_failure_and_wait()
 
     def retry_now(self) -> None:
@@ -141,7 +147,7 @@
             _LOG.info('watch of %s stalled; restarting it', self.kind)
             if uses_zone_watcher:
                 self._source.bypass_zone_watcher()
-            if self._relists_when_behind:
+            elif self._relists_when_behind:
                 self._is_listed = False
             self._poll_task.cancel()
 
@@ -151,7 +157,9 @@
             self._poll_task.cancel()
         self._source.is_sentinel = is_sentinel
 
-    def set_zone_watcher(self, address: str, *, is_shared: bool) -> None:
+    def set_zone_watcher(
+        self, address: str, *, is_shared: bool, deputy: str = ''
+    ) -> None:
         """Choose whether to poll the zone watcher or the store.
 
         The zone watcher is the VM that polls the store for its whole zone.
@@ -159,12 +167,27 @@
         Args:
             address: Peer address of the zone watcher; empty to poll the store.
             is_shared: Whether the zone has a zone watcher.
+            deputy: Peer address of the VM to poll if the zone watcher can't
+                serve; empty to poll the store then.
         """
         self._coalescing.is_shared = is_shared
-        is_changed = self._source.set_zone_watcher(address)
-        if is_changed and self._source.uses_zone_watcher and self._poll_task:
+        is_changed = self._source.set_zone_watcher(address, deputy)
+        # A long poll of the store would bring the next change to this VM too.
+        if is_changed and self._poll_task:
             self._poll_task.cancel()
 
+    async def take_over(self) -> None:
+        """Poll the store in place of the zone watcher for a while."""
+        if not self._source.uses_zone_watcher or not self._poll_task:
+            return
+        _LOG.info('watch of %s takes over from the zone watcher', self.kind)
+        self._source.bypass_zone_watcher()
+        self._poll_task.cancel()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_TAKEOVER_S):
+                while self._source.uses_zone_watcher:
+                    await asyncio.sleep(0)
+
     async def _step(self) -> None:
         if not self._is_listed:
             await self._list()
@@ -178,7 +201,7 @@
         self._revision = max(self._revision, page.revision)
         for each in page.latest_changes:
             self._on_change(each)
-        self._update_newest_revision(page)
+        self.newest_revision = max(self.newest_revision, _newest_change(page))
         if self._relists_when_behind and page.has_superseded_changes:
             self._is_outpaced = True
             self._is_listed = False
@@ -210,7 +233,7 @@
         self._revision = max(self._revision, page.revision)
         self.change_log.reset(self._revision)
         self._on_list(page.objects)
-        self._update_newest_revision(page)
+        self.newest_revision = max(self.newest_revision, _newest_change(page))
         # Keep listing while each list holds newer objects than the last one.
         self._is_outpaced = self._is_outpaced and self.newest_revision > known
         self._is_listed = not self._is_outpaced
@@ -244,12 +267,14 @@
         if self.health.record_response() and self.health.outage:
             self._on_outage_end(self.health.outage)
 
-    def _update_newest_revision(self, page: StorePage) -> None:
-        changed = [
-            page.revision if each.is_deleted else each.revision
-            for each in page.objects
-        ]
-        self.newest_revision = max(self.newest_revision, *changed, 0)
+
+def _newest_change(page: StorePage) -> int:
+    """Return the revision of the newest change in a page, 0 without any."""
+    changed = [
+        page.revision if each.is_deleted else each.revision
+        for each in page.objects
+    ]
+    return max(changed, default=0)
 
 
 async def _result_unless_cancelled(
--- a/src/catkindrift/gateway/_store_watches.py
+++ b/src/catkindrift/gateway/_store_watches.py
@@ -21,11 +21,8 @@
 from catkindrift.settings import GatewaySettings
 from catkindrift.steering import Heartbeat, Members
 
-# The kind with the most changes. One VM of a zone watches it and serves the
-# others. The other kinds change rarely and must take effect sooner.
-_SHARED_KIND = UPSTREAM_KIND
-# Ready VMs that a zone needs for a zone watcher. With fewer, it saves few calls
-# but delays changes by up to a second when it fails.
+# Ready VMs that a zone needs for zone watchers. With fewer, they save few calls
+# but delay changes by up to a second when they fail.
 _MIN_VMS_TO_SHARE = 6
 # Entry VMs that poll the store at short intervals for each kind. They get
 # changes even when long polls stall, and the revisions in their heartbeats
@@ -73,7 +70,9 @@
             ),
         )
         self._watches = tuple(
-            self._create(kind, on_list, on_change, relists=kind != _SHARED_KIND)
+            self._create(
+                kind, on_list, on_change, relists=kind != UPSTREAM_KIND
+            )
             for kind, on_list, on_change in kinds
         )
         self.health.add_recovery_listener(self._retry_now)
@@ -111,28 +110,40 @@
             watch.compare_with_peer(heartbeat.revisions.get(watch.kind, 0))
 
     def find_shared_watch(self, kind: str) -> StoreWatch | None:
-        """Return the watch of a kind that the zone shares, None for others."""
-        for watch in self._watches:
-            if watch.kind == kind == _SHARED_KIND:
+        """Return the watch of a kind that the zone shares, None for others.
+
+        Two VMs of all zones watch the records of entry VMs; news of them
+        passes in heartbeats.
+        """
+        for watch in self._shared_watches():
+            if watch.kind == kind:
                 return watch
         return None
 
     def assign_roles(self) -> None:
-        """Assign sentinels and zone watcher.
+        """Assign sentinels and the zone watcher of each kind.
 
         VMs that see the same members agree without coordination.
         """
         self._choose_sentinels()
-        for watch in self._watches:
-            if watch.kind == _SHARED_KIND:
-                self._choose_zone_watcher(watch)
+        for watch in self._shared_watches():
+            self._choose_zone_watcher(watch)
+
+    def _shared_watches(self) -> tuple[StoreWatch, ...]:
+        return tuple(
+            watch for watch in self._watches if watch.kind != ENTRY_VM_KIND
+        )
 
     def _retry_now(self) -> None:
         for watch in self._watches:
             watch.retry_now()
 
     def _choose_zone_watcher(self, watch: StoreWatch) -> None:
-        """Use a zone watcher if the zone has enough ready VMs."""
+        """Use a zone watcher if the zone has enough ready VMs.
+
+        The VMs before this one in the order of the kind may serve it: the
+        first is the zone watcher, the second its deputy.
+        """
         vm = self._settings.vm
         addresses = {
             each.name: each.peers
@@ -141,10 +152,13 @@
         }
         addresses[vm.name] = ''
         is_shared = len(addresses) >= _MIN_VMS_TO_SHARE
-        watcher = rendezvous_order(_SHARED_KIND, addresses)[0]
+        order = rendezvous_order(watch.kind, addresses)
+        before = order[: order.index(vm.name)] if is_shared else []
+        servers = [addresses[name] for name in before]
         watch.set_zone_watcher(
-            addresses[watcher] if is_shared else '',
+            next(iter(servers), ''),
             is_shared=is_shared,
+            deputy=next(iter(servers[1:]), ''),
         )
 
     def _choose_sentinels(self) -> None:
--- a/src/catkindrift/gateway/_watch_source.py
+++ b/src/catkindrift/gateway/_watch_source.py
@@ -1,4 +1,4 @@
-"""Source of a watch: the store or the zone watcher."""
+"""Source of a watch: the store, the zone watcher or its deputy."""
 
 from collections.abc import Callable
 from typing import final
@@ -12,7 +12,7 @@
 from catkindrift.steering import TimeSpan
 
 _MILLISECONDS_PER_SECOND = 1000
-# After a failure of the zone watcher, the store is polled directly for this
+# After a failure of the zone watcher or its deputy, it isn't polled for this
 # long, so that the next poll doesn't meet the same failure.
 _BYPASS_MS = 5000
 # A sentinel's shortest wait is its regular wait divided by this.
@@ -22,7 +22,9 @@
 @final
 @attrs.define(eq=False, repr=False)
 class WatchSource:
-    """Polls either the store or the zone watcher for changes of a kind.
+    """Polls the store or a VM of the zone for changes of a kind.
+
+    The zone watcher is preferred, then its deputy, then the store.
 
     Args:
         clock: Source of time.
@@ -39,26 +41,33 @@
     uses_zone_watcher: bool = attrs.field(init=False, default=False)
     outage: TimeSpan | None = attrs.field(init=False, default=None)
     _zone_client: ZoneClient | None = attrs.field(init=False, default=None)
-    _bypass_until_ms: int = attrs.field(init=False, default=0)
+    _deputy_client: ZoneClient | None = attrs.field(init=False, default=None)
+    _polled: ZoneClient | None = attrs.field(init=False, default=None)
+    _bypass_until_ms: dict[str, int] = attrs.field(init=False, factory=dict)
     _last_response_ms: int | None = attrs.field(init=False, default=None)
 
-    def set_zone_watcher(self, address: str) -> bool:
-        """Set the zone watcher and return whether it has changed.
+    def set_zone_watcher(self, address: str, deputy: str = '') -> bool:
+        """Set the VMs to poll and return whether the next poll changes.
 
         Args:
-            address: Its peer address; empty to poll the store.
+            address: Peer address of the zone watcher; empty to poll the store.
+            deputy: Peer address of its deputy; empty if there is none for
+                this VM.
         """
-        known = self._zone_client.address if self._zone_client else ''
-        if address == known:
-            return False
-        if self._zone_client:
-            self._zone_client.close()
-        self._zone_client = ZoneClient(address) if address else None
-        return True
+        before = self._preferred()
+        self._zone_client = _renew(self._zone_client, address)
+        self._deputy_client = _renew(self._deputy_client, deputy)
+        return self._preferred() is not before
 
     def bypass_zone_watcher(self) -> None:
-        """Poll the store directly for a while."""
-        self._bypass_until_ms = self._clock.now_ms() + _BYPASS_MS
+        """Do not poll the VM that was polled last for a while."""
+        polled = self._polled or self._zone_client
+        if polled:
+            until_ms = self._clock.now_ms() + _BYPASS_MS
+            self._bypass_until_ms = {
+                **self._current_bypasses(),
+                polled.address: until_ms,
+            }
 
     async def poll(
         self,
@@ -77,14 +86,31 @@
             PlatformUnavailableError: The store gave no usable response.
             ZoneWatchError: The zone watcher can't serve the changes.
         """
-        zone = self._zone_client
-        may_use_zone_watcher = self._clock.now_ms() >= self._bypass_until_ms
-        self.uses_zone_watcher = False
-        if zone is None or self.is_sentinel or not may_use_zone_watcher:
+        zone = self._preferred()
+        self._polled = zone
+        self.uses_zone_watcher = zone is not None
+        if zone is None:
             return await self._poll_store(revision, on_chunk)
-        self.uses_zone_watcher = True
         return await self._poll_zone_watcher(zone, revision, on_chunk)
 
+    def _preferred(self) -> ZoneClient | None:
+        """Return the VM to poll, None for the store."""
+        if self.is_sentinel:
+            return None
+        bypassed = self._current_bypasses()
+        for client in (self._zone_client, self._deputy_client):
+            if client and client.address not in bypassed:
+                return client
+        return None
+
+    def _current_bypasses(self) -> dict[str, int]:
+        now_ms = self._clock.now_ms()
+        return {
+            address: until_ms
+            for address, until_ms in self._bypass_until_ms.items()
+            if until_ms > now_ms
+        }
+
     async def _poll_store(
         self,
         revision: int,
@@ -127,6 +153,7 @@
             wait_ms,
             self._timeout_s(wait_ms),
             on_chunk,
+            takes_over=zone is self._deputy_client,
         )
         ages = message.outage_ages
         self.outage = ages.convert_ages(self._clock.now_ms()) if ages else None
@@ -135,3 +162,12 @@
     def _timeout_s(self, wait_ms: int) -> float:
         limit_ms = wait_ms + self._settings.call_timeout_ms
         return limit_ms / _MILLISECONDS_PER_SECOND
+
+
+def _renew(client: ZoneClient | None, address: str) -> ZoneClient | None:
+    """Return a client of `address`, the same one if it hasn't changed."""
+    if client and client.address == address:
+        return client
+    if client:
+        client.close()
+    return ZoneClient(address) if address else None
--- a/src/catkindrift/gateway/_zone_changes_page.py
+++ b/src/catkindrift/gateway/_zone_changes_page.py
@@ -10,6 +10,7 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._store_watch import StoreWatch
 from catkindrift.gateway._zone_message import ZoneMessage
+from catkindrift.gateway._zone_page import TAKES_OVER, pack
 from catkindrift.http1 import CallerRequest, Response
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -42,13 +43,17 @@
         if parts is None or watch is None:
             return Response(HTTPStatus.NOT_FOUND)
         wait_ms = min(int(parts['wait_ms']), _LONGEST_WAIT_MS)
-        return await self._respond(watch, int(parts['revision']), wait_ms)
+        if TAKES_OVER.encode() in request.query.split(b'&'):
+            await watch.take_over()
+        revision = int(parts['revision'])
+        return await self._respond(watch, revision, wait_ms, request.query)
 
     async def _respond(
         self,
         watch: StoreWatch,
         revision: int,
         wait_ms: int,
+        query: bytes,
     ) -> Response:
         if not watch.is_direct:
             return Response(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -59,4 +64,4 @@
             return Response(HTTPStatus.GONE)
         outage = watch.health.outage
         ages = outage.convert_ages(self._clock.now_ms()) if outage else None
-        return Response(HTTPStatus.OK, [], ZoneMessage(page, ages).to_json())
+        return pack(ZoneMessage(page, ages).to_json(), query)
--- a/src/catkindrift/gateway/_zone_client.py
+++ b/src/catkindrift/gateway/_zone_client.py
@@ -8,6 +8,7 @@
 
 from catkindrift.errors import AnswerTooLargeError, ZoneWatchError
 from catkindrift.gateway._zone_message import ZoneMessage
+from catkindrift.gateway._zone_page import ACCEPTS_ZLIB, TAKES_OVER, unpack
 from catkindrift.http1 import HttpClient
 from catkindrift.settings import Endpoint
 
@@ -36,13 +37,26 @@
         wait_ms: int,
         timeout_s: float,
         on_chunk: Callable[[], None],
+        *,
+        takes_over: bool = False,
     ) -> ZoneMessage:
         """Return changes after `revision`, waiting up to `wait_ms` for one.
 
+        Args:
+            kind: Kind of the objects.
+            revision: Latest known revision.
+            wait_ms: How long the other VM waits for a change.
+            timeout_s: Longest wait for the first chunk of the response.
+            on_chunk: Called with each chunk of the response that arrives.
+            takes_over: Whether the other VM shall poll the store, because the
+                zone watcher can't serve.
+
         Raises:
             ZoneWatchError: The zone watcher can't serve the changes.
         """
-        path = f'/changes/{kind}/{revision}/{wait_ms}'
+        path = f'/changes/{kind}/{revision}/{wait_ms}?{ACCEPTS_ZLIB}'
+        if takes_over:
+            path = f'{path}&{TAKES_OVER}'
         try:
             head, content = await self._client.request(
                 'GET', path, b'', timeout_s, on_chunk
@@ -56,7 +70,7 @@
                 f'{self.address} returned status {head.status}; ask the store',
             )
         try:
-            return ZoneMessage.from_json(content)
+            return ZoneMessage.from_json(unpack(head.headers, content))
         except ValueError as malformed:
             raise ZoneWatchError(
                 f'{self.address} sent a malformed message; ask the store',
