Read load reports of four figures

A figure of thousands of digits raised ValueError in int(). Change: platform/_load_header.py reads both forms. The speed is checked apart from the load; every missing or invalid figure is counted by name (invalid_load_figures).

--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -42,6 +42,9 @@
     upstream_limit_changes: Labeled = _labeled(
         'change', 'Limits that upstreams have named, changed or ended'
     )
+    invalid_load_figures: Labeled = _labeled(
+        'figure', 'Missing and invalid figures in load reports'
+    )
     limited_upstreams: Sample = _gauge('Upstreams that name a limit')
     sharing_entry_vms: Sample = _gauge(
         'Entry VMs among which this one divides common limits'
--- a/src/catkindrift/gateway/_upstream_observer.py
+++ b/src/catkindrift/gateway/_upstream_observer.py
@@ -18,7 +18,7 @@
     is_from_upstream,
     is_leaving,
     is_misdirected,
-    parse_load_report,
+    parse_load_figures,
     request_limit,
     requested_pause_ms,
 )
@@ -83,9 +83,7 @@
         and whether it leaves.
         """
         now_ms = self._clock.now_ms()
-        report = parse_load_report(head)
-        if report:
-            state.record_load(report, now_ms)
+        self._record_load(state, head, now_ms)
         cold_ms = cold_remaining_ms(head)
         if cold_ms:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
@@ -132,7 +130,7 @@
             state.eject(now_ms)
         else:
             state.record_refusal()
-        if parse_load_report(head) is None:
+        if parse_load_figures(head).report is None:
             slots = state.upstream.slots
             full = LoadReport(slots, slots * _FULL_QUEUE_FACTOR, slots)
             state.record_load(full, now_ms)
@@ -153,6 +151,17 @@
         if not attempt.pending.was_queued:
             latency.add_sample(took_ms)
 
+    def _record_load(
+        self, state: UpstreamState, head: ResponseHead, now_ms: int
+    ) -> None:
+        """Record the reported load and speed; count what is invalid."""
+        figures = parse_load_figures(head)
+        if figures.report:
+            state.record_load(figures.report, now_ms)
+        state.host_speed.record(figures.speed_percent, now_ms)
+        for name in figures.refused:
+            self._metrics.invalid_load_figures.labels(name).inc()
+
     def _report_limit(
         self,
         incarnation: str,
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -20,6 +20,7 @@
     RESOLVE_PATH,
     UPSTREAM_KIND,
 )
+from catkindrift.platform._load_header import parse_load_figures
 from catkindrift.platform._request_messages import (
     api_key,
     caller_location,
@@ -41,7 +42,6 @@
     is_misdirected,
     is_other_upstream,
     matches_attempt,
-    parse_load_report,
     reports_not_run,
     request_limit,
     requested_pause_ms,
@@ -79,7 +79,7 @@
     'matches_attempt',
     'object_key',
     'parse_configuration',
-    'parse_load_report',
+    'parse_load_figures',
     'remaining_ms',
     'reports_not_run',
     'request_id',
--- a/src/catkindrift/platform/_headers.py
+++ b/src/catkindrift/platform/_headers.py
@@ -19,7 +19,8 @@
 EXPECTED_UPSTREAM: Final = b'expected-instance'
 # Id of the upstream that responds to a health check.
 UPSTREAM_ID: Final = b'instance-id'
-# Running requests, waiting requests and slots of the responding upstream,
+# Running requests, waiting requests and slots of the responding upstream, and
+# optionally the time that work takes on its host in percent of the usual,
 # separated by commas.
 LOAD: Final = b'server-load'
 # Requests per second that the upstream takes from all entry VMs together.
--- a/src/catkindrift/platform/_response_messages.py
+++ b/src/catkindrift/platform/_response_messages.py
@@ -11,7 +11,6 @@
     COLD_REMAINING,
     LEAVING,
     LIMIT,
-    LOAD,
     NOT_RUN,
     RETRY_AFTER,
     SIGNATURE,
@@ -19,14 +18,12 @@
 )
 from catkindrift.platform._request_messages import request_id
 from catkindrift.platform._wire_server import decode_start_ms
-from catkindrift.steering import LoadReport
 
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _MILLISECONDS_PER_SECOND = 1000
 # A longer pause is an error of the upstream.
 _MAX_PAUSE_MS = 600_000
-_LOAD_FIELD_COUNT = 3
 _DECIMAL = re.compile(rb'\d+(\.\d*)?|\.\d+')
 # Malformed values are shown in the log up to this length.
 _MAX_SHOWN_BYTES = 32
@@ -85,17 +82,6 @@
     return decode_start_ms(stated)
 
 
-def parse_load_report(head: ResponseHead) -> LoadReport | None:
-    """Return the load that an upstream reports, or None if malformed."""
-    fields = find_header(head.headers, LOAD).split(b',')
-    if len(fields) != _LOAD_FIELD_COUNT:
-        return None
-    if not all(each.isdigit() for each in fields):
-        return None
-    running, waiting, slots = (int(each) for each in fields)
-    return LoadReport(running, waiting, slots)
-
-
 def request_limit(head: ResponseHead) -> float | None:
     """Return the limit that an upstream names, or None if it names none.
 
--- a/src/catkindrift/steering/_cost.py
+++ b/src/catkindrift/steering/_cost.py
@@ -43,7 +43,7 @@
         """Return the expected time in the queue of an upstream."""
         slots = state.upstream.slots
         queued = state.load(now_ms) + 1 - slots
-        service_ms = average_ms + state.extra_latency_ms(now_ms, average_ms)
+        service_ms = average_ms + _extra_ms(state, now_ms, average_ms)
         return max(0, queued) * service_ms / slots
 
     def total_ms(
@@ -56,7 +56,7 @@
         return (
             average_ms
             + self.queue_wait_ms(state, now_ms, average_ms)
-            + state.extra_latency_ms(now_ms, average_ms)
+            + _extra_ms(state, now_ms, average_ms)
             + self._distances.round_trip_ms(state.upstream.zone)
             + state.failure_rate * _FAILURE_COST_MS
         )
@@ -91,3 +91,11 @@
             _SECOND_CHOICE_FRACTION if rank == 1 else _FURTHER_CHOICE_FRACTION
         )
         return average_ms * fraction
+
+
+def _extra_ms(state: UpstreamState, now_ms: int, average_ms: float) -> float:
+    """Return the extra time to expect, either seen or due to a slow host."""
+    return max(
+        state.extra_latency_ms(now_ms, average_ms),
+        state.host_speed.extra_ms(now_ms, average_ms),
+    )
--- a/src/catkindrift/steering/_upstream_state.py
+++ b/src/catkindrift/steering/_upstream_state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from catkindrift.steering._host_speed import HostSpeed
 from catkindrift.steering._load_report import LoadReport
 from catkindrift.steering._upstream import Upstream
 
@@ -41,6 +42,7 @@
         is_leaving: Whether its own responses state that it is shutting down.
         paused_until_ms: Time until which it wants no requests from this VM.
         failure_rate: Moving average of failures per request, from 0 to 1.
+        host_speed: Most recently reported speed of its host.
     """
 
     upstream: Upstream
@@ -51,6 +53,7 @@
     is_leaving: bool = False
     paused_until_ms: int = 0
     failure_rate: float = 0
+    host_speed: HostSpeed = attrs.field(init=False, factory=HostSpeed)
     _consecutive_failures: int = 0
     _other_load: float = 0
     _load_reported_ms: int = 0
