Run requests in the own zone or region where these have the capacity

Change: with [placement] locality = true (off by default), ZoneShares divides each zone's requests by what all VMs know: zones have the same demand, every slot gets the same number of requests, own zone first, then own region, then all by the room left; a zone or region takes part only if its upstreams can hold the objects (remembered_objects, 14). Objects belong to zones by weighted rendezvous hashing. Full upstreams yield to others of the zone, then of the region, then of other regions; plan and overflow may each move half of the 0.15 of a region's requests per 2 s. Without the setting nothing changes. The template is left as it is.

--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -1,6 +1,7 @@
 """Composition root of an entry VM on the users' platform."""
 
 import logging
+from collections.abc import Mapping
 from typing import final
 
 import attrs
@@ -43,6 +44,8 @@
     ColdRateLimiter,
     CostModel,
     Heartbeat,
+    LocalChoices,
+    Locality,
     MemberFacts,
     Members,
     Placement,
@@ -198,12 +201,14 @@
 
     def _wire_data_path(self) -> None:
         clock = self._clock
+        locality = _locality(self._settings, clock, self.registry, self.regions)
         placement = Placement(
             clock,
-            CandidateOrder(self.state.registry, self.distances),
+            CandidateOrder(self.state.registry, self.distances, locality),
             CostModel(self.distances),
             self.cold_limiter,
             self.limits,
+            LocalChoices(clock, locality) if locality else None,
         )
         self.tick = SteeringTick(
             clock,
@@ -355,3 +360,18 @@
         settings.cold_overshoot,
         settings.cold_slack,
     )
+
+
+def _locality(
+    settings: GatewaySettings,
+    clock: Clock,
+    registry: UpstreamRegistry,
+    regions: Mapping[str, str],
+) -> Locality | None:
+    """Return the zones in which requests run; None if all are alike."""
+    chosen = settings.placement
+    if not chosen.locality:
+        return None
+    return Locality(
+        clock, registry, settings.vm.zone, regions, chosen.remembered_objects
+    )
--- a/src/catkindrift/platform/_load_header.py
+++ b/src/catkindrift/platform/_load_header.py
@@ -12,6 +12,7 @@
 _NAMES: Final = ('running', 'waiting', 'slots', 'speed')
 # The first three figures are required.
 _REQUIRED_COUNT = 3
+_Figure = int | None
 # Figures that may be 0; the others are at least 1.
 _MAY_BE_ZERO: Final = frozenset(('running', 'waiting'))
 # Highest valid value; no upstream has that many slots or requests.
@@ -56,21 +57,23 @@
     return LoadFigures(
         _report(list(figures.values())[:_REQUIRED_COUNT]),
         figures.get('speed'),
-        tuple(name for name, figure in figures.items() if figure is None),
+        tuple(name for name in figures if figures[name] is None),
     )
 
 
-def _parse(field: bytes, name: str) -> int | None:
+def _parse(field: bytes, name: str) -> _Figure:
     # The length is checked first, since int() fails on thousands of digits.
-    if not field.isdigit() or len(field) > len(str(_MAX_FIGURE)):
+    is_long = len(field) > len(str(_MAX_FIGURE))
+    if is_long or not field.isdigit():
         return None
     figure = int(field)
-    is_low = figure == 0 and name not in _MAY_BE_ZERO
-    return None if is_low or figure > _MAX_FIGURE else figure
+    if figure == 0 and name not in _MAY_BE_ZERO:
+        return None
+    return figure if figure <= _MAX_FIGURE else None
 
 
-def _report(figures: list[int | None]) -> LoadReport | None:
-    stated = [figure for figure in figures if figure is not None]
+def _report(figures: list[_Figure]) -> LoadReport | None:
+    stated = [each for each in figures if each is not None]
     if len(stated) < len(figures):
         return None
     return LoadReport(*stated)
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -105,6 +105,24 @@
     directory_lifetime_s: float = 5
 
 
+@final
+@attrs.frozen
+class GatewayPlacementSettings:
+    """Placement of objects on upstreams.
+
+    Args:
+        locality: Whether requests run in their own zone, or else in their own
+            region, where these have the capacity.
+        remembered_objects: Number of objects that one upstream caches; the
+            fewest of the measured services is 14.
+    """
+
+    locality: bool = False
+    remembered_objects: int = attrs.field(
+        default=14, validator=attrs.validators.ge(1)
+    )
+
+
 @final
 @attrs.frozen
 class GatewaySettings:
@@ -116,6 +134,7 @@
         platform: Access to the platform's store.
         zones: Region of each availability zone.
         bounds: Limits that apply to all entry VMs together.
+        placement: Placement of objects on upstreams.
     """
 
     vm: VmSettings
@@ -123,3 +142,4 @@
     platform: GatewayPlatformSettings
     zones: dict[str, str]
     bounds: GatewayBoundSettings = GatewayBoundSettings()
+    placement: GatewayPlacementSettings = GatewayPlacementSettings()
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -17,6 +17,8 @@
 from catkindrift.steering._limit_change import LimitChange
 from catkindrift.steering._limit_notice import LimitNotice
 from catkindrift.steering._load_report import LoadReport
+from catkindrift.steering._local_choices import LocalChoices
+from catkindrift.steering._locality import Locality
 from catkindrift.steering._members import MAX_DIRECT_MEMBERS, Members
 from catkindrift.steering._neighbours import neighbours_of
 from catkindrift.steering._placement import Placement
@@ -54,6 +56,8 @@
     'LimitChange',
     'LimitNotice',
     'LoadReport',
+    'LocalChoices',
+    'Locality',
     'MemberFacts',
     'Members',
     'NotPlaced',
--- a/src/catkindrift/steering/_candidate_order.py
+++ b/src/catkindrift/steering/_candidate_order.py
@@ -6,6 +6,8 @@
 
 from catkindrift.rendezvous import rendezvous_order
 from catkindrift.steering._distances import ZoneDistances
+from catkindrift.steering._local_order import local_order
+from catkindrift.steering._locality import Locality
 from catkindrift.steering._upstream_registry import UpstreamRegistry
 from catkindrift.steering._upstream_state import UpstreamState
 
@@ -23,14 +25,15 @@
     Args:
         registry: All known upstreams.
         distances: Identifies the upstreams in this entry VM's region.
+        locality: Zones in which requests run; None if all zones are alike.
     """
 
     _registry: UpstreamRegistry
     _distances: ZoneDistances
+    _locality: Locality | None = None
     _epoch: int = attrs.field(init=False, default=-1)
-    _orders: dict[tuple[str, str, bool], list[UpstreamState]] = attrs.field(
-        init=False,
-        factory=dict,
+    _orders: dict[tuple[str, str, bool, int], list[UpstreamState]] = (
+        attrs.field(init=False, factory=dict)
     )
 
     def order_for_key(
@@ -51,13 +54,18 @@
         if self._epoch != self._registry.epoch:
             self._orders.clear()
             self._epoch = self._registry.epoch
-        order = self._orders.get((service, key, near_first))
+        locality = self._locality
+        version = locality.version(service) if locality else 0
+        cache_key = (service, key, near_first, version)
+        order = self._orders.get(cache_key)
         if order is None:
             order = self._compute(service, key)
+            if locality:
+                order = local_order(service, key, order, locality)
             if near_first:
                 order.sort(key=self._is_far)
             if len(self._orders) < _MAX_CACHED_ORDERS:
-                self._orders[service, key, near_first] = order
+                self._orders[cache_key] = order
         return order
 
     def _is_far(self, state: UpstreamState) -> bool:
--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -9,6 +9,7 @@
 from catkindrift.steering._candidate_order import CandidateOrder
 from catkindrift.steering._cold_rate_limiter import ColdRateLimiter
 from catkindrift.steering._cost import CostModel
+from catkindrift.steering._local_choices import LocalChoices
 from catkindrift.steering._placement_request import PlacementRequest
 from catkindrift.steering._placement_result import (
     ChoiceReason,
@@ -47,6 +48,7 @@
         cost: Cost model by which upstreams are compared.
         cold_limiter: Rate limit on requests to cold upstreams.
         limits: Limits that upstreams name.
+        local: Extends choices zone by zone; None if all zones are alike.
         rules: Rules by name of the service.
     """
 
@@ -55,6 +57,7 @@
     _cost: CostModel
     _cold_limiter: ColdRateLimiter
     _limits: UpstreamLimits
+    _local: LocalChoices | None = None
     rules: Mapping[str, ServiceRules] = attrs.field(init=False, factory=dict)
     _latencies: dict[str, ServiceLatency] = attrs.field(
         init=False, factory=dict
@@ -67,10 +70,14 @@
     def choose(self, request: PlacementRequest) -> Placed | NotPlaced:
         """Return the best upstream, or the reason why there is none."""
         now_ms = self._clock.now_ms()
+        if self._local:
+            self._local.record_request(request)
         choices, ejected = self._healthy_and_ejected(request, now_ms)
         if not choices:
             return self._last_resort(request, ejected, now_ms)
         best = self._cheapest(request, choices, now_ms)
+        if self._local and best:
+            self._local.record_choice(choices, best.state)
         return self._check_deadline(request, best, choices, now_ms)
 
     def _healthy_and_ejected(
@@ -82,12 +89,24 @@
         healthy: list[UpstreamState] = []
         ejected: list[UpstreamState] = []
         for state in self._candidates(request, now_ms):
-            is_ejected = state.ejected_until_ms > now_ms
-            (ejected if is_ejected else healthy).append(state)
-            if len(healthy) == _MAX_CHOICES:
+            if state.ejected_until_ms > now_ms:
+                ejected.append(state)
+            elif self._may_add(state, healthy):
+                healthy.append(state)
+            if self._is_enough(healthy):
                 break
         return healthy, ejected
 
+    def _may_add(
+        self, state: UpstreamState, choices: list[UpstreamState]
+    ) -> bool:
+        return self._local is None or self._local.admits(choices, state)
+
+    def _is_enough(self, choices: list[UpstreamState]) -> bool:
+        if self._local:
+            return self._local.is_enough(choices)
+        return len(choices) == _MAX_CHOICES
+
     def _candidates(
         self,
         request: PlacementRequest,
