--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -17,8 +17,10 @@
 from catkindrift.steering._limit_change import LimitChange
 from catkindrift.steering._limit_notice import LimitNotice
 from catkindrift.steering._load_report import LoadReport
+from catkindrift.steering._local_choices import LocalChoices
+from catkindrift.steering._locality import Locality
 from catkindrift.steering._member_table import MAX_DIRECT_MEMBERS
-from catkindrift.steering._members import Members
+from catkindrift.steering._members import MAX_DIRECT_MEMBERS, Members
 from catkindrift.steering._neighbours import neighbours_of
 from catkindrift.steering._packed_signs import (
     PackedSign,
@@ -62,6 +64,8 @@
     'LimitChange',
     'LimitNotice',
     'LoadReport',
+    'LocalChoices',
+    'Locality',
     'MemberFacts',
     'Members',
     'NotPlaced',
