Answer 503 to requests that reached no upstream

Found in the code: a connection that was closed right after it was accepted, or while it lay in the pool, was written to (the write is dropped) and counted as a lost response, 502, at upstreams and in a hand-over; an exception of the VM's own decision became a 502; a hand-over between regions ended at the sender, with 504, 10 ms before the receiver's refusal arrived. Change: a closing connection is not used, and counts as a failed connect; an error before the request was sent is a 503 (reason error); the receiver of a hand-over gets 30 ms less.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -120,7 +120,9 @@
             connection = self._pool.take(upstream)
         if connection is None:
             connection = await self._pool.connect(upstream)
-        if connection is None:
+        if connection is None or not connection.is_reusable:
+            # An upstream at its connection limit accepts and closes at once.
+            # Nothing has been sent, so the request certainly hasn't run.
             self._restarts.expect(upstream.incarnation)
             self._crashes.record_connect_failure(upstream)
             return self._observer.record_connect_failure(state)
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -161,6 +161,12 @@
                 'too_late',
                 _REFUSED_RETRY_MS,
             )
+        except Exception:
+            if pending.may_have_run or pending.fallback:
+                raise
+            return self._refusals.refuse_after_error(
+                pending.request, _REFUSED_RETRY_MS
+            )
 
     async def _serve(self, pending: PendingRequest) -> Response:
         if self._handover and self._handover.is_needed:
--- a/src/catkindrift/gateway/_handover.py
+++ b/src/catkindrift/gateway/_handover.py
@@ -45,6 +45,10 @@
 _CONNECT_TIMEOUT_MS = 300.0
 # Fewer are too few to share the requests of many VMs that are cut off.
 _MIN_RECEIVERS = 2
+# The receiver's refusal must be back before this VM's own time limit, else a
+# request that reached no upstream gets a 504. The way between regions takes 20
+# ms in each direction, and the receiver leaves 30 ms for it.
+_RETURN_TRANSIT_MS = 30
 # By then callers have a directory response without this VM.
 _RETRY_MS = 1000.0
 
@@ -151,11 +155,13 @@
     ) -> tuple[str, Response | None]:
         """Return the outcome of a hand-over, and the response to forward."""
         connection = await self._connect(receiver)
-        if connection is None:
+        if connection is None or not connection.is_reusable:
             return 'no_connection', None
         request = pending.request
         exchange = Exchange(request, connection, pending.matches_response)
-        left_ms = pending.deadline_ms - self._clock.now_ms()
+        left_ms = (
+            pending.deadline_ms - self._clock.now_ms() - _RETURN_TRANSIT_MS
+        )
         headers = with_deadline(headers_for_peer(pending), max(1, left_ms))
         headers += [
             (CALLER_HEADER, request.caller.encode()),
--- a/src/catkindrift/gateway/_refusals.py
+++ b/src/catkindrift/gateway/_refusals.py
@@ -1,5 +1,6 @@
 """Refusals of requests that have not been run."""
 
+import logging
 import random
 from http import HTTPStatus
 from typing import final
@@ -14,6 +15,7 @@
 from catkindrift.platform import request_id, retry_after
 from catkindrift.steering import NotPlacedReason
 
+_LOG = logging.getLogger(__name__)
 # Refusals whose time is the earliest at which a retry can succeed.
 _EARLIEST_REASONS = frozenset((NotPlacedReason.LIMITED.value,))
 
@@ -53,6 +55,21 @@
         header = retry_after(spread(self._rng, retry_after_ms))
         return Response(HTTPStatus.SERVICE_UNAVAILABLE, [header])
 
+    def refuse_after_error(
+        self, request: CallerRequest, retry_after_ms: float
+    ) -> Response:
+        """Return a 503 for a request that an error kept from being sent.
+
+        The server would answer 502, after which a caller can't repeat an
+        unsafe request. Called while the exception is being handled.
+
+        Args:
+            request: The request.
+            retry_after_ms: Delay before a retry.
+        """
+        _LOG.exception('a request failed before it was sent')
+        return self.refuse(request, 'error', retry_after_ms)
+
     def refuse_unrouted(self, request: CallerRequest) -> Response:
         """Return a 404 for a request that no route matches."""
         self._record(request, 'no_route', 0)
--- a/src/catkindrift/http1/_client_connection.py
+++ b/src/catkindrift/http1/_client_connection.py
@@ -45,7 +45,12 @@
         """Return whether another request may be sent on the connection."""
         receiver = self._receiver
         is_free = receiver is None or receiver.is_complete
-        return is_free and not self._is_reuse_disabled
+        return is_free and self.is_open and not self._is_reuse_disabled
+
+    @property
+    def is_open(self) -> bool:
+        """Whether what is written is sent; False once either side closes."""
+        return self._transport is not None and not self._transport.is_closing()
 
     def expect_response(
         self,
