--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -20,7 +20,7 @@
 from catkindrift.steering._local_choices import LocalChoices
 from catkindrift.steering._locality import Locality
 from catkindrift.steering._member_table import MAX_DIRECT_MEMBERS
-from catkindrift.steering._members import MAX_DIRECT_MEMBERS, Members
+from catkindrift.steering._members import Members
 from catkindrift.steering._neighbours import neighbours_of
 from catkindrift.steering._packed_signs import (
     PackedSign,
