--- a/tests/test_zone_sharing.py
+++ b/tests/test_zone_sharing.py
@@ -132,7 +132,7 @@
         deployment.gateways.remove(self.gateway)
         for task in self.gateway._tasks:
             task.cancel()
-        self.gateway._parts.heartbeats._transport.close()
+        self.gateway._parts.heartbeats._sender.transport.close()
 
     async def end(self, deployment):
         for server, _ in self.gateway._parts.servers:
