Even out what each entry VM sends over the upstreams of a zone

Cause: with one place for each object the busiest upstream gets a multiple of the mean, and load reports of 129 VMs are too old to correct it.

--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -1,6 +1,7 @@
 """Composition root of an entry VM on the users' platform."""
 
 import logging
+import random
 from collections.abc import Mapping
 from typing import final
 
@@ -208,7 +209,7 @@
             CostModel(self.distances),
             self.cold_limiter,
             self.limits,
-            LocalChoices(clock, locality) if locality else None,
+            _local_choices(self._settings.vm.name, clock, locality, self.pool),
         )
         self.tick = SteeringTick(
             clock,
@@ -375,3 +376,16 @@
     return Locality(
         clock, registry, settings.vm.zone, regions, chosen.remembered_objects
     )
+
+
+def _local_choices(
+    vm_name: str,
+    clock: Clock,
+    locality: Locality | None,
+    pool: UpstreamPool,
+) -> LocalChoices | None:
+    # Each VM's numbers are its own, so that VMs don't choose alike.
+    numbers = random.Random(vm_name)  # noqa: S311
+    if locality is None:
+        return None
+    return LocalChoices(clock, locality, numbers, pool.has_idle)
--- a/src/catkindrift/gateway/_upstream_pool.py
+++ b/src/catkindrift/gateway/_upstream_pool.py
@@ -48,6 +48,10 @@
         """Return the most recently used idle connection, or None."""
         return self._connections.take(upstream.incarnation)
 
+    def has_idle(self, upstream: Upstream) -> bool:
+        """Return whether an idle connection to this incarnation is open."""
+        return self._connections.has_idle(upstream.incarnation)
+
     def is_connected(self, upstream: Upstream) -> bool:
         """Return whether any connection to this incarnation is open."""
         return self._connections.open_count(upstream.incarnation) > 0
--- a/src/catkindrift/http1/_connection_pool.py
+++ b/src/catkindrift/http1/_connection_pool.py
@@ -50,6 +50,10 @@
         """Return the number of open connections to a peer, idle or not."""
         return len(self._open.get(peer, ()))
 
+    def has_idle(self, peer: str) -> bool:
+        """Return whether `take` would return a connection to a peer."""
+        return any(map(self._is_fresh, self._idle.get(peer, ())))
+
     def take(self, peer: str) -> ClientConnection | None:
         """Return the most recently used idle connection, or None.
 
--- a/src/catkindrift/steering/_locality.py
+++ b/src/catkindrift/steering/_locality.py
@@ -27,11 +27,13 @@
     Args:
         shares: Present shares.
         at_ms: Time at which they were set.
+        counts: Number of upstreams by zone.
         version: Number that increases whenever they change.
     """
 
     shares: Mapping[str, float]
     at_ms: int
+    counts: Mapping[str, int]
     version: int = 0
 
 
@@ -83,6 +85,10 @@
         }
         return weighted_choice(key, shares) if shares else self._own_zone
 
+    def upstream_count(self, service: str, zone: str) -> int:
+        """Return the number of a service's upstreams in a zone."""
+        return self._current(service).counts.get(zone, 0)
+
     def tier(self, zone: str, planned_zone: str) -> int:
         """Return how far an upstream's zone is from the planned one.
 
@@ -101,13 +107,18 @@
         now_ms = self._clock.now_ms()
         known = self._services.get(service)
         if known is None:
-            known = _ServiceShares(self._target(service), now_ms)
+            zones = self._capacities(service)
+            known = _ServiceShares(
+                self._target(service, zones), now_ms, _counts(zones)
+            )
             self._services[service] = known
         elapsed_ms = now_ms - known.at_ms
         if elapsed_ms >= _STEP_MS:
+            zones = self._capacities(service)
+            known.counts = _counts(zones)
             shares = step_shares(
                 known.shares,
-                self._target(service),
+                self._target(service, zones),
                 self._regions,
                 min(elapsed_ms, _MAX_STEP_MS),
             )
@@ -116,7 +127,7 @@
             known.at_ms = now_ms
         return known
 
-    def _target(self, service: str) -> Mapping[str, float]:
+    def _capacities(self, service: str) -> tuple[ZoneCapacity, ...]:
         slots = dict.fromkeys(self._regions, 0)
         counts = dict.fromkeys(self._regions, 0)
         for state in self._registry.of_service(service):
@@ -124,11 +135,19 @@
             if zone in slots and self._registry.is_eligible(state):
                 slots[zone] += state.upstream.slots
                 counts[zone] += 1
-        zones = tuple(
-            ZoneCapacity(zone, region, slots[zone], counts[zone])
-            for zone, region in sorted(self._regions.items())
+        return tuple(
+            ZoneCapacity(name, region, slots[name], counts[name])
+            for name, region in sorted(self._regions.items())
         )
+
+    def _target(
+        self, service: str, zones: tuple[ZoneCapacity, ...]
+    ) -> Mapping[str, float]:
         shares = ZoneShares(
             zones, self.objects.count(service), self._remembered
         )
         return shares.compute().get(self._own_zone, {})
+
+
+def _counts(zones: tuple[ZoneCapacity, ...]) -> dict[str, int]:
+    return {each.zone: each.upstreams for each in zones}
--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -144,7 +144,7 @@
     ) -> Placed | None:
         average_ms = self.latency(request.service).average_ms
         max_fill = _URGENT_MAX_FILL if request.is_urgent else _DEFAULT_MAX_FILL
-        best: Placed | None = None
+        options: list[Placed] = []
         for rank, state in enumerate(choices):
             if state.load(now_ms) >= state.upstream.slots * max_fill:
                 continue
@@ -154,9 +154,10 @@
                 + self._cost.transfer_ms(state, request.route)
                 + self._cost.cache_miss_ms(rank, average_ms, is_warm=is_warm)
             )
-            if best is None or cost_ms < best.cost_ms:
-                best = Placed(state, _choice_reason(rank), cost_ms)
-        return best
+            options.append(Placed(state, _choice_reason(rank), cost_ms))
+        if self._local and options:
+            return self._local.pick(options, average_ms)
+        return min(options, key=_cost_ms, default=None)
 
     def _check_deadline(
         self,
@@ -222,6 +223,10 @@
         return NotPlaced(NotPlacedReason.LIMITED, limited_ms)
 
 
+def _cost_ms(option: Placed) -> float:
+    return option.cost_ms
+
+
 def _ejection_end(state: UpstreamState) -> int:
     return state.ejected_until_ms
 
