Show the imbalance of load and the age of load reports

Cause: a failed attempt's log line did not tell how old the load was that it was based on, and no metric showed imbalance. Change: lines of failed attempts have load_age_ms, host_speed and host_speed_age_ms; the metric load_imbalance is the largest over the mean estimated load per slot by service. Measured: tests/test_load_reports.py, tests/test_request_log.py.

--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -45,6 +45,9 @@
     invalid_load_figures: Labeled = _labeled(
         'figure', 'Missing and invalid figures in load reports'
     )
+    load_imbalance: Labeled = _labeled(
+        'service', 'Largest over mean estimated load per slot', is_gauge=True
+    )
     limited_upstreams: Sample = _gauge('Upstreams that name a limit')
     sharing_entry_vms: Sample = _gauge(
         'Entry VMs among which this one divides common limits'
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -169,6 +169,9 @@
             'born_ms': upstream.born_ms,
             'known_for_ms': now_ms - state.first_seen_ms,
             'load': round(state.load(now_ms), 1),
+            'load_age_ms': _age_ms(state.load_reported_ms, now_ms),
+            'host_speed': state.host_speed.percent,
+            'host_speed_age_ms': _age_ms(state.host_speed.reported_ms, now_ms),
             'in_flight': state.in_flight,
             'failure_rate': round(state.failure_rate, 2),
             'limit_per_s': self._limits.per_second(upstream.incarnation),
@@ -177,6 +180,11 @@
         }
 
 
+def _age_ms(reported_ms: int, now_ms: int) -> int | None:
+    """Return the age of a report, or None if there was none."""
+    return now_ms - reported_ms if reported_ms > 0 else None
+
+
 def _identity_fields(pending: PendingRequest) -> dict[str, str]:
     """Return by what repeats of a request can be recognized."""
     request = pending.request
--- a/src/catkindrift/gateway/_steering_tick.py
+++ b/src/catkindrift/gateway/_steering_tick.py
@@ -14,6 +14,7 @@
     Placement,
     SharedRetryBudget,
     UpstreamLimits,
+    load_imbalance,
 )
 
 _LOG = logging.getLogger(__name__)
@@ -70,5 +71,8 @@
         self._sharing = sharing
         self._metrics.sharing_entry_vms.set(sharing)
         now_ms = self._clock.now_ms()
-        cold = [each.is_cold(now_ms) for each in self._state.registry.states]
+        states = self._state.registry.states
+        for service, ratio in load_imbalance(states, now_ms).items():
+            self._metrics.load_imbalance.labels(service).set(ratio)
+        cold = [each.is_cold(now_ms) for each in states]
         self._metrics.cold_upstreams.set(sum(cold))
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -16,6 +16,7 @@
 )
 from catkindrift.steering._limit_change import LimitChange
 from catkindrift.steering._limit_notice import LimitNotice
+from catkindrift.steering._load_imbalance import load_imbalance
 from catkindrift.steering._load_report import LoadReport
 from catkindrift.steering._local_choices import LocalChoices
 from catkindrift.steering._locality import Locality
@@ -85,6 +86,7 @@
     'WeightedService',
     'ZoneDistances',
     'addresses_for',
+    'load_imbalance',
     'nearest',
     'neighbours_of',
 ]
--- a/src/catkindrift/steering/_upstream_state.py
+++ b/src/catkindrift/steering/_upstream_state.py
@@ -42,6 +42,7 @@
         is_leaving: Whether its own responses state that it is shutting down.
         paused_until_ms: Time until which it wants no requests from this VM.
         failure_rate: Moving average of failures per request, from 0 to 1.
+        load_reported_ms: Time of the last load report; 0 if there was none.
         host_speed: Most recently reported speed of its host.
     """
 
@@ -53,10 +54,10 @@
     is_leaving: bool = False
     paused_until_ms: int = 0
     failure_rate: float = 0
+    load_reported_ms: int = 0
     host_speed: HostSpeed = attrs.field(init=False, factory=HostSpeed)
     _consecutive_failures: int = 0
     _other_load: float = 0
-    _load_reported_ms: int = 0
     _extra_latency_ms: float = 0
     _extra_latency_at_ms: int = 0
     _in_flight: dict[int, int] = attrs.field(init=False, factory=dict)
@@ -78,7 +79,7 @@
 
         The reported load of other entry VMs decays with the report's age.
         """
-        age_ms = now_ms - self._load_reported_ms
+        age_ms = now_ms - self.load_reported_ms
         if age_ms >= _LOAD_REPORT_TTL_MS:
             return self.in_flight
         return self.in_flight + self._other_load * (
@@ -145,7 +146,7 @@
         """Update the load of other entry VMs from an upstream's report."""
         other_load = max(0, report.total - self.in_flight)
         self._other_load += (other_load - self._other_load) / 2
-        self._load_reported_ms = now_ms
+        self.load_reported_ms = now_ms
 
     def record_refusal(self) -> None:
         """Raise the failure rate for a request that was not started."""
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -12,6 +12,7 @@
     LoadReport,
     UpstreamState,
     ZoneDistances,
+    load_imbalance,
 )
 from tests.platform_deployment import ZONES
 from tests.steering_samples import sample_upstream
@@ -93,3 +94,14 @@
     usual_ms = total_ms(state, 100_000)
     state.host_speed.record(None, 100_000)
     assert total_ms(state, 100_000) == pytest.approx(usual_ms)
+
+
+def test_imbalance_is_the_largest_load_over_the_mean():
+    """The metric shows that one upstream gets a multiple of the others."""
+    states = [UpstreamState(sample_upstream(f'i-{each}'), 0) for each in '123']
+    assert not load_imbalance(states, 100_000)
+    for token in range(4):
+        states[0].record_request(token, '17', 100_000)
+    states[1].record_request(9, '17', 100_000)
+    states[2].record_request(9, '17', 100_000)
+    assert load_imbalance(states, 100_000) == {'tariffs': pytest.approx(2)}
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -73,6 +73,8 @@
     assert 'attempt_failed: outcome=closed' in output
     assert 'ended: status=502' in output
     assert output.count('failure_rate=') == 2
+    assert output.count('load_age_ms=') == 2
+    assert output.count('host_speed_age_ms=') == 2
     assert output.count('target=/unsafe/x caller=127.0.0.1') == 2
     assert '1 torn lines' in output
     assert main(['explain', 'req-1', str(log), '--json']) == 0
