Queue and turn away requests by urgency in the entry VM

Cause: a request goes to one of two upstreams or is refused at a fixed fill, waits where nothing can overtake it, and all refused callers get the same Retry-After. PlacementRequest has an optional max_fill, NotPlaced the expected wait.

--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -17,6 +17,7 @@
 from catkindrift.gateway._final_response import final_response
 from catkindrift.gateway._handover import Handover
 from catkindrift.gateway._metrics import GatewayMetrics
+from catkindrift.gateway._overload_gate import OverloadGate
 from catkindrift.gateway._pending_request import (
     PendingRequest,
     response_timeout_ms,
@@ -61,6 +62,7 @@
         clock: Source of time.
         state: Configuration and upstreams.
         isolation: Chooses upstreams.
+        gate: Lets requests wait for them.
         sender: Sends attempts.
         budget: Limits retries.
         cold_limiter: Counts requests, for when an upstream is cold.
@@ -75,6 +77,7 @@
     _clock: Clock
     _state: PlatformState
     _isolation: SuspectIsolation
+    _gate: OverloadGate
     _sender: AttemptSender
     _budget: SharedRetryBudget
     _cold_limiter: ColdRateLimiter
@@ -178,7 +181,7 @@
         connect_failures = 0
         response: Response | None = None
         while response is None and connect_failures <= _MAX_CONNECT_FAILURES:
-            choice = self._choose_upstream(pending)
+            choice = self._permit(pending, await self._gate.choose(pending))
             if isinstance(choice, Response):
                 return choice
             outcome = await self._attempt(pending, choice)
@@ -192,10 +195,11 @@
         """Set the fingerprint, or return the response if there is no upstream.
 
         An upstream is looked for first, so that a request that cannot be sent
-        doesn't wait for its body.
+        doesn't wait for its body. If requests may wait for room, the body
+        arrives meanwhile.
         """
         request = pending.request
-        if not request.body.is_empty:
+        if not request.body.is_empty and not self._gate.is_active:
             choice = self._choose_upstream(pending)
             if isinstance(choice, Response):
                 return choice
@@ -213,6 +217,12 @@
             pending.placement_request(now_ms),
             pending.fingerprint,
         )
+        return self._permit(pending, choice)
+
+    def _permit(
+        self, pending: PendingRequest, choice: Placed | NotPlaced
+    ) -> Placed | Response:
+        """Return the upstream, or the response if there is none."""
         if isinstance(choice, NotPlaced):
             reason = choice.reason.value
             if choice.reason in _BLAME_REASONS:
@@ -251,6 +261,9 @@
         self._limits.count_request(upstream.incarnation)
         may_have_run = pending.may_have_run
         outcome = await self._sender.send(pending, choice.state)
+        self._gate.record_end(
+            pending, choice.state, is_answered=isinstance(outcome, Answered)
+        )
         if isinstance(outcome, NotRun):
             pending.may_have_run = may_have_run
         if outcome != NotRun(has_reached_upstream=False):
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -23,6 +23,13 @@
     return field
 
 
+def _durations(text: str) -> Durations:
+    field: Durations = attrs.field(
+        init=False, factory=Durations, metadata={'text': text}
+    )
+    return field
+
+
 @final
 @attrs.define(eq=False, repr=False)
 class GatewayMetrics:
@@ -61,6 +68,10 @@
     handed_over_requests: Labeled = _labeled(
         'decision', 'Requests that other entry VMs hand over'
     )
+    queued_requests: Labeled = _labeled(
+        'attempt', 'Requests that waited for room at an upstream'
+    )
+    queue_seconds: Durations = _durations('Time that requests waited for room')
     extra_attempts: Labeled = _labeled(
         'granted', 'Attempts beyond the first of a request'
     )
@@ -73,8 +84,6 @@
     store_requests: Labeled = _labeled(
         'request', 'Calls to the platform store by what was asked'
     )
-    answer_seconds: Durations = attrs.field(
-        init=False,
-        factory=Durations,
-        metadata={'text': 'Time from the request head to the response'},
+    answer_seconds: Durations = _durations(
+        'Time from the request head to the response'
     )
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -19,6 +19,7 @@
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._metrics_page import MetricsPage
 from catkindrift.gateway._missing_entries import MissingEntries
+from catkindrift.gateway._overload_gate import OverloadGate
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._readiness import Readiness
 from catkindrift.gateway._refusals import Refusals
@@ -216,15 +217,24 @@
             self.metrics,
         )
         refusals = Refusals(self.state, self.metrics, self.log)
+        isolation = SuspectIsolation(
+            placement,
+            self.crashes,
+            self.state.registry,
+            self.members,
+            self._settings.vm.name,
+        )
         own_forwarder = Forwarder(
             clock,
             self.state,
-            SuspectIsolation(
-                placement,
-                self.crashes,
-                self.state.registry,
-                self.members,
-                self._settings.vm.name,
+            isolation,
+            OverloadGate(
+                clock,
+                isolation,
+                lambda service: placement.latency(service).average_ms,
+                self.state,
+                self._settings.overload.queueing,
+                self.metrics,
             ),
             AttemptSender(
                 clock,
--- a/src/catkindrift/settings/__init__.py
+++ b/src/catkindrift/settings/__init__.py
@@ -4,6 +4,7 @@
 from catkindrift.settings._gateway import (
     GatewayBoundSettings,
     GatewayListenSettings,
+    GatewayOverloadSettings,
     GatewayPlatformSettings,
     GatewaySettings,
 )
@@ -17,6 +18,7 @@
     'Endpoint',
     'GatewayBoundSettings',
     'GatewayListenSettings',
+    'GatewayOverloadSettings',
     'GatewayPlatformSettings',
     'GatewaySettings',
     'VmSettings',
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -105,6 +105,19 @@
     directory_lifetime_s: float = 5
 
 
+@final
+@attrs.frozen
+class GatewayOverloadSettings:
+    """What is done when upstreams have too little room.
+
+    Args:
+        queueing: Whether requests wait in the entry VM, in order of urgency,
+            also if the configuration holds no workspaces.
+    """
+
+    queueing: bool = False
+
+
 @final
 @attrs.frozen
 class GatewaySettings:
@@ -116,6 +129,7 @@
         platform: Access to the platform's store.
         zones: Region of each availability zone.
         bounds: Limits that apply to all entry VMs together.
+        overload: What is done when upstreams have too little room.
     """
 
     vm: VmSettings
@@ -123,3 +137,4 @@
     platform: GatewayPlatformSettings
     zones: dict[str, str]
     bounds: GatewayBoundSettings = GatewayBoundSettings()
+    overload: GatewayOverloadSettings = GatewayOverloadSettings()
--- a/src/catkindrift/steering/_placement.py
+++ b/src/catkindrift/steering/_placement.py
@@ -124,7 +124,7 @@
         now_ms: int,
     ) -> Placed | None:
         average_ms = self.latency(request.service).average_ms
-        max_fill = _URGENT_MAX_FILL if request.is_urgent else _DEFAULT_MAX_FILL
+        max_fill = request.max_fill or usual_max_fill(request)
         best: Placed | None = None
         for rank, state in enumerate(choices):
             if state.load(now_ms) >= state.upstream.slots * max_fill:
@@ -153,7 +153,9 @@
                 for state in choices
             )
             return NotPlaced(
-                NotPlacedReason.ALL_FULL, _retry_after_ms(shortest_ms / 2)
+                NotPlacedReason.ALL_FULL,
+                _retry_after_ms(shortest_ms / 2),
+                shortest_ms,
             )
         wait_ms = self._cost.queue_wait_ms(best.state, now_ms, average_ms)
         if wait_ms + average_ms / 2 > request.remaining_ms:
@@ -203,6 +205,11 @@
         return NotPlaced(NotPlacedReason.LIMITED, limited_ms)
 
 
+def usual_max_fill(request: PlacementRequest) -> float:
+    """Return the fill at which an upstream counts as full for a request."""
+    return _URGENT_MAX_FILL if request.is_urgent else _DEFAULT_MAX_FILL
+
+
 def _ejection_end(state: UpstreamState) -> int:
     return state.ejected_until_ms
 
--- a/src/catkindrift/steering/_placement_request.py
+++ b/src/catkindrift/steering/_placement_request.py
@@ -26,6 +26,8 @@
         excluded: Ids of upstreams that have been tried already.
         home_regions: Regions that may serve the request, None for all; by
             default those of the route.
+        max_fill: Load relative to the slots at which an upstream counts as
+            full; None for the usual one.
     """
 
     route: Route
@@ -37,6 +39,7 @@
     home_regions: frozenset[str] | None = attrs.field(
         default=attrs.Factory(_homes_of_route, takes_self=True)
     )
+    max_fill: float | None = None
 
     def admits(self, state: UpstreamState) -> bool:
         """Return whether the request may be sent to an upstream.
--- a/src/catkindrift/steering/_placement_result.py
+++ b/src/catkindrift/steering/_placement_result.py
@@ -54,7 +54,10 @@
     Args:
         reason: Why no upstream was chosen.
         retry_after_ms: Time after which the caller may retry.
+        queue_wait_ms: Expected time until an upstream of the object has a
+            free slot, if all were full.
     """
 
     reason: NotPlacedReason
     retry_after_ms: float
+    queue_wait_ms: float = 0
