--- a/src/catkindrift/settings/__init__.py
+++ b/src/catkindrift/settings/__init__.py
@@ -4,6 +4,7 @@
 from catkindrift.settings._gateway import (
     GatewayBoundSettings,
     GatewayListenSettings,
+    GatewayOverloadSettings,
     GatewayPlacementSettings,
     GatewayPlatformSettings,
     GatewaySettings,
@@ -18,6 +19,7 @@
     'Endpoint',
     'GatewayBoundSettings',
     'GatewayListenSettings',
+    'GatewayOverloadSettings',
     'GatewayPlacementSettings',
     'GatewayPlatformSettings',
     'GatewaySettings',
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -123,6 +123,19 @@
     )
 
 
+@final
+@attrs.frozen
+class GatewayOverloadSettings:
+    """What is done when upstreams have too little room.
+
+    Args:
+        queueing: Whether requests wait in the entry VM, in order of urgency,
+            also if the configuration holds no workspaces.
+    """
+
+    queueing: bool = False
+
+
 @final
 @attrs.frozen
 class GatewaySettings:
@@ -135,6 +148,7 @@
         zones: Region of each availability zone.
         bounds: Limits that apply to all entry VMs together.
         placement: Placement of objects on upstreams.
+        overload: What is done when upstreams have too little room.
     """
 
     vm: VmSettings
@@ -143,3 +157,4 @@
     zones: dict[str, str]
     bounds: GatewayBoundSettings = GatewayBoundSettings()
     placement: GatewayPlacementSettings = GatewayPlacementSettings()
+    overload: GatewayOverloadSettings = GatewayOverloadSettings()
