Divide the quotas of workspaces among the entry VMs

Cause: nothing kept a workspace within its quota over all entry VMs.

Change: an owner, chosen by rendezvous hashing, grants requests to the VMs that report to it in an optional heartbeat field; each VM decides alone. Requests beyond the quota are answered with 429 and Retry-After. Bounds are the settings quota_window_s, quota_overshoot and quota_slack.

--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -22,6 +22,7 @@
     response_timeout_ms,
 )
 from catkindrift.gateway._platform_state import PlatformState
+from catkindrift.gateway._quotas import Quotas
 from catkindrift.gateway._refusals import Refusals
 from catkindrift.gateway._request_log import RequestLog
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
@@ -68,6 +69,7 @@
         refusals: Builds and records refusals.
         metrics: Counts outcomes.
         log: Log of failed and refused requests.
+        quotas: Quotas of workspaces.
         handover: Hands requests over while this VM is cut off; None to keep
             all.
     """
@@ -82,6 +84,7 @@
     _refusals: Refusals
     _metrics: GatewayMetrics
     _log: RequestLog
+    _quotas: Quotas
     _handover: Handover | None = None
     _keyless_count: int = attrs.field(init=False, default=0)
 
@@ -107,6 +110,11 @@
         self._metrics.answer_seconds.observe(took_ms / _MILLISECONDS_PER_SECOND)
         return response
 
+    @property
+    def _is_cut_off(self) -> bool:
+        """Whether requests are handed over."""
+        return self._handover is not None and self._handover.is_needed
+
     async def _handle(
         self, request: CallerRequest, digest: bytes | None
     ) -> Response:
@@ -138,7 +146,7 @@
             access=access,
             key_digest=digest,
         )
-        response = await self._serve_before_deadline(pending)
+        response = await self._serve_within_quota(pending)
         if (
             pending.has_failed_attempt
             or response.status >= HTTPStatus.BAD_REQUEST
@@ -146,6 +154,27 @@
             self._log.log_final_response(pending, response.status)
         return response
 
+    async def _serve_within_quota(self, pending: PendingRequest) -> Response:
+        """Return the response to a request, or a 429 beyond the quota.
+
+        The VM that a request is handed over to checks the quota.
+        """
+        workspace = pending.workspace
+        if workspace is None or not workspace.has_quota or self._is_cut_off:
+            return await self._serve_before_deadline(pending)
+        wait_ms = self._quotas.try_admit(workspace)
+        if wait_ms:
+            return self._refusals.refuse_over_quota(
+                pending.request,
+                workspace,
+                wait_ms,
+                self._quotas.share(workspace),
+            )
+        response = await self._serve_before_deadline(pending)
+        if not pending.delivered_attempts and not pending.may_have_run:
+            self._quotas.give_back(workspace)
+        return response
+
     async def _serve_before_deadline(self, pending: PendingRequest) -> Response:
         remaining_ms = pending.deadline_ms - self._clock.now_ms()
         try:
@@ -163,7 +192,7 @@
             )
 
     async def _serve(self, pending: PendingRequest) -> Response:
-        if self._handover and self._handover.is_needed:
+        if self._handover and self._is_cut_off:
             return await self._handover.forward(pending)
         self._budget.count_request(pending.service)
         refusal = await self._set_fingerprint(pending)
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -108,6 +108,7 @@
             self._parts.registration.run(),
             self._run_ticks(),
             self._run_short_ticks(),
+            self._parts.quotas.run(),
             *self._parts.watches.jobs(),
         ]
 
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -25,6 +25,7 @@
     UpstreamLimits,
     UpstreamReachability,
 )
+from catkindrift.workspaces import QuotaNews
 
 _LOG = logging.getLogger(__name__)
 _Item = TypeVar('_Item')
@@ -46,6 +47,10 @@
 # Names of VMs that are known from the store only; each takes about 30 bytes.
 _MAX_UNHEARD_MEMBERS = 4
 _LOG_EVERY = 100
+# Fields of a heartbeat that carries no news on quotas.
+_USUAL_FIELDS = tuple(
+    each.name for each in attrs.fields(Heartbeat) if each.name != 'quota'
+)
 
 
 @final
@@ -151,6 +156,33 @@
         known = self._members.facts
         self._send_to_all(_sample(self._rng, known, MAX_DIRECT_MEMBERS))
 
+    def send_quota_news(self, news: QuotaNews, names: frozenset[str]) -> int:
+        """Send news on quotas, with little else, to some VMs.
+
+        Args:
+            news: The news.
+            names: Names of the receivers.
+
+        Returns:
+            The number of receivers that are known.
+        """
+        receivers = {
+            each.peers for each in self._members.facts if each.name in names
+        }
+        self._count_heartbeat()
+        heartbeat = Heartbeat(
+            self._own_member,
+            (),
+            self._revisions(),
+            answer_age_ms=self._health.answer_age_ms,
+            reached_age_ms=self._reachability.reached_age_ms,
+            quota=news,
+        )
+        datagram = self._encoder.encode(heartbeat)
+        for address in receivers:
+            self._send(datagram, address)
+        return len(receivers)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
         self._transport = transport  # type: ignore[assignment]
@@ -172,7 +204,7 @@
             # Reply at once: a process that has just started has no crash
             # records yet.
             self._send(
-                self._encoder.encode(self._build_heartbeat()),
+                self._encode(self._build_heartbeat()),
                 heartbeat.sender.peers,
             )
 
@@ -180,12 +212,21 @@
         """Ignore send errors; missing heartbeats reveal a failed peer."""
 
     def _send_to(self, addresses: set[str]) -> None:
+        self._count_heartbeat()
+        datagram = self._encode(self._build_heartbeat())
+        for address in addresses:
+            self._send(datagram, address)
+
+    def _count_heartbeat(self) -> None:
         self._own_member = attrs.evolve(
             self._own_member, count=self._own_member.count + 1
         )
-        datagram = self._encoder.encode(self._build_heartbeat())
-        for address in addresses:
-            self._send(datagram, address)
+
+    def _encode(self, heartbeat: Heartbeat) -> bytes:
+        """Encode a heartbeat without news on quotas, as before these."""
+        return self._encoder.encode(
+            {name: getattr(heartbeat, name) for name in _USUAL_FIELDS}
+        )
 
     def _build_heartbeat(self) -> Heartbeat:
         members = self._members
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -61,6 +61,12 @@
     handed_over_requests: Labeled = _labeled(
         'decision', 'Requests that other entry VMs hand over'
     )
+    quota_requests: Labeled = _labeled(
+        'decision', 'Requests of workspaces with a quota'
+    )
+    quota_messages: Labeled = _labeled(
+        'kind', 'Messages about quotas to other entry VMs'
+    )
     extra_attempts: Labeled = _labeled(
         'granted', 'Attempts beyond the first of a request'
     )
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -20,6 +20,7 @@
 from catkindrift.gateway._metrics_page import MetricsPage
 from catkindrift.gateway._missing_entries import MissingEntries
 from catkindrift.gateway._platform_state import PlatformState
+from catkindrift.gateway._quotas import Quotas
 from catkindrift.gateway._readiness import Readiness
 from catkindrift.gateway._refusals import Refusals
 from catkindrift.gateway._registration import Registration
@@ -57,6 +58,7 @@
     ZoneDistances,
     neighbours_of,
 )
+from catkindrift.workspaces import QuotaBounds
 
 _LOG = logging.getLogger(__name__)
 _MILLISECONDS_PER_SECOND = 1000
@@ -91,6 +93,7 @@
     pool: UpstreamPool = attrs.field(init=False)
     reachability: UpstreamReachability = attrs.field(init=False)
     handover: Handover = attrs.field(init=False)
+    quotas: Quotas = attrs.field(init=False)
     probes: UpstreamProbes = attrs.field(init=False)
     registry: UpstreamRegistry = attrs.field(init=False)
     restarts: UnseenRestarts = attrs.field(init=False)
@@ -156,6 +159,7 @@
         bounds = _steering_bounds(settings.bounds)
         self.budget.bounds = bounds
         self.cold_limiter.bounds = bounds
+        self.quotas.apply(_quota_bounds(settings.bounds))
 
     def _wire_state(self) -> None:
         settings = self._settings
@@ -185,6 +189,14 @@
             self._handle_heartbeat,
         )
         self.urgent = UrgentHeartbeats(clock, self.heartbeats)
+        self.quotas = Quotas(
+            clock,
+            self.state,
+            self.members,
+            self.heartbeats,
+            self.metrics,
+            _quota_bounds(settings.bounds),
+        )
         records = EntryVmRecords(
             clock, self.heartbeats, self.urgent, self.crashes, self.members
         )
@@ -247,6 +259,7 @@
             refusals,
             self.metrics,
             self.log,
+            self.quotas,
         )
         self.handover = Handover(
             clock,
@@ -295,6 +308,7 @@
         self.crashes.merge_reports(heartbeat.crashes, heartbeat.cleared)
         self.limits.merge(heartbeat.limits)
         self.reachability.record_peer(heartbeat.reached_age_ms)
+        self.quotas.handle_heartbeat(heartbeat)
 
     def _handle_new_era(self) -> None:
         _LOG.warning(
@@ -355,3 +369,11 @@
         settings.cold_overshoot,
         settings.cold_slack,
     )
+
+
+def _quota_bounds(settings: GatewayBoundSettings) -> QuotaBounds:
+    return QuotaBounds(
+        round(settings.quota_window_s * _MILLISECONDS_PER_SECOND),
+        settings.quota_overshoot,
+        settings.quota_slack,
+    )
--- /dev/null
+++ b/src/catkindrift/gateway/_quotas.py
@@ -0,0 +1,149 @@
+"""Quotas of workspaces at one entry VM."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import final
+
+import attrs
+
+from catkindrift.clock import Clock
+from catkindrift.gateway._heartbeats import Heartbeats
+from catkindrift.gateway._metrics import GatewayMetrics
+from catkindrift.gateway._platform_state import PlatformState
+from catkindrift.steering import Heartbeat, Members
+from catkindrift.workspaces import (
+    QuotaBounds,
+    QuotaNews,
+    QuotaReply,
+    QuotaReport,
+    QuotaShare,
+    QuotaShares,
+    Workspace,
+)
+
+# As often as heartbeats: shorter intervals cost bytes, longer ones leave more
+# requests that the owner doesn't know of.
+_INTERVAL_SECONDS = 0.5
+
+
+@final
+@attrs.define(eq=False, repr=False)
+class Quotas:
+    """Admits requests of workspaces, and exchanges news with the owner.
+
+    Args:
+        clock: Source of time.
+        state: Source of the workspaces.
+        members: Entry VMs that share the quotas.
+        heartbeats: Carries the news.
+        metrics: Counts decisions and messages.
+        bounds: Limits on the requests of a workspace.
+    """
+
+    _clock: Clock
+    _state: PlatformState
+    _members: Members
+    _heartbeats: Heartbeats
+    _metrics: GatewayMetrics
+    _bounds: QuotaBounds
+    _shares: QuotaShares = attrs.field(init=False)
+    _limited: tuple[Workspace, ...] = attrs.field(init=False, default=())
+
+    def __attrs_post_init__(self) -> None:
+        """Start without a share."""
+        own = self._heartbeats.own_member
+        self._shares = QuotaShares(
+            own.name, own.started_ms, self._clock.now_ms(), self._bounds
+        )
+
+    def apply(self, bounds: QuotaBounds) -> None:
+        """Apply reloaded bounds, from the next report on."""
+        self._shares.bounds = bounds
+
+    async def run(self) -> None:
+        """Report to the owner until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(_INTERVAL_SECONDS)
+
+    def tick(self) -> None:
+        """Apply members and workspaces, and report to the owner."""
+        configuration = self._state.configuration
+        workspaces = (
+            configuration.workspaces.workspaces if configuration else ()
+        )
+        limited = tuple(each for each in workspaces if each.has_quota)
+        if not limited and not self._limited:
+            return
+        self._limited = limited
+        self._shares.update(
+            self._members.sharers,
+            [each.name for each in self._members.alive()],
+            limited,
+        )
+        self._report()
+
+    def try_admit(self, workspace: Workspace) -> float:
+        """Decide on one request.
+
+        Returns:
+            0 if it is admitted, otherwise the milliseconds until there may be
+            room for it.
+        """
+        now_ms = self._clock.now_ms()
+        wait_ms = self._shares.try_admit(workspace, now_ms)
+        decision = 'refused' if wait_ms else 'admitted'
+        self._metrics.quota_requests.labels(decision).inc()
+        if self._shares.is_report_due(now_ms):
+            self._report()
+        return wait_ms
+
+    def give_back(self, workspace: Workspace) -> None:
+        """Take back the admission of a request that was not run."""
+        self._shares.give_back(workspace)
+        self._metrics.quota_requests.labels('given_back').inc()
+
+    def share(self, workspace: Workspace) -> QuotaShare:
+        """Return what this VM may admit of a workspace, for the log."""
+        return self._shares.share(workspace, self._clock.now_ms())
+
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take the news in a heartbeat and answer the reports."""
+        news = heartbeat.quota
+        if news is None:
+            return
+        sender = heartbeat.sender.name
+        for reply in news.replies:
+            self._shares.apply(sender, reply, self._clock.now_ms())
+        self._shares.apply_news(sender, news.busy)
+        for report in news.reports:
+            self._answer(report)
+
+    def _report(self) -> None:
+        report = self._shares.report(self._clock.now_ms())
+        if report.owner == self._heartbeats.own_member.name:
+            self._answer(report)
+        else:
+            self._send('report', QuotaNews(reports=(report,)), (report.owner,))
+
+    def _answer(self, report: QuotaReport) -> None:
+        """Answer a report, and tell all VMs which workspaces are busier."""
+        reply = self._shares.owner.answer(report, self._clock.now_ms())
+        if reply:
+            self._reply(reply)
+        busy = self._shares.owner.take_news()
+        if busy:
+            self._shares.apply_news(self._heartbeats.own_member.name, busy)
+            others = [each.name for each in self._members.alive()]
+            self._send('news', QuotaNews(busy=busy), others)
+
+    def _reply(self, reply: QuotaReply) -> None:
+        own_name = self._heartbeats.own_member.name
+        if reply.vm == own_name:
+            self._shares.apply(own_name, reply, self._clock.now_ms())
+        else:
+            self._send('reply', QuotaNews(replies=(reply,)), (reply.vm,))
+
+    def _send(self, kind: str, news: QuotaNews, names: Iterable[str]) -> None:
+        sent = self._heartbeats.send_quota_news(news, frozenset(names))
+        self._metrics.quota_messages.labels(kind).inc(sent)
--- a/src/catkindrift/gateway/_refusals.py
+++ b/src/catkindrift/gateway/_refusals.py
@@ -13,6 +13,7 @@
 from catkindrift.jitter import jittered, jittered_up
 from catkindrift.platform import request_id, retry_after
 from catkindrift.steering import NotPlacedReason
+from catkindrift.workspaces import QuotaShare, Workspace
 
 # Refusals whose time is the earliest at which a retry can succeed.
 _EARLIEST_REASONS = frozenset((NotPlacedReason.LIMITED.value,))
@@ -63,6 +64,29 @@
         self._record(request, 'no_key', 0)
         return Response(HTTPStatus.UNAUTHORIZED)
 
+    def refuse_over_quota(
+        self,
+        request: CallerRequest,
+        workspace: Workspace,
+        retry_after_ms: float,
+        share: QuotaShare,
+    ) -> Response:
+        """Return a 429 for a request beyond the quota of its workspace.
+
+        Args:
+            request: The request.
+            workspace: Its workspace.
+            retry_after_ms: Time until there is room; jitter is added, so that
+                callers don't retry at the same time.
+            share: What this VM may admit, for the log.
+        """
+        self._metrics.refusals.labels('quota').inc()
+        wait_ms = jittered_up(self._rng, retry_after_ms)
+        self._log.log_over_quota(
+            request_id(request.headers), workspace.name, wait_ms, share
+        )
+        return Response(HTTPStatus.TOO_MANY_REQUESTS, [retry_after(wait_ms)])
+
     def _record(
         self,
         request: CallerRequest,
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -10,6 +10,7 @@
 from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._pending_request import PendingRequest
 from catkindrift.steering import Placed, UpstreamLimits, UpstreamState
+from catkindrift.workspaces import QuotaShare
 
 # Characters of a target in a log line; uploads may have long queries.
 _MAX_TARGET_CHARS = 200
@@ -59,6 +60,31 @@
             configuration=version,
         )
 
+    def log_over_quota(
+        self,
+        request_id: str,
+        workspace: str,
+        retry_after_ms: float,
+        share: QuotaShare,
+    ) -> None:
+        """Log that a request was refused since its workspace has sent more.
+
+        Args:
+            request_id: Id that the caller gave the request.
+            workspace: Name of the workspace.
+            retry_after_ms: Advised delay before a retry.
+            share: What this VM may admit.
+        """
+        self._write(
+            'over_quota',
+            id=request_id,
+            workspace=workspace,
+            retry_after_ms=round(retry_after_ms),
+            share=share.requests,
+            share_kind=share.kind.value,
+            share_age_ms=share.age_ms,
+        )
+
     def log_failed_attempt(
         self,
         pending: PendingRequest,
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -91,6 +91,10 @@
         cold_overshoot: Factor applied to the request rate that a cold
             upstream accepts.
         cold_slack: Requests per second allowed in addition to that rate.
+        quota_window_s: Window in seconds in which the requests of a workspace
+            are counted.
+        quota_overshoot: Fraction by which its quota may be exceeded.
+        quota_slack: Requests allowed in each window in addition to that.
         grace_s: Time in seconds between the stop signal and the kill.
         directory_lifetime_s: Longest time in seconds for which callers may
             cache a directory response.
@@ -101,6 +105,15 @@
     retry_slack: float = 10
     cold_overshoot: float = 1
     cold_slack: float = 0
+    quota_window_s: float = attrs.field(
+        default=5, validator=attrs.validators.gt(0)
+    )
+    quota_overshoot: float = attrs.field(
+        default=0.1, validator=attrs.validators.ge(0)
+    )
+    quota_slack: float = attrs.field(
+        default=20, validator=attrs.validators.ge(0)
+    )
     grace_s: float = 6
     directory_lifetime_s: float = 5
 
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -7,6 +7,7 @@
 
 from catkindrift.blame import Cleared, Crash
 from catkindrift.steering._limit_notice import LimitNotice
+from catkindrift.workspaces import QuotaNews
 
 
 @final
@@ -131,6 +132,7 @@
             it has not, or is cut off from all.
         heard_ages_ms: Time since each VM of `heard` has sent these facts.
         sightings: Signs of life of other VMs; none from builds without them.
+        quota: News on the quotas of workspaces; encoded only if there are any.
     """
 
     sender: MemberFacts
@@ -144,3 +146,4 @@
     reached_age_ms: int | None = None
     heard_ages_ms: tuple[int, ...] = ()
     sightings: tuple[Sighting, ...] = ()
+    quota: QuotaNews | None = None
--- a/src/catkindrift/workspaces/__init__.py
+++ b/src/catkindrift/workspaces/__init__.py
@@ -12,6 +12,14 @@
     check_access,
 )
 from catkindrift.workspaces._home_regions import common_homes
+from catkindrift.workspaces._quota_bounds import QuotaBounds
+from catkindrift.workspaces._quota_messages import (
+    QuotaNews,
+    QuotaReply,
+    QuotaReport,
+)
+from catkindrift.workspaces._quota_share import QuotaShare
+from catkindrift.workspaces._quota_shares import QuotaShares
 from catkindrift.workspaces._workspace import Workspace
 from catkindrift.workspaces._workspace_table import (
     KeyedWorkspace,
@@ -24,6 +32,12 @@
     'Denied',
     'Granted',
     'KeyedWorkspace',
+    'QuotaBounds',
+    'QuotaNews',
+    'QuotaReply',
+    'QuotaReport',
+    'QuotaShare',
+    'QuotaShares',
     'Unchecked',
     'Workspace',
     'WorkspaceTable',
