--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -109,6 +109,7 @@
             'registration': self._parts.registration.run,
             'steering': self._run_ticks,
             'readiness': self._run_short_ticks,
+            'quotas': self._parts.quotas.run,
             **self._parts.watches.jobs(),
         }
 
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -28,6 +28,7 @@
     UpstreamLimits,
     UpstreamReachability,
 )
+from catkindrift.workspaces import QuotaNews
 
 _LOG = logging.getLogger(__name__)
 # A VM counts as failed after several missed heartbeats.
@@ -173,6 +174,31 @@
         known = self._members.facts
         self._send_to_all(sample(self._rng, known, MAX_DIRECT_MEMBERS))
 
+    def send_quota_news(self, news: QuotaNews, names: frozenset[str]) -> int:
+        """Send news on quotas, with little else, to some VMs.
+
+        Args:
+            news: The news.
+            names: Names of the receivers.
+
+        Returns:
+            The number of receivers that are known.
+        """
+        receivers = {
+            each.peers for each in self._members.facts if each.name in names
+        }
+        self._own_member = self._own_member.next_heartbeat()
+        heartbeat = Heartbeat(
+            self._own_member,
+            (),
+            self._revisions(),
+            answer_age_ms=self._health.answer_age_ms,
+            reached_age_ms=self._reachability.reached_age_ms,
+            quota=news,
+        )
+        self._sender.send(heartbeat, receivers)
+        return len(receivers)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
         self._sender.transport = transport  # type: ignore[assignment]
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -78,6 +78,12 @@
         'attempt', 'Requests that waited for room at an upstream'
     )
     queue_seconds: Durations = _durations('Time that requests waited for room')
+    quota_requests: Labeled = _labeled(
+        'decision', 'Requests of workspaces with a quota'
+    )
+    quota_messages: Labeled = _labeled(
+        'kind', 'Messages about quotas to other entry VMs'
+    )
     extra_attempts: Labeled = _labeled(
         'granted', 'Attempts beyond the first of a request'
     )
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -23,6 +23,7 @@
 from catkindrift.gateway._missing_entries import MissingEntries
 from catkindrift.gateway._overload_gate import OverloadGate
 from catkindrift.gateway._platform_state import PlatformState
+from catkindrift.gateway._quotas import Quotas
 from catkindrift.gateway._readiness import Readiness
 from catkindrift.gateway._refusals import Refusals
 from catkindrift.gateway._registration import Registration
@@ -62,6 +63,7 @@
     ZoneDistances,
     neighbours_of,
 )
+from catkindrift.workspaces import QuotaBounds
 
 _LOG = logging.getLogger(__name__)
 _MILLISECONDS_PER_SECOND = 1000
@@ -96,6 +98,7 @@
     pool: UpstreamPool = attrs.field(init=False)
     reachability: UpstreamReachability = attrs.field(init=False)
     handover: Handover = attrs.field(init=False)
+    quotas: Quotas = attrs.field(init=False)
     probes: UpstreamProbes = attrs.field(init=False)
     registry: UpstreamRegistry = attrs.field(init=False)
     restarts: UnseenRestarts = attrs.field(init=False)
@@ -161,6 +164,7 @@
         bounds = _steering_bounds(settings.bounds)
         self.budget.bounds = bounds
         self.cold_limiter.bounds = bounds
+        self.quotas.apply(_quota_bounds(settings.bounds))
 
     def _wire_state(self) -> None:
         settings = self._settings
@@ -192,6 +196,14 @@
         )
         self.urgent = UrgentHeartbeats(clock, self.heartbeats)
         self.heartbeats.on_news = self.urgent.pass_on
+        self.quotas = Quotas(
+            clock,
+            self.state,
+            self.members,
+            self.heartbeats,
+            self.metrics,
+            _quota_bounds(settings.bounds),
+        )
         records = EntryVmRecords(
             clock, self.heartbeats, self.urgent, self.crashes, self.members
         )
@@ -265,6 +277,7 @@
             refusals,
             self.metrics,
             self.log,
+            self.quotas,
         )
         self.handover = Handover(
             clock,
@@ -314,6 +327,7 @@
         self.limits.merge(heartbeat.limits)
         self.limits.merge(heartbeat.relayed_limits, are_relayed=True)
         self.reachability.record_peer(heartbeat.reached_age_ms)
+        self.quotas.handle_heartbeat(heartbeat)
 
     def _handle_new_era(self) -> None:
         _LOG.warning(
@@ -402,3 +416,11 @@
     if locality is None:
         return None
     return LocalChoices(clock, locality, numbers, pool.has_idle)
+
+
+def _quota_bounds(settings: GatewayBoundSettings) -> QuotaBounds:
+    return QuotaBounds(
+        round(settings.quota_window_s * _MILLISECONDS_PER_SECOND),
+        settings.quota_overshoot,
+        settings.quota_slack,
+    )
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -7,6 +7,7 @@
 
 from catkindrift.blame import Cleared, Crash
 from catkindrift.steering._limit_notice import LimitNotice
+from catkindrift.workspaces import QuotaNews
 
 
 @final
@@ -146,6 +147,7 @@
         relayed_limits: Limits of upstreams that the sender has from others.
         spread_zone: Other zone whose signs of life the sender spreads in its
             own; empty if it spreads none.
+        quota: News on the quotas of workspaces; encoded only if there are any.
     """
 
     sender: MemberFacts
@@ -163,3 +165,4 @@
     wanted: tuple[int, ...] = ()
     relayed_limits: tuple[LimitNotice, ...] = ()
     spread_zone: str = ''
+    quota: QuotaNews | None = None
