Take first lists from a VM of the zone, and describe the sharing

Cause: each process listed all kinds from the store when it started, and after a 410 or a new era.

Change: VMs serve complete lists to their zone (/list/KIND/WAIT). A start waits at most 0.3 s for one; VMs that start together agree on the first by hashing. A VM that misses changes of the zone watcher's log takes its list. The era of the store passes with the revisions. A relist needs a newer revision than the VM's own: an old list of a failed zone watcher was taken again and again otherwise (seen in test_zone_sharing, Refused).

--- a/src/catkindrift/errors.py
+++ b/src/catkindrift/errors.py
@@ -20,6 +20,7 @@
     'PlatformUnavailableError',
     'SettingError',
     'SettingsFileError',
+    'ZoneHistoryGoneError',
     'ZoneWatchError',
 ]
 
@@ -108,6 +109,11 @@
     """A zone watch on another entry VM failed; watch the store instead."""
 
 
+@final
+class ZoneHistoryGoneError(ZoneWatchError):
+    """The other entry VM lacks the requested changes; list the objects."""
+
+
 class AnswerTooLargeError(CatkindriftError):
     """A response exceeds the size limit; request less data."""
 
--- a/src/catkindrift/gateway/_registration.py
+++ b/src/catkindrift/gateway/_registration.py
@@ -66,6 +66,8 @@
     def load(self, found: tuple[StoreObject, ...]) -> None:
         """Apply a complete list of records, which lets this VM register."""
         self._records.apply_list(found)
+        # VMs of the zone that start too have to know of each other soon.
+        self._heartbeats.send_heartbeat(to_all_regions=True)
         self._is_loaded.set()
 
     def publish(self) -> None:
--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -1,7 +1,6 @@
 """Watch of one kind of objects in the platform's store."""
 
 import asyncio
-import contextlib
 import logging
 import random
 from collections.abc import Callable
@@ -14,12 +13,14 @@
     AnswerTooLargeError,
     HistoryGoneError,
     PlatformUnavailableError,
+    ZoneHistoryGoneError,
     ZoneWatchError,
 )
 from catkindrift.gateway._change_log import ChangeLog
 from catkindrift.gateway._coalescing_delay import CoalescingDelay
 from catkindrift.gateway._failure_backoff import FailureBackoff
-from catkindrift.gateway._list_all import list_all
+from catkindrift.gateway._list_source import ListSource
+from catkindrift.gateway._object_list import ObjectList
 from catkindrift.gateway._stalled_watch_detector import StalledWatchDetector
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._watch_source import WatchSource
@@ -35,8 +36,9 @@
 # Delay before a relist after the store has dropped the requested history.
 _RELIST_DELAY_S = 0.15
 
-# Longest time until a deputy polls the store; it takes a few steps of the loop.
-_TAKEOVER_S = 0.1
+# Delay of the first poll after a list of the zone. VMs that start together say
+# within 0.1 s that they are ready.
+_FIRST_POLL_DELAY_S = 0.4
 
 
 @final
@@ -58,6 +60,7 @@
             changes. This is cheaper for a few large objects that change often.
             It also relists while objects change faster than they are polled.
         is_active: Whether to poll at all, after a first list.
+        lists: Where lists come from.
     """
 
     _clock: Clock
@@ -69,16 +72,41 @@
     _on_change: Callable[[StoreObject], None]
     _on_outage_end: Callable[[TimeSpan], None]
     _relists_when_behind: bool = False
+    _lists: ListSource = attrs.field(factory=ListSource)
+    listed: ObjectList = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watch: ObjectList(watch._clock), takes_self=True
+        ),
+    )
     newest_revision: int = attrs.field(init=False, default=0)
     is_active: bool = attrs.field(init=False, default=True)
     change_log: ChangeLog = attrs.field(init=False, factory=ChangeLog)
     _revision: int = attrs.field(init=False, default=0)
     _is_listed: bool = attrs.field(init=False, default=False)
     _is_outpaced: bool = attrs.field(init=False, default=False)
-    _source: WatchSource = attrs.field(init=False)
-    _stall_detector: StalledWatchDetector = attrs.field(init=False)
+    _source: WatchSource = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watch: WatchSource(
+                watch._clock, watch._client, watch.kind, watch._settings
+            ),
+            takes_self=True,
+        ),
+    )
+    _stall_detector: StalledWatchDetector = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watch: StalledWatchDetector(watch._clock), takes_self=True
+        ),
+    )
     _backoff: FailureBackoff = attrs.field(init=False, factory=FailureBackoff)
-    _coalescing: CoalescingDelay = attrs.field(init=False)
+    _coalescing: CoalescingDelay = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watch: CoalescingDelay(watch._clock), takes_self=True
+        ),
+    )
     _poll_task: asyncio.Task[StorePage] | None = attrs.field(
         init=False, default=None
     )
@@ -87,15 +115,6 @@
     )
     _rng: random.Random = attrs.field(init=False, factory=random.Random)
 
-    def __attrs_post_init__(self) -> None:
-        """Create the components of the watch."""
-        clock = self._clock
-        self._source = WatchSource(
-            clock, self._client, self.kind, self._settings
-        )
-        self._stall_detector = StalledWatchDetector(clock)
-        self._coalescing = CoalescingDelay(clock)
-
     @property
     def is_direct(self) -> bool:
         """Whether this VM polls the store itself and its calls succeed."""
@@ -108,7 +127,11 @@
         while True:
             try:
                 await self._step()
-            except (HistoryGoneError, AnswerTooLargeError):
+            except (
+                HistoryGoneError,
+                AnswerTooLargeError,
+                ZoneHistoryGoneError,
+            ):
                 self._record_response()
                 # A list holds each object once, however often it changed.
                 self._is_listed = False
@@ -176,17 +199,13 @@
         if is_changed and self._poll_task:
             self._poll_task.cancel()
 
-    async def take_over(self) -> None:
+    def take_over(self) -> None:
         """Poll the store in place of the zone watcher for a while."""
         if not self._source.uses_zone_watcher or not self._poll_task:
             return
         _LOG.info('watch of %s takes over from the zone watcher', self.kind)
         self._source.bypass_zone_watcher()
         self._poll_task.cancel()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_TAKEOVER_S):
-                while self._source.uses_zone_watcher:
-                    await asyncio.sleep(0)
 
     async def _step(self) -> None:
         if not self._is_listed:
@@ -199,6 +218,7 @@
         if page is None:
             return
         self._revision = max(self._revision, page.revision)
+        self.listed.apply(page.latest_changes, self._revision)
         for each in page.latest_changes:
             self._on_change(each)
         self.newest_revision = max(self.newest_revision, _newest_change(page))
@@ -220,11 +240,13 @@
 
     async def _list(self) -> None:
         limit_ms = self._settings.call_timeout_ms
+        if await self._list_from_zone():
+            return
         known = self.newest_revision
         self._coalescing.record_request(is_long_poll=False)
         timeout_s = limit_ms / _MILLISECONDS_PER_SECOND
         self._list_task = asyncio.get_running_loop().create_task(
-            list_all(self._client, self.kind, timeout_s),
+            self._lists.list_store(self._client, self.kind, timeout_s),
         )
         page = await _result_unless_cancelled(self._list_task)
         if page is None:
@@ -232,6 +254,7 @@
         self._record_response()
         self._revision = max(self._revision, page.revision)
         self.change_log.reset(self._revision)
+        self.listed.replace(page.objects, self._revision)
         self._on_list(page.objects)
         self.newest_revision = max(self.newest_revision, _newest_change(page))
         # Keep listing while each list holds newer objects than the last one.
@@ -240,6 +263,30 @@
         if self._is_outpaced:
             await asyncio.sleep(self._coalescing.delay_s())
 
+    async def _list_from_zone(self) -> bool:
+        """List from a VM of the zone and return whether that has succeeded."""
+        follows = not self._revision or self._source.uses_zone_watcher
+        if not follows or self._is_outpaced:
+            return False
+        # A VM that lacks the changes since this revision has a later list.
+        found = await self._lists.list_zone(self.kind, self._revision + 1)
+        if found is None:
+            self._source.bypass_zone_watcher()
+            return False
+        self._client.era.adopt(found.page.revision)
+        self._revision = found.page.revision
+        self.change_log.reset(self._revision)
+        self.listed.replace(found.page.objects, self._revision, found.age_ms)
+        self._on_list(found.page.objects)
+        self.newest_revision = max(
+            self.newest_revision, _newest_change(found.page)
+        )
+        self._is_listed = True
+        # Roles are known once all VMs that started have said to be ready.
+        await asyncio.sleep(jittered(self._rng, _FIRST_POLL_DELAY_S))
+        self._lists.assign_roles()
+        return True
+
     async def _long_poll(self) -> StorePage | None:
         """Return the next changes, or None if the long poll was cancelled."""
         self._coalescing.record_request(is_long_poll=True)
@@ -252,7 +299,9 @@
             return None
         if not self._source.uses_zone_watcher:
             self._record_response()
-        elif self._source.outage is not None:
+            return page
+        self._client.era.adopt(page.revision)
+        if self._source.outage is not None:
             self._on_outage_end(self._source.outage)
         return page
 
@@ -262,6 +311,8 @@
         self._coalescing.record_chunk()
 
     def _record_response(self) -> None:
+        if self._source.uses_zone_watcher:
+            return
         self._stall_detector.record_response()
         self._backoff.reset()
         if self.health.record_response() and self.health.outage:
--- a/src/catkindrift/gateway/_store_watches.py
+++ b/src/catkindrift/gateway/_store_watches.py
@@ -6,9 +6,11 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.gateway._list_source import ListSource
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._store_health import StoreHealth
 from catkindrift.gateway._store_watch import StoreWatch
+from catkindrift.gateway._zone_lists import ZoneLists
 from catkindrift.platform import (
     CONFIGURATION_KIND,
     ENTRY_VM_KIND,
@@ -21,6 +23,7 @@
 from catkindrift.settings import GatewaySettings
 from catkindrift.steering import Heartbeat, Members
 
+_MILLISECONDS_PER_SECOND = 1000
 # Ready VMs that a zone needs for zone watchers. With fewer, they save few calls
 # but delay changes by up to a second when they fail.
 _MIN_VMS_TO_SHARE = 6
@@ -52,10 +55,19 @@
     health: StoreHealth
     _peer_recovered_ms: int = attrs.field(init=False, default=0)
     _watches: tuple[StoreWatch, ...] = attrs.field(init=False)
+    _zone_lists: ZoneLists = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the watches."""
         state = self._state
+        history_s = self._settings.platform.history_s
+        self._zone_lists = ZoneLists(
+            self._members,
+            self._settings.vm,
+            _MIN_VMS_TO_SHARE,
+            round(history_s * _MILLISECONDS_PER_SECOND),
+            self._is_discovered,
+        )
         kinds = (
             (
                 CONFIGURATION_KIND,
@@ -129,6 +141,14 @@
         for watch in self._shared_watches():
             self._choose_zone_watcher(watch)
 
+    def _is_discovered(self) -> bool:
+        """Return whether heartbeats go to all registered VMs."""
+        return all(
+            watch.listed.is_listed
+            for watch in self._watches
+            if watch.kind == ENTRY_VM_KIND
+        )
+
     def _shared_watches(self) -> tuple[StoreWatch, ...]:
         return tuple(
             watch for watch in self._watches if watch.kind != ENTRY_VM_KIND
@@ -194,6 +214,10 @@
             on_change,
             self._state.missing.record_outage,
             relists,
+            ListSource(
+                None if kind == ENTRY_VM_KIND else self._zone_lists,
+                self.assign_roles,
+            ),
         )
 
     def _apply_configurations(self, found: tuple[StoreObject, ...]) -> None:
--- a/src/catkindrift/gateway/_watch_source.py
+++ b/src/catkindrift/gateway/_watch_source.py
@@ -61,6 +61,7 @@
 
     def bypass_zone_watcher(self) -> None:
         """Do not poll the VM that was polled last for a while."""
+        self.uses_zone_watcher = False
         polled = self._polled or self._zone_client
         if polled:
             until_ms = self._clock.now_ms() + _BYPASS_MS
--- a/src/catkindrift/gateway/_zone_client.py
+++ b/src/catkindrift/gateway/_zone_client.py
@@ -6,8 +6,12 @@
 
 import attrs
 
-from catkindrift.errors import AnswerTooLargeError, ZoneWatchError
-from catkindrift.gateway._zone_message import ZoneMessage
+from catkindrift.errors import (
+    AnswerTooLargeError,
+    ZoneHistoryGoneError,
+    ZoneWatchError,
+)
+from catkindrift.gateway._zone_message import ZoneList, ZoneMessage
 from catkindrift.gateway._zone_page import ACCEPTS_ZLIB, TAKES_OVER, unpack
 from catkindrift.http1 import HttpClient
 from catkindrift.settings import Endpoint
@@ -57,6 +61,37 @@
         path = f'/changes/{kind}/{revision}/{wait_ms}?{ACCEPTS_ZLIB}'
         if takes_over:
             path = f'{path}&{TAKES_OVER}'
+        content = await self._request(path, timeout_s, on_chunk)
+        try:
+            return ZoneMessage.from_json(content)
+        except ValueError as malformed:
+            raise self._malformed_error() from malformed
+
+    async def list(self, kind: str, wait_ms: int, timeout_s: float) -> ZoneList:
+        """Return all objects of a kind, as the other VM knows them.
+
+        Args:
+            kind: Kind of the objects.
+            wait_ms: How long the other VM waits for its own first list.
+            timeout_s: Longest wait for the first chunk of the response.
+
+        Raises:
+            ZoneWatchError: The other VM has no list.
+        """
+        path = f'/list/{kind}/{wait_ms}?{ACCEPTS_ZLIB}'
+        content = await self._request(path, timeout_s, _ignore)
+        try:
+            return ZoneList.from_json(content)
+        except ValueError as malformed:
+            raise self._malformed_error() from malformed
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._client.close()
+
+    async def _request(
+        self, path: str, timeout_s: float, on_chunk: Callable[[], None]
+    ) -> bytes:
         try:
             head, content = await self._client.request(
                 'GET', path, b'', timeout_s, on_chunk
@@ -66,16 +101,21 @@
                 f'{self.address} sent no complete response; ask the store',
             ) from broken
         if head.status != HTTPStatus.OK:
-            raise ZoneWatchError(
+            is_gone = head.status == HTTPStatus.GONE
+            error = ZoneHistoryGoneError if is_gone else ZoneWatchError
+            raise error(
                 f'{self.address} returned status {head.status}; ask the store',
             )
         try:
-            return ZoneMessage.from_json(unpack(head.headers, content))
+            return unpack(head.headers, content)
         except ValueError as malformed:
-            raise ZoneWatchError(
-                f'{self.address} sent a malformed message; ask the store',
-            ) from malformed
+            raise self._malformed_error() from malformed
 
-    def close(self) -> None:
-        """Close idle connections."""
-        self._client.close()
+    def _malformed_error(self) -> ZoneWatchError:
+        return ZoneWatchError(
+            f'{self.address} sent a malformed message; ask the store',
+        )
+
+
+def _ignore() -> None:
+    """Ignore the arrival of a chunk."""
--- a/src/catkindrift/gateway/_zone_message.py
+++ b/src/catkindrift/gateway/_zone_message.py
@@ -1,4 +1,4 @@
-"""Message with which the zone watcher serves changes of the store."""
+"""Messages with which VMs of a zone serve objects of the store."""
 
 from typing import final
 
@@ -36,3 +36,31 @@
     def to_json(self) -> bytes:
         """Encode the message."""
         return msgspec.json.encode(self)
+
+
+@final
+@attrs.frozen
+class ZoneList:
+    """All objects of one kind, from another VM of the zone.
+
+    Args:
+        page: The objects, and the revision from which to watch; a revision
+            holds the era of the store.
+        age_ms: Time since the list was known to be current.
+    """
+
+    page: StorePage
+    age_ms: int
+
+    @classmethod
+    def from_json(cls, content: bytes) -> 'ZoneList':
+        """Decode a message.
+
+        Raises:
+            ValueError: The content is malformed.
+        """
+        return msgspec.json.decode(content, type=cls)
+
+    def to_json(self) -> bytes:
+        """Encode the message."""
+        return msgspec.json.encode(self)
--- a/src/catkindrift/platform/_store_era.py
+++ b/src/catkindrift/platform/_store_era.py
@@ -45,16 +45,15 @@
         stated = find_header(head.headers, ERA).strip()
         if not stated.isdigit():
             return
-        era = int(stated)
-        if era < self.number:
-            raise PlatformUnavailableError(
-                'the store responded from an older era; read again',
-            )
-        is_new = self._is_known and era > self.number
-        self.number = era
-        self._is_known = True
-        if is_new:
-            self.on_change()
+        self._update(int(stated))
+
+    def adopt(self, qualified: int) -> None:
+        """Record the era of a revision that another VM has read.
+
+        Raises:
+            PlatformUnavailableError: The revision is from an older era.
+        """
+        self._update(qualified >> _REVISION_BITS)
 
     def qualify(self, revision: int) -> int:
         """Return a revision of the present era, with the era."""
@@ -69,3 +68,14 @@
         if qualified >> _REVISION_BITS != self.number:
             raise HistoryGoneError('the store has a new era; list the kind')
         return qualified & _REVISION_MASK
+
+    def _update(self, era: int) -> None:
+        if era < self.number:
+            raise PlatformUnavailableError(
+                'the store responded from an older era; read again',
+            )
+        is_new = self._is_known and era > self.number
+        self.number = era
+        self._is_known = True
+        if is_new:
+            self.on_change()
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -77,6 +77,13 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def specs(self, kind):
+        """Return the names and specs of all objects of a kind."""
+        return [
+            (name, self._objects[kind, name]['spec'])
+            for name in self.names(kind)
+        ]
+
     async def compact(self):
         """Drop the history; watches of older revisions get 410."""
         self.oldest_revision = self.revision
