--- a/benchmarks/load_replay.py
+++ b/benchmarks/load_replay.py
@@ -1,6 +1,7 @@
 """Replays load patterns through the decisions of entry VMs.
 
-Usage: ``python -m benchmarks.load_replay PATTERN...``; all patterns by default.
+Usage: ``python -m benchmarks.load_replay PATTERN... VMS...``; by default all
+patterns at 1, 11 and 87 VMs.
 """
 
 import sys
@@ -49,8 +50,11 @@
             'credit',
         )
     )
-    for name in sys.argv[1:] or PATTERNS:
-        for vm_count in VM_COUNTS:
+    arguments = sys.argv[1:]
+    counts = [int(each) for each in arguments if each.isdigit()]
+    names = [each for each in arguments if not each.isdigit()]
+    for name in names or PATTERNS:
+        for vm_count in counts or VM_COUNTS:
             for policy in POLICIES:
                 print_replay(name, vm_count, policy)
 
