--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -276,7 +276,7 @@
     assert not simulation.refused.total()
 
 
-def test_over_quota_is_answered_with_429(tmp_path, capsys):
+def test_over_quota_is_answered_with_429(tmp_path, capfd):
     """Requests beyond the quota would reach upstreams."""
     key = 'planted7qdqiqrh4jcda9rgy35i'
     limited = {'api_keys': [key], 'rate_per_s': 2, 'burst': 1}
@@ -315,7 +315,7 @@
     assert metrics.quota_requests.labels('refused').total == len(refused)
     lines = [
         json.loads(line)
-        for line in capsys.readouterr().out.splitlines()
+        for line in ''.join(capfd.readouterr()).splitlines()
         if 'over_quota' in line
     ]
     assert lines
