--- a/src/catkindrift/gateway/_overload_gate.py
+++ b/src/catkindrift/gateway/_overload_gate.py
@@ -12,7 +12,6 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._pending_request import PendingRequest
-from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.overload import (
     Decision,
@@ -38,16 +37,14 @@
         clock: Source of time.
         isolation: Chooses upstreams.
         average_ms: Returns the average latency of a service.
-        state: Tells whether the configuration holds workspaces.
-        is_forced: Whether requests may wait also without workspaces.
+        is_enabled: Whether requests may wait at all.
         metrics: Counts waiting requests and their waits.
     """
 
     _clock: Clock
     _isolation: SuspectIsolation
     _average_ms: Callable[[str], float]
-    _state: PlatformState
-    _is_forced: bool
+    _is_enabled: bool
     _metrics: GatewayMetrics
     _queues: dict[str, ServiceQueue] = attrs.field(init=False, factory=dict)
     _pending: dict[WaitingRequest, PendingRequest] = attrs.field(
@@ -68,10 +65,7 @@
     @property
     def is_active(self) -> bool:
         """Whether requests may wait at all."""
-        configuration = self._state.configuration
-        return self._is_forced or (
-            configuration is not None and bool(configuration.workspaces)
-        )
+        return self._is_enabled
 
     async def choose(self, pending: PendingRequest) -> _Choice:
         """Return an upstream once one has room, or why there is none.
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -252,7 +252,6 @@
                 clock,
                 isolation,
                 lambda service: placement.latency(service).average_ms,
-                self.state,
                 self._settings.overload.queueing,
                 self.metrics,
             ),
--- a/src/catkindrift/overload/__init__.py
+++ b/src/catkindrift/overload/__init__.py
@@ -1,7 +1,7 @@
 """How requests wait, are turned away and are placed if there is no room.
 
-The package has no input or output. A deployment without workspaces, and
-without the setting that turns queueing on, never calls it.
+The package has no input or output. It is used only if the setting
+``overload.queueing`` is on.
 """
 
 from catkindrift.overload._rank import Rank, rank_of
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -142,8 +142,7 @@
     """What is done when upstreams have too little room.
 
     Args:
-        queueing: Whether requests wait in the entry VM, in order of urgency,
-            also if the configuration holds no workspaces.
+        queueing: Whether requests wait in the entry VM, in order of urgency.
     """
 
     queueing: bool = False
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -175,6 +175,7 @@
     folder: Path
     store: PlatformStore = attrs.field(factory=PlatformStore)
     store_port: int = attrs.field(factory=free_port)
+    template_fields: dict = attrs.field(factory=dict)
     gateways: list = attrs.field(factory=list)
     fields: list = attrs.field(factory=list)
     upstreams: list = attrs.field(factory=list)
@@ -221,6 +222,7 @@
 
     def settings(self, name, zone='ovd-a'):
         fields = platform_fields(name, zone, self.store_port)
+        fields.update(self.template_fields)
         path = self.folder / f'{name}.toml'
         path.write_text(render(TEMPLATE.read_text(), fields))
         self.fields.append(fields)
@@ -256,9 +258,17 @@
 
 
 @contextlib.asynccontextmanager
-async def deployed(folder, **options):
-    """Run a deployment with one entry VM."""
-    deployment = PlatformDeployment(folder)
+async def deployed(folder, template_fields=(), **options):
+    """Run a deployment with one entry VM.
+
+    Args:
+        folder: Folder for settings files.
+        template_fields: Fields of the settings template that differ.
+        options: Arguments of `PlatformDeployment.start`.
+    """
+    deployment = PlatformDeployment(
+        folder, template_fields=dict(template_fields)
+    )
     await deployment.start(**options)
     await deployment.add_gateway()
     try:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -239,6 +239,7 @@
         lookup = {**SAFE, 'priority': 2, 'slo_latency_s': 4, 'timeout_s': 8}
         async with deployed(
             tmp_path,
+            {'overload': {'queueing': True}},
             routes=(lookup, UNSAFE),
             workspaces=workspaces,
         ) as deployment:
