--- a/src/catkindrift/gateway/_heartbeat_contents.py
+++ b/src/catkindrift/gateway/_heartbeat_contents.py
@@ -9,8 +9,8 @@
 
 from catkindrift.gateway._crash_watch import CrashWatch
 from catkindrift.gateway._store_health import StoreHealth
-from catkindrift.gateway._zone_news import ZoneNews
 from catkindrift.gateway._zone_receivers import sample
+from catkindrift.gateway._zone_updates import ZoneUpdates
 from catkindrift.steering import (
     MAX_DIRECT_MEMBERS,
     Heartbeat,
@@ -25,7 +25,7 @@
 
 # Signs of life of others in one heartbeat; each takes about 17 bytes.
 _MAX_SIGHTINGS = 40
-# They are the newest of so many times more: those are news to most receivers,
+# They are the newest of so many times more: those are new to most receivers,
 # and the random part keeps any VM from being left out.
 _SIGHTING_CHOICES = 2
 # Records of other VMs that one heartbeat carries.
@@ -43,7 +43,7 @@
 
     Args:
         members: Entry VMs.
-        news: Signs of life where membership goes by zone.
+        updates: Signs of life where membership goes by zone.
         revisions: Returns the newest known store revision of each kind.
         crashes: Crashes to report to other VMs.
         health: Reachability of the store from this VM.
@@ -54,7 +54,7 @@
     """
 
     _members: Members
-    _news: ZoneNews
+    _updates: ZoneUpdates
     _revisions: Callable[[], dict[str, int]]
     _crashes: CrashWatch
     _health: StoreHealth
@@ -64,9 +64,9 @@
     _rng: Callable[[], random.Random]
 
     @property
-    def news_known(self) -> tuple[int, int]:
+    def known_updates(self) -> tuple[int, int]:
         """Number of changes of VMs and of crashes that are known."""
-        return (self._members.table.news_count, self._crashes.reports.count)
+        return (self._members.table.update_count, self._crashes.reports.count)
 
     def direct(self, own: MemberFacts) -> Heartbeat:
         """Return a heartbeat for any VM.
@@ -104,10 +104,12 @@
             is_digest: Whether it goes to other zones and so tells of the own
                 zone only.
         """
-        news = self._news
-        heard = news.recent(is_digest=is_digest)
+        updates = self._updates
+        heard = updates.recent(is_digest=is_digest)
         unheard = self._members.unheard_records
-        signs = news.digest(own.zone) if is_digest else news.signs_for_mates()
+        signs = (
+            updates.digest(own.zone) if is_digest else updates.signs_for_zone()
+        )
         return Heartbeat(
             own,
             tuple(heard),
@@ -130,7 +132,7 @@
             own: Facts about this VM.
             zone: The other zone.
         """
-        signs = self._news.digest(zone)
+        signs = self._updates.digest(zone)
         return Heartbeat(
             own, (), self._revisions(), signs=signs, spread_zone=zone
         )
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -17,8 +17,8 @@
 from catkindrift.gateway._heartbeat_sender import HeartbeatSender
 from catkindrift.gateway._log_sampler import LogSampler
 from catkindrift.gateway._store_health import StoreHealth
-from catkindrift.gateway._zone_news import ZoneNews
 from catkindrift.gateway._zone_receivers import ZoneReceivers, sample
+from catkindrift.gateway._zone_updates import ZoneUpdates
 from catkindrift.steering import (
     MAX_DIRECT_MEMBERS,
     Heartbeat,
@@ -28,7 +28,7 @@
     UpstreamLimits,
     UpstreamReachability,
 )
-from catkindrift.workspaces import QuotaNews
+from catkindrift.workspaces import QuotaMessage
 
 _LOG = logging.getLogger(__name__)
 # A VM counts as failed after several missed heartbeats.
@@ -43,7 +43,7 @@
 
 
 def _do_nothing() -> None:
-    """Ignore news where nobody is to be told."""
+    """Ignore updates where no other VM needs them."""
 
 
 @final
@@ -64,7 +64,7 @@
         limits: Limits of upstreams, to report to other VMs.
         reachability: When this VM has reached an upstream.
         on_heartbeat: Called with each heartbeat received.
-        on_news: Called when others of the zone have to learn of news at once.
+        on_update: Called when others of the zone need updates at once.
         relayed_limits: Returns limits of upstreams that others have seen.
     """
 
@@ -77,7 +77,7 @@
     _limits: UpstreamLimits
     _reachability: UpstreamReachability
     _on_heartbeat: Callable[[Heartbeat], None]
-    on_news: Callable[[], None] = _do_nothing
+    on_update: Callable[[], None] = _do_nothing
     _relayed_limits: Callable[[], tuple[LimitNotice, ...]] = tuple
     _receivers: ZoneReceivers = attrs.field(init=False)
     _builder: HeartbeatContents = attrs.field(init=False)
@@ -97,7 +97,7 @@
         self._receivers = ZoneReceivers(self._members, own, lambda: self._rng)
         self._builder = HeartbeatContents(
             self._members,
-            ZoneNews(self._members, own, lambda: self._rng),
+            ZoneUpdates(self._members, own, lambda: self._rng),
             self._revisions,
             self._crashes,
             self._health,
@@ -164,21 +164,23 @@
         """Send a heartbeat to more VMs of all regions than usual.
 
         Args:
-            is_passed_on: Whether the news come from another VM, which has
+            is_passed_on: Whether the updates come from another VM, which has
                 told other zones itself.
         """
         if self._receivers.is_active:
-            far = () if is_passed_on else self._receivers.news_receivers()
+            far = () if is_passed_on else self._receivers.update_receivers()
             self._send_by_zone(far)
             return
         known = self._members.facts
         self._send_to_all(sample(self._rng, known, MAX_DIRECT_MEMBERS))
 
-    def send_quota_news(self, news: QuotaNews, names: frozenset[str]) -> int:
-        """Send news on quotas, with little else, to some VMs.
+    def send_quota_message(
+        self, message: QuotaMessage, names: frozenset[str]
+    ) -> int:
+        """Send a message on quotas, with little else, to some VMs.
 
         Args:
-            news: The news.
+            message: The message.
             names: Names of the receivers.
 
         Returns:
@@ -194,7 +196,7 @@
             self._revisions(),
             answer_age_ms=self._health.answer_age_ms,
             reached_age_ms=self._reachability.reached_age_ms,
-            quota=news,
+            quota=message,
         )
         self._sender.send(heartbeat, receivers)
         return len(receivers)
@@ -213,7 +215,7 @@
                     'ignored malformed heartbeat from %s: %s', addr, malformed
                 )
             return
-        before = self._builder.news_known
+        before = self._builder.known_updates
         is_new = self._members.record_heartbeat(heartbeat)
         self._seeds.discard(heartbeat.sender.peers)
         self._on_heartbeat(heartbeat)
@@ -224,8 +226,8 @@
         if reply:
             self._sender.send(reply, (heartbeat.sender.peers,))
         self._spread(heartbeat)
-        if is_active and before != self._builder.news_known:
-            self.on_news()
+        if is_active and before != self._builder.known_updates:
+            self.on_update()
 
     def error_received(self, exc: Exception) -> None:
         """Ignore send errors; missing heartbeats reveal a failed peer."""
@@ -250,7 +252,7 @@
         """Send to some VMs of the own zone, and a digest of it to others."""
         self._own_member = self._own_member.next_heartbeat()
         own = self._own_member
-        near = {each.peers for each in self._receivers.mates()}
+        near = {each.peers for each in self._receivers.zone_receivers()}
         near.update(self._seeds.chosen(self._rng, self._members.alive()))
         self._sender.send(self._builder.by_zone(own, is_digest=False), near)
         if far:
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -195,7 +195,7 @@
             relayed_limits=lambda: self.limits.notices(are_own=False),
         )
         self.urgent = UrgentHeartbeats(clock, self.heartbeats)
-        self.heartbeats.on_news = self.urgent.pass_on
+        self.heartbeats.on_update = self.urgent.pass_on
         self.quotas = Quotas(
             clock,
             self.state,
--- a/src/catkindrift/gateway/_quotas.py
+++ b/src/catkindrift/gateway/_quotas.py
@@ -13,7 +13,7 @@
 from catkindrift.steering import Heartbeat, Members
 from catkindrift.workspaces import (
     QuotaBounds,
-    QuotaNews,
+    QuotaMessage,
     QuotaReply,
     QuotaReport,
     QuotaShare,
@@ -29,13 +29,13 @@
 @final
 @attrs.define(eq=False, repr=False)
 class Quotas:
-    """Admits requests of workspaces, and exchanges news with the owner.
+    """Admits requests of workspaces, and exchanges messages with the owner.
 
     Args:
         clock: Source of time.
         state: Source of the workspaces.
         members: Entry VMs that share the quotas.
-        heartbeats: Carries the news.
+        heartbeats: Carries the messages.
         metrics: Counts decisions and messages.
         bounds: Limits on the requests of a workspace.
     """
@@ -108,15 +108,15 @@
         return self._shares.share(workspace, self._clock.now_ms())
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Take the news in a heartbeat and answer the reports."""
-        news = heartbeat.quota
-        if news is None:
+        """Take the message in a heartbeat and answer the reports."""
+        message = heartbeat.quota
+        if message is None:
             return
         sender = heartbeat.sender.name
-        for reply in news.replies:
+        for reply in message.replies:
             self._shares.apply(sender, reply, self._clock.now_ms())
-        self._shares.apply_news(sender, news.busy)
-        for report in news.reports:
+        self._shares.apply_update(sender, message.busy)
+        for report in message.reports:
             self._answer(report)
 
     def _report(self) -> None:
@@ -124,26 +124,30 @@
         if report.owner == self._heartbeats.own_member.name:
             self._answer(report)
         else:
-            self._send('report', QuotaNews(reports=(report,)), (report.owner,))
+            self._send(
+                'report', QuotaMessage(reports=(report,)), (report.owner,)
+            )
 
     def _answer(self, report: QuotaReport) -> None:
         """Answer a report, and tell all VMs which workspaces are busier."""
         reply = self._shares.owner.answer(report, self._clock.now_ms())
         if reply:
             self._reply(reply)
-        busy = self._shares.owner.take_news()
+        busy = self._shares.owner.take_update()
         if busy:
-            self._shares.apply_news(self._heartbeats.own_member.name, busy)
+            self._shares.apply_update(self._heartbeats.own_member.name, busy)
             others = [each.name for each in self._members.alive()]
-            self._send('news', QuotaNews(busy=busy), others)
+            self._send('update', QuotaMessage(busy=busy), others)
 
     def _reply(self, reply: QuotaReply) -> None:
         own_name = self._heartbeats.own_member.name
         if reply.vm == own_name:
             self._shares.apply(own_name, reply, self._clock.now_ms())
         else:
-            self._send('reply', QuotaNews(replies=(reply,)), (reply.vm,))
+            self._send('reply', QuotaMessage(replies=(reply,)), (reply.vm,))
 
-    def _send(self, kind: str, news: QuotaNews, names: Iterable[str]) -> None:
-        sent = self._heartbeats.send_quota_news(news, frozenset(names))
+    def _send(
+        self, kind: str, message: QuotaMessage, names: Iterable[str]
+    ) -> None:
+        sent = self._heartbeats.send_quota_message(message, frozenset(names))
         self._metrics.quota_messages.labels(kind).inc(sent)
--- a/src/catkindrift/gateway/_zone_receivers.py
+++ b/src/catkindrift/gateway/_zone_receivers.py
@@ -14,17 +14,17 @@
 )
 
 _Item = TypeVar('_Item')
-# Receivers of one heartbeat in the own zone; with four, news of each VM pass
+# Receivers of one heartbeat in the own zone; with four, updates of each VM pass
 # through a zone of 60 in three intervals.
-_MATES = 4
+_ZONE_RECEIVERS = 4
 # Receivers in the own zone of a digest of another zone.
-_SPREAD_MATES = 64
+_SPREAD_RECEIVERS = 64
 # Each VM gets a digest of each other zone about so often.
 _SPREAD_MS = 900
 # Other zones that receive a digest from one VM at a time.
 _MAX_ZONES = 16
-# Receivers of news in each other zone, so that one lost datagram costs nothing.
-_NEWS_RECEIVERS = 2
+# Receivers of updates in each other zone: one lost datagram costs nothing.
+_UPDATE_RECEIVERS = 2
 # Silent VMs get one heartbeat in so many: they may be cut off, or have ended.
 _SILENT_EVERY = 4
 
@@ -57,10 +57,12 @@
             return False
         return all(each.by_zone for each in self._members.alive())
 
-    def mates(self) -> list[MemberFacts]:
+    def zone_receivers(self) -> list[MemberFacts]:
         """Return VMs of the own zone for one heartbeat."""
         alive, silent = self._split(self._in_zone(self._own.zone))
-        return sample(self._rng(), alive, _MATES) + self._some_silent(silent)
+        return sample(self._rng(), alive, _ZONE_RECEIVERS) + self._some_silent(
+            silent
+        )
 
     def record_spread(self, zone: str, now_ms: int) -> None:
         """Record that a VM of the own zone spreads a digest of another."""
@@ -75,12 +77,12 @@
         alive, _ = self._split(self._in_zone(self._own.zone))
         if not alive:
             return []
-        part = min(1, _SPREAD_MATES / len(alive))
+        part = min(1, _SPREAD_RECEIVERS / len(alive))
         last_ms = self._spread_ms.get(zone)
         if last_ms is not None and now_ms - last_ms < _SPREAD_MS * part:
             return []
         self.record_spread(zone, now_ms)
-        return sample(self._rng(), alive, _SPREAD_MATES)
+        return sample(self._rng(), alive, _SPREAD_RECEIVERS)
 
     def digest_receivers(self) -> list[MemberFacts]:
         """Return VMs of other zones to which this VM sends a digest now."""
@@ -98,12 +100,12 @@
                 chosen += sample(self._rng(), silent, 1)
         return chosen
 
-    def news_receivers(self) -> list[MemberFacts]:
-        """Return VMs of other zones that get news of this VM itself."""
+    def update_receivers(self) -> list[MemberFacts]:
+        """Return VMs of other zones that get updates of this VM itself."""
         chosen: list[MemberFacts] = []
         for zone in sample(self._rng(), self._other_zones(), _MAX_ZONES):
             alive, _ = self._split(self._in_zone(zone))
-            chosen += sample(self._rng(), alive, _NEWS_RECEIVERS)
+            chosen += sample(self._rng(), alive, _UPDATE_RECEIVERS)
         return chosen
 
     def _other_zones(self) -> list[str]:
--- a/src/catkindrift/gateway/_zone_news.py
+++ b/src/catkindrift/gateway/_zone_updates.py
@@ -17,7 +17,7 @@
 # packet of 1,500 bytes. A zone of the target size has 63 VMs.
 _MAX_DIGEST_SIGNS = 120
 # Signs of life of the own zone and of others in a heartbeat within the zone.
-_MAX_MATE_SIGNS = 40
+_MAX_ZONE_SIGNS = 40
 _MAX_FAR_SIGNS = 16
 # Facts of processes that started lately; each takes about 160 bytes.
 _MAX_RECENT_FACTS = 4
@@ -25,7 +25,7 @@
 
 @final
 @attrs.define(eq=False, repr=False)
-class ZoneNews:
+class ZoneUpdates:
     """Selects signs of life and facts for heartbeats.
 
     Args:
@@ -44,7 +44,7 @@
         chosen = sample(self._rng(), alive, _MAX_DIGEST_SIGNS)
         return pack_signs(self._members.table.signs(chosen))
 
-    def signs_for_mates(self) -> bytes:
+    def signs_for_zone(self) -> bytes:
         """Return signs of life for VMs of the own zone.
 
         Digests tell them of other zones; the signs of these here are for VMs
@@ -52,10 +52,10 @@
         """
         alive = self._members.alive()
         own = self._own.zone
-        mates = [each for each in alive if each.zone == own]
+        zone_vms = [each for each in alive if each.zone == own]
         others = [each for each in alive if each.zone != own]
         table = self._members.table
-        chosen = table.next_signs(mates, _MAX_MATE_SIGNS)
+        chosen = table.next_signs(zone_vms, _MAX_ZONE_SIGNS)
         return pack_signs(chosen + table.next_signs(others, _MAX_FAR_SIGNS))
 
     def recent(self, *, is_digest: bool) -> list[MemberFacts]:
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -7,7 +7,7 @@
 
 from catkindrift.blame import Cleared, Crash
 from catkindrift.steering._limit_notice import LimitNotice
-from catkindrift.workspaces import QuotaNews
+from catkindrift.workspaces import QuotaMessage
 
 
 @final
@@ -147,7 +147,7 @@
         relayed_limits: Limits of upstreams that the sender has from others.
         spread_zone: Other zone whose signs of life the sender spreads in its
             own; empty if it spreads none.
-        quota: News on the quotas of workspaces; encoded only if there are any.
+        quota: Message on the quotas of workspaces, if any.
     """
 
     sender: MemberFacts
@@ -165,4 +165,4 @@
     wanted: tuple[int, ...] = ()
     relayed_limits: tuple[LimitNotice, ...] = ()
     spread_zone: str = ''
-    quota: QuotaNews | None = None
+    quota: QuotaMessage | None = None
--- a/src/catkindrift/steering/_member.py
+++ b/src/catkindrift/steering/_member.py
@@ -7,11 +7,11 @@
 from catkindrift.steering._heartbeat import MemberFacts
 from catkindrift.steering._packed_signs import PackedSign, process_key
 
-# What others tell of a VM may be news here and old all the same.
+# What others report of a VM may be new here and old all the same.
 _MAX_AGE_MS = 5000
-# News are passed on ahead of all else for this time: by then they have had
+# Updates are passed on ahead of all else for this time: by then they have had
 # four intervals of 500 ms to reach every VM.
-NEWS_MS = 2000
+RECENT_MS = 2000
 
 
 @final
@@ -76,7 +76,7 @@
 
     def urgency(self, now_ms: int) -> tuple[bool, bool, int]:
         """Return the rank of the newest sign of life, the lowest first."""
-        is_old = now_ms - self.changed_ms >= NEWS_MS
+        is_old = now_ms - self.changed_ms >= RECENT_MS
         return (is_old, self.is_told, self.told_ms)
 
     def sign(self, now_ms: int) -> PackedSign:
--- a/src/catkindrift/steering/_member_table.py
+++ b/src/catkindrift/steering/_member_table.py
@@ -8,7 +8,7 @@
 
 from catkindrift.clock import Clock
 from catkindrift.steering._heartbeat import MemberFacts
-from catkindrift.steering._member import NEWS_MS, Member
+from catkindrift.steering._member import RECENT_MS, Member
 from catkindrift.steering._packed_signs import (
     PackedSign,
     process_key,
@@ -33,14 +33,14 @@
     Args:
         clock: Source of time.
         by_name: What is known of each VM.
-        news_count: Number of changes of VMs so far that others have to know
+        update_count: Number of changes of VMs so far that others have to know
             at once: readiness and reach.
         wanted: Processes that others name and this VM doesn't know.
     """
 
     _clock: Clock
     by_name: dict[str, Member] = attrs.field(init=False, factory=dict)
-    news_count: int = attrs.field(init=False, default=0)
+    update_count: int = attrs.field(init=False, default=0)
     wanted: WantedProcesses = attrs.field(
         init=False,
         default=attrs.Factory(
@@ -70,7 +70,7 @@
             self._by_key.pop(process_key(process), None)
             self._index(member)
         elif member.changed_ms != changed_ms:
-            self.news_count += 1
+            self.update_count += 1
         return has_recovered
 
     def record_signs(self, packed: bytes) -> bool:
@@ -138,7 +138,7 @@
 
     def is_recent(self, name: str) -> bool:
         """Return whether others may not know the process of a VM yet."""
-        return self._clock.now_ms() - self.by_name[name].known_ms < NEWS_MS
+        return self._clock.now_ms() - self.by_name[name].known_ms < RECENT_MS
 
     def facts_of(self, keys: Iterable[int]) -> list[MemberFacts]:
         """Return facts about the known ones of some processes."""
--- a/src/catkindrift/steering/_zone_delegates.py
+++ b/src/catkindrift/steering/_zone_delegates.py
@@ -36,24 +36,24 @@
     _orders: dict[str, _Order] = attrs.field(init=False, factory=dict)
 
     def zones(
-        self, mates: Sequence[tuple[MemberFacts, int]], others: Iterable[str]
+        self, zone_vms: Sequence[tuple[MemberFacts, int]], others: Iterable[str]
     ) -> list[str]:
         """Return the zones to which this VM sends digests now.
 
         Args:
-            mates: VMs of the own zone that are alive, and the ages of their
+            zone_vms: VMs of the own zone that are alive, and the ages of their
                 newest signs of life in milliseconds.
             others: Names of the other zones.
         """
         own = self._own
-        mates = sorted(mates, key=lambda each: each[0].name)
-        known = tuple((each.name, each.started_ms) for each, _ in mates)
+        zone_vms = sorted(zone_vms, key=lambda each: each[0].name)
+        known = tuple((each.name, each.started_ms) for each, _ in zone_vms)
         if known != self._known:
             self._known = known
             self._orders.clear()
-        heard = {each.name: age_ms < _SILENT_MS for each, age_ms in mates} | {
-            own.name: True
-        }
+        heard = {
+            each.name: age_ms < _SILENT_MS for each, age_ms in zone_vms
+        } | {own.name: True}
         return [
             zone for zone in others if own.name in self._chosen(zone, heard)
         ]
--- a/src/catkindrift/workspaces/__init__.py
+++ b/src/catkindrift/workspaces/__init__.py
@@ -14,7 +14,7 @@
 from catkindrift.workspaces._home_regions import common_homes
 from catkindrift.workspaces._quota_bounds import QuotaBounds
 from catkindrift.workspaces._quota_messages import (
-    QuotaNews,
+    QuotaMessage,
     QuotaReply,
     QuotaReport,
 )
@@ -33,7 +33,7 @@
     'Granted',
     'KeyedWorkspace',
     'QuotaBounds',
-    'QuotaNews',
+    'QuotaMessage',
     'QuotaReply',
     'QuotaReport',
     'QuotaShare',
--- a/src/catkindrift/workspaces/_quota_messages.py
+++ b/src/catkindrift/workspaces/_quota_messages.py
@@ -111,7 +111,7 @@
 
 
 @final
-class QuotaNews(NamedTuple):
+class QuotaMessage(NamedTuple):
     """Field of a heartbeat.
 
     Args:
--- a/src/catkindrift/workspaces/_quota_owner.py
+++ b/src/catkindrift/workspaces/_quota_owner.py
@@ -70,7 +70,7 @@
     _known_busy: frozenset[tuple[int, bool]] = attrs.field(
         init=False, default=frozenset()
     )
-    _news: list[BusyWorkspace] = attrs.field(init=False, factory=list)
+    _updates: list[BusyWorkspace] = attrs.field(init=False, factory=list)
 
     def update(
         self, names: Iterable[str], workspaces: Mapping[int, Workspace]
@@ -123,15 +123,15 @@
             ),
         )
 
-    def take_news(self) -> tuple[BusyWorkspace, ...]:
+    def take_update(self) -> tuple[BusyWorkspace, ...]:
         """Return the workspaces that have become busier since the last call."""
-        news = tuple(self._news)
-        self._news.clear()
-        return news
+        updates = tuple(self._updates)
+        self._updates.clear()
+        return updates
 
     def _note_busy(self, busy: Iterable[BusyWorkspace]) -> None:
         states = {(each.workspace, each.is_full): each for each in busy}
-        self._news += [
+        self._updates += [
             each for key, each in states.items() if key not in self._known_busy
         ]
         self._known_busy = frozenset(states)
--- a/src/catkindrift/workspaces/_quota_shares.py
+++ b/src/catkindrift/workspaces/_quota_shares.py
@@ -190,10 +190,12 @@
             ),
         )
 
-    def apply_news(self, owner: str, news: Iterable[BusyWorkspace]) -> None:
+    def apply_update(
+        self, owner: str, updates: Iterable[BusyWorkspace]
+    ) -> None:
         """Take what an owner tells all VMs at once."""
         if self._lease and owner == self._contact.owner:
-            self._lease.busy.update((each.workspace, each) for each in news)
+            self._lease.busy.update((each.workspace, each) for each in updates)
 
     def apply(self, owner: str, reply: QuotaReply, now_ms: int) -> None:
         """Take the reply of an owner."""
--- a/tests/cold_simulation.py
+++ b/tests/cold_simulation.py
@@ -32,7 +32,7 @@
 RESTART_MS = (200, 1500)
 CUT_MS = (1000, 9000)
 STORE_CALL_MS = (5, 300)
-NEWS_MS = (50, 2000)
+RECENT_MS = (50, 2000)
 LATE_NEWS_MS = (2000, 12_000)
 NETWORK_MS = (1, 250)
 IDLE_TIMEOUT_MS = 7500
@@ -204,7 +204,7 @@
         for each in self.vms[:2] if self.hears_others else self.vms:
             members = each.members
             news = functools.partial(members.record_registration, vm.name, 0)
-            self._later(NEWS_MS, self._for_start(each, news))
+            self._later(RECENT_MS, self._for_start(each, news))
 
     def _entry_now(self):
         elapsed_ms = self.clock.now_ms() - self.upstream_started_ms
@@ -251,7 +251,7 @@
         )
         for vm in self.vms:
             is_late = self.has_late_news and self.rng.choice((True, False))
-            delays_ms = LATE_NEWS_MS if is_late else NEWS_MS
+            delays_ms = LATE_NEWS_MS if is_late else RECENT_MS
             self._later(delays_ms, self._news_for(vm))
             self._break_connections(vm)
 
--- a/tests/fleet_by_zone.py
+++ b/tests/fleet_by_zone.py
@@ -86,7 +86,7 @@
         transport = SimpleNamespace(sendto=send, is_closing=bool)
         heartbeats.connection_made(transport)
         urgent = UrgentHeartbeats(self.clock, heartbeats)
-        heartbeats.on_news = urgent.pass_on
+        heartbeats.on_update = urgent.pass_on
 
     def _distance(self, number, other):
         if number % self.zones == other % self.zones:
--- a/tests/quota_simulation.py
+++ b/tests/quota_simulation.py
@@ -166,14 +166,14 @@
                 vm.shares.apply(owner.name, message, self.now_ms)
 
             self._send(owner.name, report.vm, take, reply)
-        news = owner.shares.owner.take_news()
+        news = owner.shares.owner.take_update()
         if news:
 
-            def take_news(vm, message):
-                vm.shares.apply_news(owner.name, message)
+            def take_update(vm, message):
+                vm.shares.apply_update(owner.name, message)
 
             for name in list(self.vms):
-                self._send(owner.name, name, take_news, news)
+                self._send(owner.name, name, take_update, news)
 
     def _arrive(self, name):
         per_s = self.demand.get(name, 0)
--- a/tests/test_membership_by_zone.py
+++ b/tests/test_membership_by_zone.py
@@ -16,7 +16,7 @@
 
 MEASURED_MS = 4000
 # News reach every VM within this time.
-NEWS_MS = 1500
+RECENT_MS = 1500
 # A VM that is alive and in hearing counts as dead for no longer.
 REJOIN_MS = 4000
 # Bytes between zones and regions fall to this part of what they were.
@@ -59,7 +59,7 @@
     fleet.run(SETTLED_MS)
     for number in (0, 7, 299):
         fleet.heartbeats[number].set_ready(is_ready=False)
-    fleet.run(NEWS_MS)
+    fleet.run(RECENT_MS)
     known = [fleet.states_known(each) for each in (0, 7, 299)]
     assert known == [299, 299, 299]
 
@@ -110,8 +110,8 @@
     """Guard against a zone that is told by VMs that have ended."""
     fleet = FleetByZone(129).use(monkeypatch)
     fleet.run(SETTLED_MS)
-    mates = range(0, 129, 6)
-    for number in mates:
+    zone_vms = range(0, 129, 6)
+    for number in zone_vms:
         receivers = fleet.heartbeats[number]._receivers
         if receivers.digest_receivers():
             fleet.dead.add(number)
@@ -122,9 +122,9 @@
         fleet.run(500)
         shares.append(
             sum(
-                f'front-{mate}' not in {each.name for each in known.alive()}
-                for mate in mates
-                if mate not in fleet.dead
+                f'front-{zone_vm}' not in {each.name for each in known.alive()}
+                for zone_vm in zone_vms
+                if zone_vm not in fleet.dead
                 for known in fleet.members[1::6]
             )
         )
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -14,7 +14,7 @@
 from catkindrift.workspaces._quota_messages import (
     BusyWorkspace,
     QuotaGrant,
-    QuotaNews,
+    QuotaMessage,
     QuotaReply,
     QuotaReport,
     QuotaUse,
@@ -227,7 +227,7 @@
 
 
 def news():
-    return QuotaNews(
+    return QuotaMessage(
         (
             QuotaReport(
                 'two', 'one', 17, 4, True, 900, (QuotaUse(5, 4, 3, 6, 7),)
@@ -264,7 +264,7 @@
         QuotaUse(2**32 - 1, 90_000, 900, 90_000, 900) for _ in range(40)
     )
     report = QuotaReport('two', 'one', 1_700_000_000_000, 99, True, 900, uses)
-    heartbeat = Heartbeat(facts('one'), (), {}, quota=QuotaNews((report,)))
+    heartbeat = Heartbeat(facts('one'), (), {}, quota=QuotaMessage((report,)))
     assert len(msgspec.msgpack.encode(heartbeat)) < 1400
 
 
