--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -9,12 +9,14 @@
 import json
 import os
 import pathlib
+import random
 import shlex
 import signal
 import socket
 import tempfile
 import time
 import tomllib
+import traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -67,22 +69,25 @@
 
 
 def free_ports(count):
-    """Return ports that are free for TCP and UDP on loopback."""
+    """Return ports that are free for TCP and UDP on loopback.
+
+    They lie below those that the system gives to outgoing connections.
+    """
+    ports = []
     with contextlib.ExitStack() as stack:
-        ports = []
-        while len(ports) < count:
-            tcp = stack.enter_context(socket.socket())
-            tcp.bind(('127.0.0.1', 0))
-            port = tcp.getsockname()[1]
-            udp = stack.enter_context(
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            )
-            try:
-                udp.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            ports.append(port)
-        return ports
+        for port in random.sample(range(20000, 32000), 2000):
+            if len(ports) == count:
+                break
+            with contextlib.suppress(OSError):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    held = stack.enter_context(
+                        socket.socket(socket.AF_INET, kind)
+                    )
+                    held.bind(('127.0.0.1', port))
+                ports.append(port)
+    if len(ports) < count:
+        raise CannotRunError('no free ports')
+    return ports
 
 
 class Message:
@@ -400,21 +405,25 @@
     def __init__(self, name, zone, zones, store_address, folder, bounds=BOUNDS):
         self.name = name
         self._folder = pathlib.Path(folder)
-        ports = free_ports(5)
+        self._place = (zone, zones, store_address, bounds)
+        self._settings = self._folder / f'{name}.toml'
+        self.process = None
+        self._log = None
+        self.choose_ports()
+
+    def choose_ports(self):
+        """Choose ports and write the settings file."""
+        zone, zones, store_address, bounds = self._place
         keys = ('callers', 'readiness', 'directory', 'peers', 'metrics')
-        self.ports = dict(zip(keys, ports, strict=True))
-        lines = ['[vm]']
-        lines += [f'name = "{name}"', f'zone = "{zone}"']
+        self.ports = dict(zip(keys, free_ports(len(keys)), strict=True))
+        lines = ['[vm]', f'name = "{self.name}"', f'zone = "{zone}"']
         lines += [f'region = "{zones[zone]}"', '[listen]']
         lines += [f'{k} = "127.0.0.1:{p}"' for k, p in self.ports.items()]
         lines += ['[platform]', f'address = "{store_address}"']
         lines += ['history_s = 20', '[zones]']
         lines += [f'"{k}" = "{v}"' for k, v in zones.items()]
         lines += ['[bounds]', *(f'{k} = {v}' for k, v in bounds.items())]
-        self._settings = self._folder / f'{name}.toml'
         self._settings.write_text('\n'.join([*lines, '']))
-        self.process = None
-        self._log = None
 
     async def start(self):
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
@@ -423,7 +432,7 @@
         environment = {k: os.environ[k] for k in kept if k in os.environ}
         environment['PYTHONPATH'] = str(ROOT / 'target/deps')
         environment['CATKINDRIFT_SETTINGS'] = str(self._settings)
-        self._log = open(self._folder / f'{self.name}.log', 'ab')
+        self._log = open(self._folder / f'{self.name}.log', 'wb')
         self.process = await asyncio.create_subprocess_exec(
             *command, cwd=ROOT, env=environment,
             stdin=asyncio.subprocess.DEVNULL,
@@ -442,6 +451,11 @@
         writer.close()
         return answer is not None and answer.status == 200
 
+    def has_lost_port(self):
+        """Return whether it has ended since another process took a port."""
+        has_ended = self.process.returncode is not None
+        return has_ended and 'address already in use' in self.log_text()
+
     def send(self, number):
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
@@ -533,8 +547,15 @@
         until = time.monotonic() + limit_s
         for vm in self.vms:
             while not await vm.is_ready():
+                if vm.has_lost_port():
+                    self.record(f'{vm.name} starts again on other ports')
+                    await vm.kill()
+                    vm.choose_ports()
+                    await vm.start()
                 if time.monotonic() > until:
-                    raise CannotRunError(f'{vm.name} is not ready')
+                    raise CannotRunError(
+                        f'{vm.name} is not ready: {vm.log_text()[-1000:]}'
+                    )
                 await asyncio.sleep(0.1)
         self.record('all entry VMs are ready')
 
@@ -593,8 +614,9 @@
 
     try:
         is_broken = asyncio.run(limited())
-    except (CannotRunError, OSError, TimeoutError) as reason:
+    except Exception as reason:
         record(f'the case could not run: {reason!r}')
+        traceback.print_exc()
         code = NOT_RUN_EXIT
     else:
         record('the rule was broken' if is_broken else 'the rule held')
