Log and count requests that are rejected as not valid

Callers saw a 400, 408, 413 or 431; operators saw nothing: neither a line nor a metric told why, so that heads that are refused by rule could not be told from those that the parser doesn't read.

Change: a rejection carries its status, a reason of a small fixed set and a detail. The platform's entry VMs write a `rejected` line (bounded as all lines of requests) with the id, and both interfaces count `catkindrift_rejected_requests_total` by reason.

No decision changes.

--- a/src/catkindrift/callers/__init__.py
+++ b/src/catkindrift/callers/__init__.py
@@ -8,7 +8,7 @@
 from catkindrift.callers._forwarder import Forwarder
 from catkindrift.callers._lookup_app import LookupApp
 from catkindrift.callers._pending_decisions import PendingDecisions
-from catkindrift.callers._problem_response import invalid_request_response
+from catkindrift.callers._rejected_requests import RejectedRequests
 from catkindrift.callers._time_limits import TimeLimits
 from catkindrift.callers._upstream_headers import (
     BUSY_SLOTS_HEADER,
@@ -27,7 +27,7 @@
     'Forwarder',
     'LookupApp',
     'PendingDecisions',
+    'RejectedRequests',
     'TimeLimits',
     'UpstreamSender',
-    'invalid_request_response',
 ]
--- a/src/catkindrift/callers/_problem_response.py
+++ b/src/catkindrift/callers/_problem_response.py
@@ -1,29 +1,10 @@
 """Error responses of the system's own interface to callers."""
 
 from http import HTTPStatus
-from types import MappingProxyType
 
 from catkindrift.http1 import Response
 from catkindrift.serving import Problem
 
-_DETAIL = MappingProxyType(
-    {
-        HTTPStatus.BAD_REQUEST: (
-            'the head is malformed or its framing ambiguous; of Content-Length '
-            'and Transfer-Encoding send one of them'
-        ),
-        HTTPStatus.REQUEST_TIMEOUT: (
-            'the head or the body took too long to arrive; send it faster'
-        ),
-        HTTPStatus.REQUEST_ENTITY_TOO_LARGE: (
-            'the body is too large; send a smaller one'
-        ),
-        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: (
-            'the headers are too large; send fewer or shorter ones'
-        ),
-    }
-)
-
 
 def problem_response(problem: Problem) -> Response:
     """Return the HTTP response for a problem."""
@@ -48,9 +29,3 @@
     return Problem(
         status, reason, detail, outcome='not_run', closes_connection=True
     )
-
-
-def invalid_request_response(status: HTTPStatus) -> Response:
-    """Return the response to input that violates HTTP or a limit."""
-    detail = _DETAIL.get(status, 'the request is not valid HTTP; correct it')
-    return problem_response(bad_request('malformed_request', detail, status))
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -41,6 +41,9 @@
 
     answers: Labeled = _labeled('status', 'Answers')
     refusals: Labeled = _labeled('reason', 'Refusals')
+    rejected_requests: Labeled = _labeled(
+        'reason', 'Requests that violate HTTP or a limit'
+    )
     choices: Labeled = _labeled('reason', 'Upstreams chosen')
     failures: Labeled = _labeled('kind', 'Failed attempts')
     crash_blame: Labeled = _labeled(
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -30,6 +30,7 @@
 from catkindrift.gateway._readiness import Readiness
 from catkindrift.gateway._refusals import Refusals
 from catkindrift.gateway._registration import Registration
+from catkindrift.gateway._rejected_requests import RejectedRequests
 from catkindrift.gateway._request_log import RequestLog
 from catkindrift.gateway._response_deadlines import ResponseDeadlines
 from catkindrift.gateway._shutdown_gate import ShutdownGate
@@ -341,9 +342,12 @@
             self.metrics,
             self._configuration_version,
         )
-        self.caller_server = HttpServer(clock, forwarder, self._caller_limits)
+        rejected = RejectedRequests(self.metrics, self.log)
+        self.caller_server = HttpServer(
+            clock, forwarder, self._caller_limits, rejected
+        )
         self.peer_server = HttpServer(
-            clock, self.handed_over, self._caller_limits
+            clock, self.handed_over, self._caller_limits, rejected
         )
         self.servers = [
             (self.caller_server, listen.callers),
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -9,6 +9,7 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._pending_request import PendingRequest
+from catkindrift.http1 import RejectedRequest
 from catkindrift.shutdown import Shutdown
 from catkindrift.steering import Placed, UpstreamLimits, UpstreamState
 from catkindrift.workspaces import QuotaShare
@@ -61,6 +62,23 @@
             configuration=version,
         )
 
+    def log_rejection(self, request_id: str, rejected: RejectedRequest) -> None:
+        """Log that a request violates HTTP or a limit and was not run.
+
+        Args:
+            request_id: Id that the caller gave the request.
+            rejected: The request.
+        """
+        rejection = rejected.rejection
+        self._write(
+            'rejected',
+            id=request_id[:_MAX_TARGET_CHARS],
+            status=rejection.status.value,
+            reason=rejection.reason.value,
+            detail=rejection.detail[:_MAX_TARGET_CHARS],
+            caller=rejected.caller,
+        )
+
     def log_over_quota(
         self,
         request_id: str,
--- a/src/catkindrift/http1/__init__.py
+++ b/src/catkindrift/http1/__init__.py
@@ -15,6 +15,7 @@
 )
 from catkindrift.http1._http_client import HttpClient
 from catkindrift.http1._receiver import ResponseReceiver
+from catkindrift.http1._rejection import RejectedRequest, RejectionReason
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_body import RequestBody
 from catkindrift.http1._response import BodyStream, Response
@@ -34,6 +35,8 @@
     'Headers',
     'HttpClient',
     'HttpServer',
+    'RejectedRequest',
+    'RejectionReason',
     'RequestBody',
     'Response',
     'ResponseBodyStream',
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -8,6 +8,11 @@
 
 from catkindrift.clock import Clock
 from catkindrift.http1._headers import Headers, find_header
+from catkindrift.http1._rejection import (
+    Rejection,
+    RejectionReason,
+    bad_request,
+)
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_body import BodySource, RequestBody
 from catkindrift.steering import CallerLimits
@@ -37,6 +42,11 @@
     _size: int = attrs.field(init=False, default=0)
     _began_ms: int = attrs.field(init=False, default=0)
 
+    @property
+    def headers(self) -> Headers:
+        """Return the headers that have arrived."""
+        return self._headers
+
     @property
     def age_ms(self) -> int:
         """Return the milliseconds since the head began to arrive."""
@@ -66,23 +76,11 @@
         self._headers.append((name, found))
         self._size += len(name) + len(found) + _HEADER_OVERHEAD_BYTES
 
-    def check(self, limits: CallerLimits) -> HTTPStatus | None:
-        """Return the error status for an invalid head, or None."""
+    def check(self, limits: CallerLimits) -> Rejection | None:
+        """Return why the head is rejected, or None if it is valid."""
         if self._size > limits.header_bytes:
-            return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        coding = find_header(self._headers, b'transfer-encoding')
-        length = find_header(self._headers, b'content-length')
-        if coding and (length or coding.strip().lower() != b'chunked'):
-            return HTTPStatus.BAD_REQUEST
-        if length and not length.strip().isdigit():
-            return HTTPStatus.BAD_REQUEST
-        if length and int(length) > limits.body_bytes:
-            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        has_body = bool(coding) or int(length or 0) > 0
-        if has_body and find_header(self._headers, b'upgrade'):
-            # The parser would treat the body as data of the new protocol.
-            return HTTPStatus.BAD_REQUEST
-        return self._check_target()
+            return head_too_large(limits)
+        return self._check_framing(limits) or self._check_target()
 
     def finish(self, method: bytes) -> CallerRequest:
         """Return the request; its body has yet to arrive."""
@@ -107,9 +105,51 @@
             caller=self.caller,
         )
 
-    def _check_target(self) -> HTTPStatus | None:
+    def _check_framing(self, limits: CallerLimits) -> Rejection | None:
+        reason = RejectionReason.FRAMING
+        coding = find_header(self._headers, b'transfer-encoding')
+        length = find_header(self._headers, b'content-length')
+        if coding and length:
+            return bad_request(reason, 'both codings and a length')
+        if coding and coding.strip().lower() != b'chunked':
+            return bad_request(reason, 'a transfer coding other than chunked')
+        if length and not length.strip().isdigit():
+            return bad_request(reason, 'the length is not a number')
+        if length and int(length) > limits.body_bytes:
+            return body_too_large(limits)
+        has_body = bool(coding) or int(length or 0) > 0
+        if has_body and find_header(self._headers, b'upgrade'):
+            # The parser would treat the body as data of the new protocol.
+            return bad_request(
+                RejectionReason.PROTOCOL, 'a body beside an Upgrade header'
+            )
+        return None
+
+    def _check_target(self) -> Rejection | None:
         try:
-            parsed = httptools.parse_url(self._target)
+            path = httptools.parse_url(self._target).path
         except httptools.HttpParserInvalidURLError:
-            return HTTPStatus.BAD_REQUEST
-        return None if parsed.path else HTTPStatus.BAD_REQUEST
+            path = None
+        if path:
+            return None
+        return bad_request(
+            RejectionReason.TARGET, 'the request target has no path'
+        )
+
+
+def head_too_large(limits: CallerLimits) -> Rejection:
+    """Return the rejection of a head above the limit."""
+    return Rejection(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        RejectionReason.HEAD_SIZE,
+        f'the head has over {limits.header_bytes} bytes',
+    )
+
+
+def body_too_large(limits: CallerLimits) -> Rejection:
+    """Return the rejection of a body above the limit."""
+    return Rejection(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        RejectionReason.BODY_SIZE,
+        f'the body has over {limits.body_bytes} bytes',
+    )
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -8,7 +8,17 @@
 import httptools
 
 from catkindrift.clock import Clock
-from catkindrift.http1._head_collector import HeadCollector
+from catkindrift.http1._head_collector import (
+    HeadCollector,
+    body_too_large,
+    head_too_large,
+)
+from catkindrift.http1._rejection import (
+    RejectedRequest,
+    Rejection,
+    RejectionReason,
+    bad_request,
+)
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_body import BodySource
 from catkindrift.steering import CallerLimits
@@ -25,16 +35,15 @@
         limits: Returns the current limits.
         on_request: Called with a request whose head is complete, and whether
             the connection may be kept alive.
-        on_error: Called with the status of the error response that ends the
-            connection, and whether it responds to the request whose body is
-            arriving.
+        on_error: Called with the request whose error response ends the
+            connection, and whether its body was arriving.
     """
 
     _clock: Clock
     _source: BodySource
     _limits: Callable[[], CallerLimits]
     _on_request: Callable[[CallerRequest, bool], None]
-    _on_error: Callable[[HTTPStatus, bool], None]
+    _on_error: Callable[[RejectedRequest, bool], None]
     _collector: HeadCollector = attrs.field(init=False)
     _parser: httptools.HttpRequestParser = attrs.field(init=False)
     _request: CallerRequest | None = attrs.field(init=False, default=None)
@@ -64,14 +73,20 @@
         while rest:
             rest = self._parse(rest)
         if self._collector.raw_bytes > self._limits().header_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self._reject(head_too_large(self._limits()))
 
     def check_head_timeout(self) -> None:
         """Reject a head that exceeds the header timeout."""
         if not self.has_partial_head:
             return
         if self._collector.age_ms > self._limits().header_timeout_ms:
-            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+            self._reject(
+                Rejection(
+                    HTTPStatus.REQUEST_TIMEOUT,
+                    RejectionReason.HEAD_TIMEOUT,
+                    'the head took too long',
+                )
+            )
 
     def stop(self) -> None:
         """Ignore all further input."""
@@ -98,9 +113,9 @@
         """Check the head and pass the request to the callback."""
         if self._is_stopped:
             return
-        refusal = self._collector.check(self._limits())
-        if refusal:
-            self._reject(refusal)
+        rejection = self._collector.check(self._limits())
+        if rejection:
+            self._reject(rejection)
             return
         self._request = self._collector.finish(self._parser.get_method())
         self._on_request(self._request, self._parser.should_keep_alive())
@@ -111,7 +126,7 @@
             return
         self._request.body.add_chunk(body)
         if self._request.body.received_bytes > self._limits().body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self._reject(body_too_large(self._limits()))
 
     def on_message_complete(self) -> None:
         """Mark the body as complete."""
@@ -127,11 +142,15 @@
         except httptools.HttpParserUpgrade as offer:
             # A server may ignore Upgrade; the next request follows it.
             return chunk[offer.args[0] :]
-        except httptools.HttpParserError:
-            self._reject(HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserError as error:
+            self._reject(bad_request(RejectionReason.MALFORMED, str(error)))
         return b''
 
-    def _reject(self, status: HTTPStatus) -> None:
-        if not self._is_stopped:
-            self._is_stopped = True
-            self._on_error(status, self._request is not None)
+    def _reject(self, rejection: Rejection) -> None:
+        if self._is_stopped:
+            return
+        self._is_stopped = True
+        rejected = RejectedRequest(
+            rejection, self._collector.headers, self._collector.caller
+        )
+        self._on_error(rejected, self._request is not None)
--- a/src/catkindrift/http1/_response_queue.py
+++ b/src/catkindrift/http1/_response_queue.py
@@ -17,7 +17,6 @@
 from catkindrift.http1._response_writer import ResponseWriter
 
 Handler = Callable[[CallerRequest], Awaitable[Response]]
-ErrorResponseFactory = Callable[[HTTPStatus], Response]
 
 # Argument of the `CancelledError` of a handler whose caller is still there.
 CLOSED_BY_SERVER: Final = 'the server closes the connection'
@@ -54,7 +53,6 @@
 
     Args:
         handler: Returns the response to a request.
-        error_response: Returns the response to malformed input.
         writer: Writes responses to the connection.
         on_last_response: Called before a response after which the connection
             closes: requests that arrive from then on get no response.
@@ -64,7 +62,6 @@
     """
 
     _handler: Handler
-    _error_response: ErrorResponseFactory
     _writer: ResponseWriter
     _on_last_response: Callable[[], None]
     _on_response_sent: Callable[[], None]
@@ -94,11 +91,11 @@
         loop = asyncio.get_running_loop()
         pending.task = loop.create_task(self._run(pending, request))
 
-    def add_error(self, status: HTTPStatus, *, replaces_last: bool) -> None:
+    def add_error(self, response: Response, *, replaces_last: bool) -> None:
         """Queue an error response, after which the connection closes.
 
         Args:
-            status: Status of the error response.
+            response: The error response.
             replaces_last: Whether the error concerns the body of the last
                 request, whose handler is cancelled. If its response has been
                 sent, or is being sent, the connection closes without another.
@@ -113,7 +110,7 @@
             self._pending.pop().cancel()
         pending = self._append(keep_alive=False)
         loop = asyncio.get_running_loop()
-        pending.task = loop.create_task(self._run_error(pending, status))
+        pending.task = loop.create_task(self._run_error(pending, response))
 
     def cancel(self, reason: str | None = None) -> None:
         """Cancel all handlers and drop their responses.
@@ -182,10 +179,9 @@
     async def _run_error(
         self,
         pending: _PendingResponse,
-        status: HTTPStatus,
+        response: Response,
     ) -> None:
         await pending.may_write.wait()
-        response = self._error_response(status)
         await self._writer.send(response, b'GET', closes=True)
         self._finish(pending)
         self._on_close(True)
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -8,9 +8,12 @@
 
 from catkindrift.clock import Clock
 from catkindrift.errors import CannotListenError
-from catkindrift.http1._response import Response
-from catkindrift.http1._response_queue import ErrorResponseFactory, Handler
-from catkindrift.http1._server_connection import ServerConnection
+from catkindrift.http1._rejection import empty_response
+from catkindrift.http1._response_queue import Handler
+from catkindrift.http1._server_connection import (
+    ErrorResponseFactory,
+    ServerConnection,
+)
 from catkindrift.steering import CallerLimits
 
 if TYPE_CHECKING:
@@ -31,15 +34,15 @@
         clock: Source of time.
         handler: Returns the response to a request.
         limits: Returns the current limits.
-        error_response: Returns the response to input that is not valid HTTP
-            or exceeds a limit.
+        error_response: Returns the response to a request that is not valid
+            HTTP or exceeds a limit.
         tls: Context with certificate and key; None for plain TCP.
     """
 
     _clock: Clock
     _handler: Handler
     _limits: Callable[[], CallerLimits] = CallerLimits
-    _error_response: ErrorResponseFactory = Response
+    _error_response: ErrorResponseFactory = empty_response
     _tls: 'ssl.SSLContext | None' = None
     _is_draining: bool = attrs.field(init=False, default=False)
     _is_closed: bool = attrs.field(init=False, default=False)
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -2,22 +2,21 @@
 
 import asyncio
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import final
 
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.http1._rejection import RejectedRequest
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_parser import RequestParser
-from catkindrift.http1._response_queue import (
-    ErrorResponseFactory,
-    Handler,
-    ResponseQueue,
-)
+from catkindrift.http1._response import Response
+from catkindrift.http1._response_queue import Handler, ResponseQueue
 from catkindrift.http1._response_writer import ResponseWriter
 from catkindrift.steering import CallerLimits
 
+ErrorResponseFactory = Callable[[RejectedRequest], Response]
+
 # Pipelined requests without a response at which reading is paused.
 _MAX_PIPELINED_REQUESTS = 32
 # Time for a caller to read the last response and to close the connection. If
@@ -34,7 +33,7 @@
     Args:
         clock: Source of time.
         handler: Returns the response to a request.
-        error_response: Returns the response to malformed input.
+        error_response: Returns the response to a rejected request.
         limits: Returns the current limits.
         connections: Set of open connections, kept up to date.
         is_closed: Returns whether the server has been closed.
@@ -64,7 +63,6 @@
         )
         self._queue = ResponseQueue(
             self._handler,
-            self._error_response,
             self._writer,
             self._parser.stop_after_current,
             self._record_response_sent,
@@ -161,8 +159,11 @@
         if self._queue.length >= _MAX_PIPELINED_REQUESTS:
             self.set_paused('ahead', is_paused=True)
 
-    def _add_error(self, status: HTTPStatus, replaces_last: bool) -> None:
-        self._queue.add_error(status, replaces_last=replaces_last)
+    def _add_error(
+        self, rejected: RejectedRequest, replaces_last: bool
+    ) -> None:
+        response = self._error_response(rejected)
+        self._queue.add_error(response, replaces_last=replaces_last)
 
     def _record_response_sent(self) -> None:
         self._idle_since_ms = self._clock.now_ms()
--- a/src/catkindrift/server/_composition.py
+++ b/src/catkindrift/server/_composition.py
@@ -230,6 +230,7 @@
                 metrics,
             ),
             LookupApp(self.core.lookup_table, scheme, self._time_limits),
+            metrics,
         )
         self.operator_server = create_operator_server(
             settings,
--- a/src/catkindrift/server/_listeners.py
+++ b/src/catkindrift/server/_listeners.py
@@ -8,7 +8,7 @@
     CallerApp,
     Forwarder,
     LookupApp,
-    invalid_request_response,
+    RejectedRequests,
 )
 from catkindrift.clock import Clock
 from catkindrift.entry_settings import EntrySettings
@@ -41,6 +41,7 @@
     clock: Clock,
     forwarder: Forwarder,
     lookup_app: LookupApp,
+    metrics: Metrics,
 ) -> HttpServer:
     """Return the HTTP server for callers."""
     limits = CallerLimits(
@@ -53,7 +54,7 @@
         clock,
         CallerApp(forwarder, lookup_app),
         lambda: limits,
-        invalid_request_response,
+        RejectedRequests(clock, metrics),
         caller_server_context(settings.tls),
     )
 
--- a/src/catkindrift/serving/_metrics.py
+++ b/src/catkindrift/serving/_metrics.py
@@ -3,7 +3,7 @@
 from typing import final
 
 import attrs
-from prometheus_client import CollectorRegistry, Histogram
+from prometheus_client import CollectorRegistry, Counter, Histogram
 
 _LATENCY_BUCKETS_SECONDS = (
     0.001,
@@ -28,7 +28,7 @@
 @final
 @attrs.define(eq=False, repr=False)
 class Metrics:
-    """Latency histograms; all other metrics are read from the core.
+    """Metrics of the path of requests; all others are read from the core.
 
     Args:
         registry: Registry of this entry VM.
@@ -36,14 +36,16 @@
             service.
         upstream_seconds: Time from dispatch to the head of the response, by
             service.
+        rejected_requests: Requests that violate HTTP or a limit, by reason.
     """
 
     registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
     request_seconds: Histogram = attrs.field(init=False)
     upstream_seconds: Histogram = attrs.field(init=False)
+    rejected_requests: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Register the histograms."""
+        """Register the metrics."""
         self.request_seconds = Histogram(
             'catkindrift_request_seconds',
             'Time from dispatch to the last response byte',
@@ -58,3 +60,9 @@
             buckets=_LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.rejected_requests = Counter(
+            'catkindrift_rejected_requests',
+            'Requests that violate HTTP or a limit',
+            ('reason',),
+            registry=self.registry,
+        )
