Keep headers for all recipients that Connection names

What callers saw: success for an upload that was not stored. With `Connection: Attempt-Id` the upstream ran a request without an id and the caller got 502 or 504; with `Connection: Host` one without a host. Retry-After, the id and the signature of a response could be removed in the same way.

Cause: `end_to_end` dropped whatever the first Connection header named, also what frames, addresses or identifies the message. Nothing set the framing again: `Exchange.send_head` appended Transfer-Encoding only. Options on a second Connection line were not read at all, so that private headers named there were passed on.

Change: one class, `HeaderRules`, for requests and responses of callers, upstreams and entry VMs on both interfaces. It reads all Connection lines. An option that names a header for all recipients (RFC 9110, section 7.6.1) removes nothing; in a request it gets 400, `connection_option`, before the request is passed on. Each interface names its own such headers beside those of HTTP. The framing of a request is written by the sender of the body, from the body, as that of a response already was.

--- a/src/catkindrift/callers/__init__.py
+++ b/src/catkindrift/callers/__init__.py
@@ -12,6 +12,7 @@
 from catkindrift.callers._time_limits import TimeLimits
 from catkindrift.callers._upstream_headers import (
     BUSY_SLOTS_HEADER,
+    HEADER_RULES,
     LEAVING_STATE,
     OUTCOME_HEADER,
     STATE_HEADER,
@@ -20,6 +21,7 @@
 
 __all__ = [
     'BUSY_SLOTS_HEADER',
+    'HEADER_RULES',
     'LEAVING_STATE',
     'OUTCOME_HEADER',
     'STATE_HEADER',
--- a/src/catkindrift/callers/_forwarder.py
+++ b/src/catkindrift/callers/_forwarder.py
@@ -19,6 +19,7 @@
     with_body,
 )
 from catkindrift.callers._time_limits import TimeLimits
+from catkindrift.callers._upstream_headers import HEADER_RULES
 from catkindrift.callers._upstream_sender import UpstreamSender
 from catkindrift.clock import Clock
 from catkindrift.core import (
@@ -35,7 +36,6 @@
     CallerRequest,
     Response,
     body_length,
-    without_framing,
 )
 from catkindrift.retries import AttemptResult, CallerDisconnected
 from catkindrift.serving import Metrics, refusal_problem
@@ -158,7 +158,7 @@
         headers = response.head.headers
         status = response.head.status
         length = body_length(headers)
-        sent = without_framing(headers)
+        sent = HEADER_RULES.forwarded(headers)
         if response.exchange.receiver.is_complete:
             return Response(status, sent, relay.take_body(), length)
         return Response(status, sent, length=length, body_stream=relay)
--- a/src/catkindrift/callers/_rejected_requests.py
+++ b/src/catkindrift/callers/_rejected_requests.py
@@ -28,6 +28,10 @@
             'the framing is ambiguous; of Content-Length and '
             'Transfer-Encoding send one of them'
         ),
+        RejectionReason.CONNECTION_OPTION: (
+            'Connection names a header that is meant for all recipients; name '
+            'only headers of the connection'
+        ),
         RejectionReason.TARGET: (
             'the request target has no path; send one that begins with a slash'
         ),
--- a/src/catkindrift/callers/_upstream_headers.py
+++ b/src/catkindrift/callers/_upstream_headers.py
@@ -1,11 +1,30 @@
 """Headers with which upstreams report their state and outcomes."""
 
-from catkindrift.http1 import ResponseHead, find_header
+from typing import Final
+
+from catkindrift.http1 import HeaderRules, ResponseHead, find_header
 
 OUTCOME_HEADER = 'Catkindrift-Outcome'
 STATE_HEADER = 'Catkindrift-State'
 BUSY_SLOTS_HEADER = 'Catkindrift-Busy-Slots'
 LEAVING_STATE = 'leaving'
+TIMEOUT_HEADER = 'Request-Timeout'
+KEY_HEADER = 'Idempotency-Key'
+REPLAYED_HEADER = 'Idempotency-Replayed'
+# One rule for requests and responses, of callers and upstreams.
+HEADER_RULES: Final = HeaderRules(
+    frozenset(
+        name.lower().encode()
+        for name in (
+            OUTCOME_HEADER,
+            STATE_HEADER,
+            BUSY_SLOTS_HEADER,
+            TIMEOUT_HEADER,
+            KEY_HEADER,
+            REPLAYED_HEADER,
+        )
+    )
+)
 _NOT_RUN = 'not_run'
 
 
--- a/src/catkindrift/callers/_upstream_sender.py
+++ b/src/catkindrift/callers/_upstream_sender.py
@@ -9,6 +9,7 @@
 from catkindrift.callers._service_request import ServiceRequest
 from catkindrift.callers._time_limits import TimeLimits
 from catkindrift.callers._upstream_headers import (
+    HEADER_RULES,
     reports_leaving,
     reports_not_run,
 )
@@ -21,7 +22,6 @@
     Exchange,
     ResponseFailure,
     ResponseHead,
-    end_to_end,
 )
 from catkindrift.retries import (
     AttemptResult,
@@ -141,7 +141,7 @@
         headers = [
             *(
                 each
-                for each in end_to_end(request.message.headers)
+                for each in HEADER_RULES.forwarded(request.message.headers)
                 if each[0].lower() != b'request-timeout'
             ),
             (b'Request-Timeout', b'%.3f' % seconds),
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -25,6 +25,7 @@
 from catkindrift.gateway._metrics_page import MetricsPage
 from catkindrift.gateway._missing_entries import MissingEntries
 from catkindrift.gateway._overload_gate import OverloadGate
+from catkindrift.gateway._permitted_headers import HEADER_RULES
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._quotas import Quotas
 from catkindrift.gateway._readiness import Readiness
@@ -344,10 +345,14 @@
         )
         rejected = RejectedRequests(self.metrics, self.log)
         self.caller_server = HttpServer(
-            clock, forwarder, self._caller_limits, rejected
+            clock, forwarder, self._caller_limits, rejected, HEADER_RULES
         )
         self.peer_server = HttpServer(
-            clock, self.handed_over, self._caller_limits, rejected
+            clock,
+            self.handed_over,
+            self._caller_limits,
+            rejected,
+            HEADER_RULES,
         )
         self.servers = [
             (self.caller_server, listen.callers),
--- a/src/catkindrift/gateway/_permitted_headers.py
+++ b/src/catkindrift/gateway/_permitted_headers.py
@@ -1,11 +1,20 @@
-"""Headers of a caller's request that others may see."""
+"""Headers of requests and responses that others may see."""
+
+from typing import Final
 
 from catkindrift.gateway._handed_over_requests import KEY_HEADER
 from catkindrift.gateway._pending_request import PendingRequest
-from catkindrift.http1 import Headers, end_to_end
-from catkindrift.platform import with_workspace, without_credentials
+from catkindrift.http1 import HeaderRules, Headers
+from catkindrift.platform import (
+    END_TO_END_HEADERS,
+    with_workspace,
+    without_credentials,
+)
 from catkindrift.workspaces import Granted, Unchecked
 
+# One rule for requests and responses, of callers, upstreams and entry VMs.
+HEADER_RULES: Final = HeaderRules(END_TO_END_HEADERS)
+
 
 def headers_for_upstream(pending: PendingRequest) -> Headers:
     """Return the headers that an upstream may see.
@@ -13,7 +22,7 @@
     If the configuration holds workspaces, the API key is left out and the name
     of its workspace is set.
     """
-    headers = end_to_end(pending.request.headers)
+    headers = HEADER_RULES.forwarded(pending.request.headers)
     access = pending.access
     if not isinstance(access, Granted):
         return headers
@@ -23,7 +32,7 @@
 
 def headers_for_peer(pending: PendingRequest) -> Headers:
     """Return the headers for another entry VM, with a digest of the API key."""
-    headers = end_to_end(pending.request.headers)
+    headers = HEADER_RULES.forwarded(pending.request.headers)
     if isinstance(pending.access, Unchecked):
         return headers
     headers = without_credentials(headers)
--- a/src/catkindrift/gateway/_upstream_response.py
+++ b/src/catkindrift/gateway/_upstream_response.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 from typing import Final
 
+from catkindrift.gateway._permitted_headers import HEADER_RULES
 from catkindrift.http1 import (
     Response,
     ResponseBodyStream,
     ResponseHead,
     ResponseReceiver,
     body_length,
-    without_framing,
 )
 
 # Responses up to this size are read whole before they are forwarded, so that
@@ -38,7 +38,7 @@
         body_stream = ResponseBodyStream(receiver, on_end)
     return Response(
         head.status,
-        without_framing(head.headers),
+        HEADER_RULES.forwarded(head.headers),
         body,
         body_length(head.headers),
         body_stream,
--- a/src/catkindrift/http1/__init__.py
+++ b/src/catkindrift/http1/__init__.py
@@ -5,13 +5,12 @@
 from catkindrift.http1._exchange import Exchange
 from catkindrift.http1._failure import ResponseFailure
 from catkindrift.http1._graceful_close import close_when_read, wait_until
+from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._headers import (
     Headers,
     body_length,
     encode_head,
-    end_to_end,
     find_header,
-    without_framing,
 )
 from catkindrift.http1._http_client import HttpClient
 from catkindrift.http1._receiver import ResponseReceiver
@@ -32,6 +31,7 @@
     'ConnectionPool',
     'Exchange',
     'Handler',
+    'HeaderRules',
     'Headers',
     'HttpClient',
     'HttpServer',
@@ -46,8 +46,6 @@
     'body_length',
     'close_when_read',
     'encode_head',
-    'end_to_end',
     'find_header',
     'wait_until',
-    'without_framing',
 ]
--- a/src/catkindrift/http1/_exchange.py
+++ b/src/catkindrift/http1/_exchange.py
@@ -47,12 +47,11 @@
 
         Args:
             target: Request target.
-            headers: All headers except Transfer-Encoding, which is appended
-                for a chunked body.
+            headers: All headers except those of the framing, which are
+                appended.
         """
         method = self.request.method
-        if self.request.body.is_chunked:
-            headers.append((b'Transfer-Encoding', b'chunked'))
+        headers = [*headers, *_framing_headers(self.request)]
         self.connection.expect_response(
             self.receiver,
             is_head_request=method == b'HEAD',
@@ -106,5 +105,13 @@
         return limit is not None and received_bytes > limit
 
 
+def _framing_headers(request: CallerRequest) -> Headers:
+    if request.body.is_chunked:
+        return [(b'Transfer-Encoding', b'chunked')]
+    if request.header(b'content-length'):
+        return [(b'Content-Length', b'%d' % request.body.length)]
+    return []
+
+
 def _encode_chunk(chunk: bytes, *, is_chunked: bool) -> bytes:
     return b'%x\r\n%b\r\n' % (len(chunk), chunk) if is_chunked else chunk
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -7,6 +7,7 @@
 import httptools
 
 from catkindrift.clock import Clock
+from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._headers import Headers, find_header
 from catkindrift.http1._rejection import (
     Rejection,
@@ -20,6 +21,7 @@
 # Colon, space, CR and LF around a header's name and value.
 _HEADER_OVERHEAD_BYTES = 4
 _CONTINUE = b'100-continue'
+_ENCODING = 'latin-1'
 
 
 @final
@@ -30,10 +32,12 @@
     Args:
         clock: Source of time.
         source: The caller's connection.
+        rules: Which headers Connection may name.
     """
 
     _clock: Clock
     _source: BodySource
+    _rules: HeaderRules
     caller: str = attrs.field(init=False, default='')
     has_begun: bool = attrs.field(init=False, default=False)
     raw_bytes: int = attrs.field(init=False, default=0)
@@ -80,7 +84,11 @@
         """Return why the head is rejected, or None if it is valid."""
         if self._size > limits.header_bytes:
             return head_too_large(limits)
-        return self._check_framing(limits) or self._check_target()
+        return (
+            self._check_framing(limits)
+            or self._check_connection()
+            or self._check_target()
+        )
 
     def finish(self, method: bytes) -> CallerRequest:
         """Return the request; its body has yet to arrive."""
@@ -92,7 +100,7 @@
         return CallerRequest(
             method=method,
             target=self._target,
-            path=parsed.path.decode('latin-1'),
+            path=parsed.path.decode(_ENCODING),
             query=parsed.query or b'',
             headers=self._headers,
             body=RequestBody(
@@ -125,6 +133,15 @@
             )
         return None
 
+    def _check_connection(self) -> Rejection | None:
+        option = self._rules.misused_option(self._headers)
+        if not option:
+            return None
+        return bad_request(
+            RejectionReason.CONNECTION_OPTION,
+            f'Connection names {option.decode(_ENCODING)}',
+        )
+
     def _check_target(self) -> Rejection | None:
         try:
             path = httptools.parse_url(self._target).path
--- a/src/catkindrift/http1/_headers.py
+++ b/src/catkindrift/http1/_headers.py
@@ -1,26 +1,9 @@
-"""Header lists, and the hop-by-hop headers of a connection."""
+"""Header lists."""
 
 from collections.abc import Iterable
 
 Headers = list[tuple[bytes, bytes]]
 
-# Headers of RFC 9110, section 7.6.1, older ones that senders still use, and
-# Expect, which the server handles itself.
-_HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'expect',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    )
-)
-
 
 def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
     """Return the first value of a header, or empty bytes.
@@ -35,14 +18,18 @@
     return b''
 
 
-def end_to_end(headers: Headers) -> Headers:
-    """Return the headers that may be forwarded.
+def connection_options(headers: Headers) -> frozenset[bytes]:
+    """Return the options of all Connection headers, in lower case.
 
-    Leaves out hop-by-hop headers and those that Connection names.
+    Args:
+        headers: Names and values as received.
     """
-    named = find_header(headers, b'connection').lower().split(b',')
-    dropped = _HOP_BY_HOP.union(name.strip() for name in named)
-    return [each for each in headers if each[0].lower() not in dropped]
+    return frozenset(
+        option.strip().lower()
+        for name, found in headers
+        if name.lower() == b'connection'
+        for option in found.split(b',')
+    )
 
 
 def encode_head(first_line: bytes, headers: Headers) -> bytes:
@@ -58,15 +45,6 @@
     return b'\r\n'.join(lines)
 
 
-def without_framing(headers: Headers) -> Headers:
-    """Return the end-to-end headers without Content-Length."""
-    return [
-        each
-        for each in end_to_end(headers)
-        if each[0].lower() != b'content-length'
-    ]
-
-
 def body_length(headers: Headers) -> int | None:
     """Return the value of Content-Length, or None if absent or invalid."""
     stated = find_header(headers, b'content-length')
--- a/src/catkindrift/http1/_rejection.py
+++ b/src/catkindrift/http1/_rejection.py
@@ -16,6 +16,7 @@
 
     MALFORMED = 'malformed'
     FRAMING = 'framing'
+    CONNECTION_OPTION = 'connection_option'
     TARGET = 'target'
     PROTOCOL = 'protocol'
     HEAD_SIZE = 'head_size'
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -13,6 +13,7 @@
     body_too_large,
     head_too_large,
 )
+from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._rejection import (
     RejectedRequest,
     Rejection,
@@ -32,6 +33,7 @@
     Args:
         clock: Source of time.
         source: The caller's connection.
+        rules: Which headers Connection may name.
         limits: Returns the current limits.
         on_request: Called with a request whose head is complete, and whether
             the connection may be kept alive.
@@ -41,6 +43,7 @@
 
     _clock: Clock
     _source: BodySource
+    _rules: HeaderRules
     _limits: Callable[[], CallerLimits]
     _on_request: Callable[[CallerRequest, bool], None]
     _on_error: Callable[[RejectedRequest, bool], None]
@@ -52,7 +55,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the parser."""
-        self._collector = HeadCollector(self._clock, self._source)
+        self._collector = HeadCollector(self._clock, self._source, self._rules)
         self._parser = httptools.HttpRequestParser(self)
 
     @property
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -8,6 +8,7 @@
 
 from catkindrift.clock import Clock
 from catkindrift.errors import CannotListenError
+from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._rejection import empty_response
 from catkindrift.http1._response_queue import Handler
 from catkindrift.http1._server_connection import (
@@ -36,6 +37,7 @@
         limits: Returns the current limits.
         error_response: Returns the response to a request that is not valid
             HTTP or exceeds a limit.
+        rules: Which headers Connection may name.
         tls: Context with certificate and key; None for plain TCP.
     """
 
@@ -43,6 +45,7 @@
     _handler: Handler
     _limits: Callable[[], CallerLimits] = CallerLimits
     _error_response: ErrorResponseFactory = empty_response
+    _rules: HeaderRules = HeaderRules()
     _tls: 'ssl.SSLContext | None' = None
     _is_draining: bool = attrs.field(init=False, default=False)
     _is_closed: bool = attrs.field(init=False, default=False)
@@ -123,6 +126,7 @@
             self._clock,
             self._handler,
             self._error_response,
+            self._rules,
             self._limits,
             self._connections,
             lambda: self._is_closed,
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -7,6 +7,7 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._rejection import RejectedRequest
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_parser import RequestParser
@@ -34,6 +35,7 @@
         clock: Source of time.
         handler: Returns the response to a request.
         error_response: Returns the response to a rejected request.
+        rules: Which headers Connection may name.
         limits: Returns the current limits.
         connections: Set of open connections, kept up to date.
         is_closed: Returns whether the server has been closed.
@@ -42,6 +44,7 @@
     _clock: Clock
     _handler: Handler
     _error_response: ErrorResponseFactory
+    _rules: HeaderRules
     _limits: Callable[[], CallerLimits]
     _connections: set['ServerConnection']
     _is_closed: Callable[[], bool]
@@ -57,6 +60,7 @@
         self._parser = RequestParser(
             self._clock,
             self,
+            self._rules,
             self._limits,
             self._start_request,
             self._add_error,
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -13,6 +13,7 @@
     parse_configuration,
     workspace_keys,
 )
+from catkindrift.platform._headers import END_TO_END_HEADERS
 from catkindrift.platform._kinds import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -56,6 +57,7 @@
 __all__ = [
     'CONFIGURATION_KIND',
     'CONFIGURATION_NAME',
+    'END_TO_END_HEADERS',
     'ENTRY_VM_KIND',
     'EVACUATION_KIND',
     'READINESS_PATH',
--- a/src/catkindrift/platform/_headers.py
+++ b/src/catkindrift/platform/_headers.py
@@ -34,3 +34,21 @@
 RETRY_AFTER: Final = b'Retry-After'
 # Milliseconds until the upstream is warm.
 COLD_REMAINING: Final = b'cold-remaining-ms'
+# The platform's headers for all recipients of a message; callers and upstreams
+# can't restrict them to one connection.
+END_TO_END_HEADERS: Final = frozenset(
+    (
+        REQUEST_ID,
+        DEADLINE,
+        WORKSPACE,
+        SIGNATURE,
+        EXPECTED_UPSTREAM,
+        UPSTREAM_ID,
+        LOAD,
+        LIMIT,
+        LEAVING,
+        NOT_RUN,
+        ERA,
+        COLD_REMAINING,
+    )
+)
--- a/src/catkindrift/server/_listeners.py
+++ b/src/catkindrift/server/_listeners.py
@@ -5,6 +5,7 @@
 from grpclib.server import Server as PeerServer
 
 from catkindrift.callers import (
+    HEADER_RULES,
     CallerApp,
     Forwarder,
     LookupApp,
@@ -55,6 +56,7 @@
         CallerApp(forwarder, lookup_app),
         lambda: limits,
         RejectedRequests(clock, metrics),
+        HEADER_RULES,
         caller_server_context(settings.tls),
     )
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -109,6 +109,47 @@
     assert upstream.requests[0].startswith(b'GET /a%2Fb?c=%20d HTTP/1.1\r\n')
 
 
+OPTIONS = (
+    'Connection: Content-Length\r\n',
+    'Connection: keep-alive\r\nconnection: ,IDEMPOTENCY-key \r\n',
+    'Connection: host, close\r\n',
+    'Connection: Request-Timeout\r\n',
+)
+
+
+@pytest.mark.parametrize('options', OPTIONS)
+def test_header_for_all_recipients_is_never_removed(connect, serve, options):
+    """The body would run as a request, or a request without key or host."""
+    upstream, _ = serve('named', WHOLE)
+    extra = f'{options}Idempotency-Key: k\r\nContent-Length: 3\r\n'
+    connection = connect()
+    connection.sendall(request('/services/named/x', 'POST', extra))
+    connection.sendall(b'abc')
+    assert receive_until(connection, b'}').startswith(b'HTTP/1.1 400')
+    assert not upstream.requests
+
+
+def test_proper_options_are_obeyed(connect, serve):
+    """Private headers that Connection names end there, others don't."""
+    upstream, _ = serve(
+        'obeyed',
+        WHOLE.replace(
+            b'\r\n',
+            b'\r\nX-Theirs: 1\r\nConnection: keep-alive\r\n'
+            b'Connection: X-Theirs, Retry-After\r\nRetry-After: 7\r\n',
+            1,
+        ),
+    )
+    extra = 'Connection: close\r\nX-Mine: 1\r\nX: 2\r\nConnection: x-mine\r\n'
+    connection = connect()
+    connection.sendall(request('/services/obeyed/x', extra=extra))
+    received = receive_until(connection, b'abcd')
+    assert b'Retry-After: 7' in received
+    assert b'X-Theirs' not in received
+    assert b'X-Mine' not in upstream.requests[0]
+    assert b'X: 2' in upstream.requests[0]
+
+
 def test_body_is_invited_before_it_is_sent(connect):
     """A caller that sends `Expect: 100-continue` gets `100 Continue`."""
     connection = connect()
