Refuse requests with two hosts, two ids or no host

What callers saw: with two Host or two Attempt-Id lines a request was routed by the first and passed on with both, so that the upstream could run it for another host or under another id; a response with two ids could be taken for that of either. On the product's own interface the key that was claimed might not be the one that the upstream reads. HTTP/1.1 without Host was passed on there.

Cause: each header was read by its first line, and all lines were forwarded.

Change: `HeaderRules` names the headers that a request has once: Host (RFC 9112, section 3.2), and those that each interface reads by itself. Two lines get 400, `repeated_header`; a missing Host in HTTP/1.1 or one that is no host and port gets 400, `host`. A response belongs to a request only if all its Attempt-Id lines state it.

--- a/src/catkindrift/callers/_rejected_requests.py
+++ b/src/catkindrift/callers/_rejected_requests.py
@@ -28,6 +28,12 @@
             'the framing is ambiguous; of Content-Length and '
             'Transfer-Encoding send one of them'
         ),
+        RejectionReason.HOST: (
+            'Host is missing or malformed; send one with host and port'
+        ),
+        RejectionReason.REPEATED_HEADER: (
+            'a header that may occur once stands twice; send it once'
+        ),
         RejectionReason.CONNECTION_OPTION: (
             'Connection names a header that is meant for all recipients; name '
             'only headers of the connection'
--- a/src/catkindrift/callers/_upstream_headers.py
+++ b/src/catkindrift/callers/_upstream_headers.py
@@ -11,19 +11,23 @@
 TIMEOUT_HEADER = 'Request-Timeout'
 KEY_HEADER = 'Idempotency-Key'
 REPLAYED_HEADER = 'Idempotency-Replayed'
+
+
+def _names(*headers: str) -> frozenset[bytes]:
+    return frozenset(name.lower().encode() for name in headers)
+
+
 # One rule for requests and responses, of callers and upstreams.
 HEADER_RULES: Final = HeaderRules(
-    frozenset(
-        name.lower().encode()
-        for name in (
-            OUTCOME_HEADER,
-            STATE_HEADER,
-            BUSY_SLOTS_HEADER,
-            TIMEOUT_HEADER,
-            KEY_HEADER,
-            REPLAYED_HEADER,
-        )
-    )
+    _names(
+        OUTCOME_HEADER,
+        STATE_HEADER,
+        BUSY_SLOTS_HEADER,
+        TIMEOUT_HEADER,
+        KEY_HEADER,
+        REPLAYED_HEADER,
+    ),
+    _names(TIMEOUT_HEADER, KEY_HEADER),
 )
 _NOT_RUN = 'not_run'
 
--- a/src/catkindrift/gateway/_permitted_headers.py
+++ b/src/catkindrift/gateway/_permitted_headers.py
@@ -7,13 +7,14 @@
 from catkindrift.http1 import HeaderRules, Headers
 from catkindrift.platform import (
     END_TO_END_HEADERS,
+    SINGLE_HEADERS,
     with_workspace,
     without_credentials,
 )
 from catkindrift.workspaces import Granted, Unchecked
 
 # One rule for requests and responses, of callers, upstreams and entry VMs.
-HEADER_RULES: Final = HeaderRules(END_TO_END_HEADERS)
+HEADER_RULES: Final = HeaderRules(END_TO_END_HEADERS, SINGLE_HEADERS)
 
 
 def headers_for_upstream(pending: PendingRequest) -> Headers:
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -7,6 +7,7 @@
 import httptools
 
 from catkindrift.clock import Clock
+from catkindrift.http1._head_checks import check_headers
 from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._headers import Headers, find_header
 from catkindrift.http1._rejection import (
@@ -80,13 +81,18 @@
         self._headers.append((name, found))
         self._size += len(name) + len(found) + _HEADER_OVERHEAD_BYTES
 
-    def check(self, limits: CallerLimits) -> Rejection | None:
-        """Return why the head is rejected, or None if it is valid."""
+    def check(self, limits: CallerLimits, version: str) -> Rejection | None:
+        """Return why the head is rejected, or None if it is valid.
+
+        Args:
+            limits: Limits on the request.
+            version: Version of HTTP, as `1.1`.
+        """
         if self._size > limits.header_bytes:
             return head_too_large(limits)
         return (
             self._check_framing(limits)
-            or self._check_connection()
+            or check_headers(self._headers, self._rules, version)
             or self._check_target()
         )
 
@@ -133,15 +139,6 @@
             )
         return None
 
-    def _check_connection(self) -> Rejection | None:
-        option = self._rules.misused_option(self._headers)
-        if not option:
-            return None
-        return bad_request(
-            RejectionReason.CONNECTION_OPTION,
-            f'Connection names {option.decode(_ENCODING)}',
-        )
-
     def _check_target(self) -> Rejection | None:
         try:
             path = httptools.parse_url(self._target).path
--- a/src/catkindrift/http1/_header_rules.py
+++ b/src/catkindrift/http1/_header_rules.py
@@ -1,5 +1,6 @@
 """Which headers of a message are forwarded."""
 
+from collections import Counter
 from typing import Final, final
 
 import attrs
@@ -87,9 +88,11 @@
     Args:
         end_to_end: Names, in lower case, of an interface's own headers for all
             recipients.
+        single: Names of those that a request has once at most.
     """
 
     _end_to_end: frozenset[bytes] = frozenset()
+    _single: frozenset[bytes] = frozenset()
 
     def misused_option(self, headers: Headers) -> bytes:
         """Return a connection option that names a header for all recipients.
@@ -105,6 +108,23 @@
                 return option
         return b''
 
+    def repeated_header(self, headers: Headers) -> bytes:
+        """Return a header that a request has twice, but may have once.
+
+        Of two lines, two recipients may read different ones.
+
+        Args:
+            headers: Names and values as received.
+
+        Returns:
+            The name in lower case, or empty bytes if there is none.
+        """
+        names = Counter(name.lower() for name, _ in headers)
+        for name in (b'host', *sorted(self._single)):
+            if names[name] > 1:
+                return name
+        return b''
+
     def forwarded(self, headers: Headers) -> Headers:
         """Return the headers that are forwarded.
 
--- a/src/catkindrift/http1/_rejection.py
+++ b/src/catkindrift/http1/_rejection.py
@@ -16,6 +16,8 @@
 
     MALFORMED = 'malformed'
     FRAMING = 'framing'
+    HOST = 'host'
+    REPEATED_HEADER = 'repeated_header'
     CONNECTION_OPTION = 'connection_option'
     TARGET = 'target'
     PROTOCOL = 'protocol'
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -116,7 +116,9 @@
         """Check the head and pass the request to the callback."""
         if self._is_stopped:
             return
-        rejection = self._collector.check(self._limits())
+        rejection = self._collector.check(
+            self._limits(), self._parser.get_http_version()
+        )
         if rejection:
             self._reject(rejection)
             return
--- a/src/catkindrift/platform/__init__.py
+++ b/src/catkindrift/platform/__init__.py
@@ -13,7 +13,7 @@
     parse_configuration,
     workspace_keys,
 )
-from catkindrift.platform._headers import END_TO_END_HEADERS
+from catkindrift.platform._headers import END_TO_END_HEADERS, SINGLE_HEADERS
 from catkindrift.platform._kinds import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -62,6 +62,7 @@
     'EVACUATION_KIND',
     'READINESS_PATH',
     'RESOLVE_PATH',
+    'SINGLE_HEADERS',
     'UPSTREAM_KIND',
     'StoreClient',
     'StoreObject',
--- a/src/catkindrift/platform/_headers.py
+++ b/src/catkindrift/platform/_headers.py
@@ -34,6 +34,8 @@
 RETRY_AFTER: Final = b'Retry-After'
 # Milliseconds until the upstream is warm.
 COLD_REMAINING: Final = b'cold-remaining-ms'
+# A request has each of these once at most.
+SINGLE_HEADERS: Final = frozenset((REQUEST_ID, DEADLINE))
 # The platform's headers for all recipients of a message; callers and upstreams
 # can't restrict them to one connection.
 END_TO_END_HEADERS: Final = frozenset(
--- a/src/catkindrift/platform/_response_messages.py
+++ b/src/catkindrift/platform/_response_messages.py
@@ -12,11 +12,11 @@
     LEAVING,
     LIMIT,
     NOT_RUN,
+    REQUEST_ID,
     RETRY_AFTER,
     SIGNATURE,
     UPSTREAM_ID,
 )
-from catkindrift.platform._request_messages import request_id
 from catkindrift.platform._wire_server import decode_start_ms
 
 _MISDIRECTED = 421
@@ -34,15 +34,24 @@
 
     A response without an attempt id is accepted.
     """
-    return request_id(head.headers) in {'', attempt_id}
+    return _attempt_ids(head) <= {attempt_id}
 
 
 def is_from_upstream(head: ResponseHead, attempt_id: str) -> bool:
     """Return whether an upstream itself generated an attempt's response."""
-    has_id = request_id(head.headers) == attempt_id
+    has_id = (_attempt_ids(head) or {''}) == {attempt_id}
     return has_id and bool(find_header(head.headers, SIGNATURE))
 
 
+def _attempt_ids(head: ResponseHead) -> set[str]:
+    """Return the ids that a response states; two recipients may read two."""
+    return {
+        stated.decode('latin-1')
+        for name, stated in head.headers
+        if name.lower() == REQUEST_ID and stated
+    }
+
+
 def reports_not_run(head: ResponseHead) -> bool:
     """Return whether the upstream reports that it did not run the request."""
     is_marked = bool(find_header(head.headers, NOT_RUN))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Shared fixtures, hypothesis profiles and the known-failure filter."""
 
 import os
+import socket
 import time
 from pathlib import Path
 
@@ -70,6 +71,22 @@
     deployment.stop()
 
 
+@pytest.fixture
+def connect(running):
+    """Return a function that opens connections to the first entry VM."""
+    opened = []
+
+    def open_connection():
+        host, _, port = running.callers_url()[len('http://') :].partition(':')
+        connection = socket.create_connection((host, int(port)), timeout=10)
+        opened.append(connection)
+        return connection
+
+    yield open_connection
+    for connection in opened:
+        connection.close()
+
+
 @pytest.fixture
 def serve(running):
     """Return a function that starts a raw upstream for a new service.
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import json
-import socket
 import time
 
 import pytest
@@ -17,22 +16,6 @@
 NO_CONTENT = b'HTTP/1.1 204 No Content\r\n\r\n'
 
 
-@pytest.fixture
-def connect(running):
-    """Return a function that opens connections to the first entry VM."""
-    opened = []
-
-    def open_connection():
-        host, _, port = running.callers_url()[len('http://') :].partition(':')
-        connection = socket.create_connection((host, int(port)), timeout=10)
-        opened.append(connection)
-        return connection
-
-    yield open_connection
-    for connection in opened:
-        connection.close()
-
-
 def receive_until(connection, end):
     """Return the bytes received up to and including `end`."""
     received = b''
