Believe headers of hand-overs from entry VMs only

What callers saw: an unsafe request ran twice if an upstream's response held `catkindrift-cut-off` while its entry VM handed requests over: the sender took the response for a refusal of the receiver and handed the request to another one. A caller that sent `catkindrift-configuration` with a high number was refused by all receivers; one that sent `catkindrift-caller` ran under another address, by which verdicts on crashing requests are reached; without a key of its own, `catkindrift-key-digest` gave it the workspace of whoever has that key, to who knows the digest.

Cause: a hand-over appends its headers behind those of the caller, the receiver took the first line of each name, and the sender took any response with the mark for a refusal.

Change: headers with the system's prefix are dropped where requests of callers enter, on both interfaces, and from the responses of upstreams; only the listener for entry VMs takes them. The receiver reads the last line of each, the sender's own. A refusal counts as one only with its status.

--- a/src/catkindrift/callers/_upstream_headers.py
+++ b/src/catkindrift/callers/_upstream_headers.py
@@ -8,6 +8,8 @@
 STATE_HEADER = 'Catkindrift-State'
 BUSY_SLOTS_HEADER = 'Catkindrift-Busy-Slots'
 LEAVING_STATE = 'leaving'
+# Callers can't state headers with this prefix.
+_OWN_PREFIX = b'catkindrift-'
 TIMEOUT_HEADER = 'Request-Timeout'
 KEY_HEADER = 'Idempotency-Key'
 REPLAYED_HEADER = 'Idempotency-Replayed'
@@ -28,6 +30,7 @@
         REPLAYED_HEADER,
     ),
     _names(TIMEOUT_HEADER, KEY_HEADER),
+    _OWN_PREFIX,
 )
 _NOT_RUN = 'not_run'
 
--- a/src/catkindrift/gateway/_handed_over_requests.py
+++ b/src/catkindrift/gateway/_handed_over_requests.py
@@ -14,6 +14,8 @@
 from catkindrift.steering import UpstreamReachability
 from catkindrift.workspaces import key_digest
 
+# Callers and upstreams can't state headers with this prefix.
+OWN_HEADER_PREFIX: Final = b'catkindrift-'
 # IP address of the caller; marks a request that is handed over.
 CALLER_HEADER: Final = b'catkindrift-caller'
 # In a refusal by a VM that is cut off itself.
@@ -51,7 +53,7 @@
 
     async def __call__(self, request: CallerRequest) -> Response:
         """Handle one request of another entry VM."""
-        caller = request.header(CALLER_HEADER)
+        caller = _stated_by_sender(request, CALLER_HEADER)
         if not caller:
             return await self._other_pages(request)
         is_full = self._in_flight >= _MAX_IN_FLIGHT
@@ -78,9 +80,21 @@
         self._in_flight -= 1
 
 
+def _stated_by_sender(request: CallerRequest, name: bytes) -> bytes:
+    """Return the last value of a header, or empty bytes.
+
+    The sender appends its headers to those of its caller, and builds up to
+    65abb48 let callers state them too.
+    """
+    for key, found in reversed(request.headers):
+        if key.lower() == name:
+            return found
+    return b''
+
+
 def _sent_version(request: CallerRequest) -> int:
     """Return the sender's configuration; 0 from builds that don't tell it."""
-    sent = request.header(CONFIGURATION_HEADER)
+    sent = _stated_by_sender(request, CONFIGURATION_HEADER)
     return int(sent) if sent.isdigit() else 0
 
 
@@ -89,7 +103,7 @@
 
     Builds that know no workspaces send the key itself.
     """
-    sent = request.header(KEY_HEADER)
+    sent = _stated_by_sender(request, KEY_HEADER)
     if _DIGEST.fullmatch(sent):
         return bytes.fromhex(sent.decode())
     stated = api_key(request.headers)
--- a/src/catkindrift/gateway/_handover.py
+++ b/src/catkindrift/gateway/_handover.py
@@ -31,6 +31,7 @@
     Exchange,
     Response,
     ResponseHead,
+    find_header,
 )
 from catkindrift.platform import with_deadline
 from catkindrift.settings import Endpoint
@@ -190,7 +191,7 @@
             return 'broken', Response(HTTPStatus.BAD_GATEWAY)
         finish = functools.partial(self._finish, receiver, exchange)
         response = build_response(exchange.receiver, head, finish)
-        if any(name.lower() == CUT_OFF_HEADER for name, _ in head.headers):
+        if _is_refused_as_cut_off(head):
             pending.may_have_run = False
             return 'cut_off', None
         return 'answered', response
@@ -219,6 +220,12 @@
             return None
 
 
+def _is_refused_as_cut_off(head: ResponseHead) -> bool:
+    """Return whether the receiver itself refuses the request as not run."""
+    is_marked = bool(find_header(head.headers, CUT_OFF_HEADER))
+    return is_marked and head.status == HTTPStatus.SERVICE_UNAVAILABLE
+
+
 def _may_forward(pending: PendingRequest, head: ResponseHead) -> bool:
     """Return whether a response may be forwarded.
 
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -25,7 +25,10 @@
 from catkindrift.gateway._metrics_page import MetricsPage
 from catkindrift.gateway._missing_entries import MissingEntries
 from catkindrift.gateway._overload_gate import OverloadGate
-from catkindrift.gateway._permitted_headers import HEADER_RULES
+from catkindrift.gateway._permitted_headers import (
+    HEADER_RULES,
+    PEER_HEADER_RULES,
+)
 from catkindrift.gateway._platform_state import PlatformState
 from catkindrift.gateway._quotas import Quotas
 from catkindrift.gateway._readiness import Readiness
@@ -352,7 +355,7 @@
             self.handed_over,
             self._caller_limits,
             rejected,
-            HEADER_RULES,
+            PEER_HEADER_RULES,
         )
         self.servers = [
             (self.caller_server, listen.callers),
--- a/src/catkindrift/gateway/_permitted_headers.py
+++ b/src/catkindrift/gateway/_permitted_headers.py
@@ -2,7 +2,10 @@
 
 from typing import Final
 
-from catkindrift.gateway._handed_over_requests import KEY_HEADER
+from catkindrift.gateway._handed_over_requests import (
+    KEY_HEADER,
+    OWN_HEADER_PREFIX,
+)
 from catkindrift.gateway._pending_request import PendingRequest
 from catkindrift.http1 import HeaderRules, Headers
 from catkindrift.platform import (
@@ -14,7 +17,11 @@
 from catkindrift.workspaces import Granted, Unchecked
 
 # One rule for requests and responses, of callers, upstreams and entry VMs.
-HEADER_RULES: Final = HeaderRules(END_TO_END_HEADERS, SINGLE_HEADERS)
+HEADER_RULES: Final = HeaderRules(
+    END_TO_END_HEADERS, SINGLE_HEADERS, OWN_HEADER_PREFIX
+)
+# Where other entry VMs hand requests over.
+PEER_HEADER_RULES: Final = HeaderRules(END_TO_END_HEADERS, SINGLE_HEADERS)
 
 
 def headers_for_upstream(pending: PendingRequest) -> Headers:
--- a/src/catkindrift/gateway/_upstream_response.py
+++ b/src/catkindrift/gateway/_upstream_response.py
@@ -38,7 +38,7 @@
         body_stream = ResponseBodyStream(receiver, on_end)
     return Response(
         head.status,
-        HEADER_RULES.forwarded(head.headers),
+        HEADER_RULES.without_reserved(HEADER_RULES.forwarded(head.headers)),
         body,
         body_length(head.headers),
         body_stream,
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -33,7 +33,7 @@
     Args:
         clock: Source of time.
         source: The caller's connection.
-        rules: Which headers Connection may name.
+        rules: Rules for headers.
     """
 
     _clock: Clock
@@ -108,7 +108,7 @@
             target=self._target,
             path=parsed.path.decode(_ENCODING),
             query=parsed.query or b'',
-            headers=self._headers,
+            headers=self._rules.without_reserved(self._headers),
             body=RequestBody(
                 self._source,
                 bool(coding),
--- a/src/catkindrift/http1/_header_rules.py
+++ b/src/catkindrift/http1/_header_rules.py
@@ -89,10 +89,13 @@
         end_to_end: Names, in lower case, of an interface's own headers for all
             recipients.
         single: Names of those that a request has once at most.
+        reserved_prefix: Begins the names, in lower case, of headers that only
+            entry VMs set, for each other; empty where all are believed.
     """
 
     _end_to_end: frozenset[bytes] = frozenset()
     _single: frozenset[bytes] = frozenset()
+    _reserved_prefix: bytes = b''
 
     def misused_option(self, headers: Headers) -> bytes:
         """Return a connection option that names a header for all recipients.
@@ -125,6 +128,19 @@
                 return name
         return b''
 
+    def without_reserved(self, headers: Headers) -> Headers:
+        """Return the headers that a caller or an upstream may state.
+
+        Args:
+            headers: Names and values as received.
+        """
+        prefix = self._reserved_prefix
+        if not prefix:
+            return headers
+        return [
+            each for each in headers if not each[0].lower().startswith(prefix)
+        ]
+
     def forwarded(self, headers: Headers) -> Headers:
         """Return the headers that are forwarded.
 
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -33,7 +33,7 @@
     Args:
         clock: Source of time.
         source: The caller's connection.
-        rules: Which headers Connection may name.
+        rules: Rules for the headers of requests.
         limits: Returns the current limits.
         on_request: Called with a request whose head is complete, and whether
             the connection may be kept alive.
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -37,7 +37,7 @@
         limits: Returns the current limits.
         error_response: Returns the response to a request that is not valid
             HTTP or exceeds a limit.
-        rules: Which headers Connection may name.
+        rules: Rules for the headers of requests.
         tls: Context with certificate and key; None for plain TCP.
     """
 
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -35,7 +35,7 @@
         clock: Source of time.
         handler: Returns the response to a request.
         error_response: Returns the response to a rejected request.
-        rules: Which headers Connection may name.
+        rules: Rules for the headers of requests.
         limits: Returns the current limits.
         connections: Set of open connections, kept up to date.
         is_closed: Returns whether the server has been closed.
--- a/tests/strict_upstream.py
+++ b/tests/strict_upstream.py
@@ -36,12 +36,14 @@
     Args:
         id: Name in the store, and instance id on the platform.
         extra: Lines that each response has besides.
+        status: Status of its responses.
         seen: Requests that have run.
         violations: What a strict parser refuses, with the bytes.
     """
 
     id: str
     extra: bytes = b''
+    status: bytes = b'200 OK'
     seen: list = attrs.field(factory=list)
     violations: list = attrs.field(factory=list)
     port: int = 0
@@ -100,8 +102,9 @@
         attempt = b''.join(seen.lines(b'attempt-id'))
         body = b'' if seen.method == b'HEAD' else b'hello'
         writer.write(
-            b'HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Signature: s\r\n%b'
-            b'Content-Length: 5\r\n\r\n%b' % (attempt, self.extra, body)
+            b'HTTP/1.1 %b\r\nAttempt-Id: %b\r\nServer-Signature: s\r\n%b'
+            b'Content-Length: 5\r\n\r\n%b'
+            % (self.status, attempt, self.extra, body)
         )
         return True
 
