Drop trailers instead of adding them to the headers

What callers saw: a success whose id and signature stood in the trailers of a chunked response counted as signed. A trailer of a request could name in `Connection` the headers that are removed, or add a second id or host, after the head had been checked.

Cause: the parsers append trailers to the list of headers that the message already refers to, so that what is sent depends on when they arrive.

Change: both parsers keep headers up to the end of the head only (RFC 9110, section 6.5.1, allows an intermediary to discard trailers).

--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -77,7 +77,9 @@
         self._size += len(chunk)
 
     def add_header(self, name: bytes, found: bytes) -> None:
-        """Append a header."""
+        """Append a header; drop a trailer (RFC 9110, section 6.5.1)."""
+        if not self.has_begun:
+            return
         self._headers.append((name, found))
         self._size += len(name) + len(found) + _HEADER_OVERHEAD_BYTES
 
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -109,7 +109,7 @@
         self._collector.add_target(url)
 
     def on_header(self, name: bytes, found: bytes) -> None:
-        """Collect a header."""
+        """Collect a header or drop a trailer."""
         self._collector.add_header(name, found)
 
     def on_headers_complete(self) -> None:
--- a/src/catkindrift/http1/_response_parser.py
+++ b/src/catkindrift/http1/_response_parser.py
@@ -39,6 +39,7 @@
     keep_alive_ms: int | None = attrs.field(init=False, default=None)
     _parser: httptools.HttpResponseParser = attrs.field(init=False)
     _headers: Headers = attrs.field(init=False, factory=list)
+    _is_head_complete: bool = attrs.field(init=False, default=False)
     _is_accepted: bool = attrs.field(init=False, default=False)
     _overhead_bytes: int = attrs.field(init=False, default=0)
 
@@ -72,15 +73,18 @@
     def on_message_begin(self) -> None:
         """Reset the state for the next response."""
         self._headers = []
+        self._is_head_complete = False
         self._is_accepted = False
         self.prevents_reuse = self.prevents_reuse or self._receiver.has_ended
 
     def on_header(self, name: bytes, found: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name, found))
+        """Collect a header; drop a trailer (RFC 9110, section 6.5.1)."""
+        if not self._is_head_complete:
+            self._headers.append((name, found))
 
     def on_headers_complete(self) -> None:
         """Check that the response matches the request, and how it ends."""
+        self._is_head_complete = True
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS or self._receiver.has_ended:
             return
