Don't reuse connections that an upstream says it closes

What callers saw: a request that crosses the close of its upstream's connection: another attempt for a safe one, 502 for an unsafe one.

Cause: `close` was looked for in the first Connection line of a response only, there also inside other options, and HTTP/1.0 without `keep-alive` counted as open.

Change: the options of all lines, by name, and the version decide.

--- a/src/catkindrift/http1/_response_parser.py
+++ b/src/catkindrift/http1/_response_parser.py
@@ -6,7 +6,11 @@
 import httptools
 
 from catkindrift.http1._failure import ResponseFailure
-from catkindrift.http1._headers import Headers, find_header
+from catkindrift.http1._headers import (
+    Headers,
+    connection_options,
+    find_header,
+)
 from catkindrift.http1._receiver import ResponseReceiver
 from catkindrift.http1._response_head import ResponseHead
 
@@ -125,8 +129,8 @@
         )
 
     def _read_connection_headers(self) -> None:
-        options = find_header(self._headers, b'connection').lower()
-        if b'close' in options:
+        is_closed = b'close' in connection_options(self._headers)
+        if is_closed or not self._parser.should_keep_alive():
             self.prevents_reuse = True
         stated = find_header(self._headers, b'keep-alive')
         self.keep_alive_ms = _keep_alive_ms(stated)
