Frame responses to HTTP/1.0 by their length or the close

What callers saw: a caller of HTTP/1.0 got the sizes of chunks as part of the body; one that sent `keep-alive` and waited for the close hung; one that sent `Expect: 100-continue` got an interim response that its version does not know. Chunked requests of HTTP/1.0, and versions 0.9 and 2.0, were run.

Cause: the version of a request was not looked at.

Change: a transfer coding in HTTP/1.0 gets 400 (RFC 9112, section 6.1), as do unknown versions. No connection to a caller of HTTP/1.0 is kept (appendix C.2.2). A body of unknown length ends with the connection there, with a reset if it broke off, so that it can't look complete.

--- a/src/catkindrift/callers/_rejected_requests.py
+++ b/src/catkindrift/callers/_rejected_requests.py
@@ -24,6 +24,9 @@
             'the head is malformed or its framing ambiguous; of Content-Length '
             'and Transfer-Encoding send one of them'
         ),
+        RejectionReason.VERSION: (
+            'the version of HTTP is not known; send HTTP/1.1'
+        ),
         RejectionReason.FRAMING: (
             'the framing is ambiguous; of Content-Length and '
             'Transfer-Encoding send one of them'
--- a/src/catkindrift/http1/_head_checks.py
+++ b/src/catkindrift/http1/_head_checks.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from catkindrift.http1._header_rules import HeaderRules
-from catkindrift.http1._headers import Headers
+from catkindrift.http1._headers import Headers, find_header
 from catkindrift.http1._rejection import (
     Rejection,
     RejectionReason,
@@ -12,8 +12,10 @@
 )
 
 _ENCODING = 'latin-1'
-# Its requests may have no Host.
-_OLD_VERSION: Final = '1.0'
+# Its requests may have no Host, its callers know no transfer codings, and a
+# proxy keeps no connections to them (RFC 9112, appendix C.2.2).
+OLD_VERSION: Final = '1.0'
+_VERSIONS = frozenset((OLD_VERSION, '1.1'))
 # Host and port as of RFC 3986, sections 3.2.2 and 3.2.3.
 _HOST = re.compile(
     rb"""(?:\[[\w.:~!$&'()*+,;=-]+\]  # address of IPv6 or later
@@ -23,6 +25,24 @@
 )
 
 
+def check_version(headers: Headers, version: str) -> Rejection | None:
+    """Return why the version of a request is rejected, or None.
+
+    Args:
+        headers: Names and values as received.
+        version: Version of HTTP, as `1.1`.
+    """
+    if version not in _VERSIONS:
+        return bad_request(RejectionReason.VERSION, f'version {version}')
+    is_coded = bool(find_header(headers, b'transfer-encoding'))
+    if is_coded and version == OLD_VERSION:
+        # RFC 9112, section 6.1.
+        return bad_request(
+            RejectionReason.FRAMING, f'a transfer coding in version {version}'
+        )
+    return None
+
+
 def check_headers(
     headers: Headers, rules: HeaderRules, version: str
 ) -> Rejection | None:
@@ -50,7 +70,7 @@
 
 def _check_host(headers: Headers, version: str) -> Rejection | None:
     hosts = [each for name, each in headers if name.lower() == b'host']
-    if not hosts and version == _OLD_VERSION:
+    if not hosts and version == OLD_VERSION:
         return None
     if hosts and _HOST.fullmatch(hosts[0].strip()):
         return None
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -7,7 +7,11 @@
 import httptools
 
 from catkindrift.clock import Clock
-from catkindrift.http1._head_checks import check_headers
+from catkindrift.http1._head_checks import (
+    OLD_VERSION,
+    check_headers,
+    check_version,
+)
 from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._headers import Headers, find_header
 from catkindrift.http1._rejection import (
@@ -93,13 +97,19 @@
         if self._size > limits.header_bytes:
             return head_too_large(limits)
         return (
-            self._check_framing(limits)
+            check_version(self._headers, version)
+            or self._check_framing(limits)
             or check_headers(self._headers, self._rules, version)
             or self._check_target()
         )
 
-    def finish(self, method: bytes) -> CallerRequest:
-        """Return the request; its body has yet to arrive."""
+    def finish(self, method: bytes, version: str) -> CallerRequest:
+        """Return the request; its body has yet to arrive.
+
+        Args:
+            method: HTTP method.
+            version: Version of HTTP, as `1.1`.
+        """
         self.has_begun = False
         self.raw_bytes = 0
         parsed = httptools.parse_url(self._target)
@@ -115,12 +125,17 @@
                 self._source,
                 bool(coding),
                 int(length or 0),
-                find_header(self._headers, b'expect').lower() == _CONTINUE,
+                self._expects_continue(version),
             ),
             arrived_ms=self._clock.now_ms(),
             caller=self.caller,
+            takes_chunks=version != OLD_VERSION,
         )
 
+    def _expects_continue(self, version: str) -> bool:
+        expected = find_header(self._headers, b'expect').lower()
+        return expected == _CONTINUE and version != OLD_VERSION
+
     def _check_framing(self, limits: CallerLimits) -> Rejection | None:
         reason = RejectionReason.FRAMING
         coding = find_header(self._headers, b'transfer-encoding')
--- a/src/catkindrift/http1/_rejection.py
+++ b/src/catkindrift/http1/_rejection.py
@@ -15,6 +15,7 @@
     """Why a request is rejected."""
 
     MALFORMED = 'malformed'
+    VERSION = 'version'
     FRAMING = 'framing'
     HOST = 'host'
     REPEATED_HEADER = 'repeated_header'
--- a/src/catkindrift/http1/_request.py
+++ b/src/catkindrift/http1/_request.py
@@ -22,6 +22,7 @@
         body: The body, which may still be arriving.
         arrived_ms: Time at which the head was complete.
         caller: IP address of the caller.
+        takes_chunks: Whether the caller can read a chunked response.
     """
 
     method: bytes
@@ -32,6 +33,7 @@
     body: RequestBody
     arrived_ms: int
     caller: str
+    takes_chunks: bool = True
 
     def header(self, name: bytes) -> bytes:
         """Return the first value of a header, or empty bytes.
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -8,6 +8,7 @@
 import httptools
 
 from catkindrift.clock import Clock
+from catkindrift.http1._head_checks import OLD_VERSION
 from catkindrift.http1._head_collector import (
     HeadCollector,
     body_too_large,
@@ -116,14 +117,16 @@
         """Check the head and pass the request to the callback."""
         if self._is_stopped:
             return
-        rejection = self._collector.check(
-            self._limits(), self._parser.get_http_version()
-        )
+        version = self._parser.get_http_version()
+        rejection = self._collector.check(self._limits(), version)
         if rejection:
             self._reject(rejection)
             return
-        self._request = self._collector.finish(self._parser.get_method())
-        self._on_request(self._request, self._parser.should_keep_alive())
+        self._request = self._collector.finish(
+            self._parser.get_method(), version
+        )
+        keep_alive = version != OLD_VERSION and self._parser.should_keep_alive()
+        self._on_request(self._request, keep_alive)
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk to the body, within the size limit."""
--- a/src/catkindrift/http1/_response_queue.py
+++ b/src/catkindrift/http1/_response_queue.py
@@ -154,7 +154,10 @@
                 self._on_last_response()
             pending.is_being_sent = True
             is_whole = await self._writer.send(
-                response, request.method, closes=closes
+                response,
+                request.method,
+                closes=closes,
+                takes_chunks=request.takes_chunks,
             )
         self._finish(pending)
         if closes or not is_whole or not pending.keep_alive:
--- a/src/catkindrift/http1/_response_writer.py
+++ b/src/catkindrift/http1/_response_writer.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import select
+import socket
+import struct
 from http import HTTPStatus
 from typing import final
 
@@ -12,11 +14,14 @@
 from catkindrift.http1._headers import Headers, encode_head
 from catkindrift.http1._response import Response
 
+# Turns the close of a socket into a reset: on, with a time of 0 s.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
 
 @final
 @attrs.define(eq=False, repr=False)
 class ResponseWriter:
-    """Writes responses with Content-Length or chunked framing."""
+    """Writes responses, framed so that the caller sees where they end."""
 
     _transport: asyncio.Transport | None = attrs.field(init=False, default=None)
     _writable: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
@@ -95,6 +100,7 @@
         method: bytes,
         *,
         closes: bool,
+        takes_chunks: bool = True,
     ) -> bool:
         """Write a response.
 
@@ -102,12 +108,17 @@
             response: The response.
             method: Method of the request; a response to HEAD has no body.
             closes: Whether the connection closes after the response.
+            takes_chunks: Whether the caller can read a chunked response. A
+                body of unknown length ends with the connection otherwise.
 
         Returns:
             Whether it is whole. If its body ended early, the connection has to
             close, so that the caller cannot take it for a complete one.
         """
+        is_chunked = takes_chunks and _needs_chunks(response)
         headers = [*response.headers, *_framing_headers(response)]
+        if is_chunked:
+            headers.append((b'Transfer-Encoding', b'chunked'))
         if closes:
             headers.append((b'Connection', b'close'))
         head = encode_head(response.status_line, headers)
@@ -117,15 +128,19 @@
             await self._write(head + response.body)
         else:
             await self._write(head)
-            return await self._write_stream(response)
+            return await self._write_stream(response, is_chunked=is_chunked)
         return True
 
-    async def _write_stream(self, response: Response) -> bool:
-        is_chunked = response.length is None
+    async def _write_stream(
+        self, response: Response, *, is_chunked: bool
+    ) -> bool:
         await self._write(_encode_chunk(response.body, is_chunked=is_chunked))
         try:
             await self._copy_stream(response, is_chunked=is_chunked)
         except BrokenAnswerError:
+            is_framed = is_chunked or response.length is not None
+            if self._transport and not is_framed:
+                _reset(self._transport)
             return False
         if is_chunked:
             await self._write(b'0\r\n\r\n')
@@ -153,6 +168,21 @@
     return bool(poller.poll(0))
 
 
+def _reset(transport: asyncio.Transport) -> None:
+    """Reset a connection; its close would make the body look complete."""
+    with contextlib.suppress(OSError):
+        transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+        )
+    transport.abort()
+
+
+def _needs_chunks(response: Response) -> bool:
+    is_streamed = response.body_stream is not None
+    has_body = response.status != HTTPStatus.NO_CONTENT
+    return is_streamed and has_body and response.length is None
+
+
 def _framing_headers(response: Response) -> Headers:
     if response.status == HTTPStatus.NO_CONTENT:
         return []
@@ -160,7 +190,7 @@
         length = response.length if response.length else len(response.body)
         return [(b'Content-Length', b'%d' % length)]
     if response.length is None:
-        return [(b'Transfer-Encoding', b'chunked')]
+        return []
     return [(b'Content-Length', b'%d' % response.length)]
 
 
