Refuse targets that name another host than Host

What callers saw: a request for `http://other.example/x` with the host of a route in Host was routed by Host and passed on with both; by RFC 9112, section 3.2.2, the upstream has to take the host of the target. A target with a fragment was passed on as it came.

Cause: the host of a target in absolute form was not read, the target forwarded as received.

Change: a target has to be a path, or the absolute form of one with the host of Host; it is forwarded as a path. Anything else gets 400, `target`.

--- a/src/catkindrift/callers/_rejected_requests.py
+++ b/src/catkindrift/callers/_rejected_requests.py
@@ -42,7 +42,8 @@
             'only headers of the connection'
         ),
         RejectionReason.TARGET: (
-            'the request target has no path; send one that begins with a slash'
+            'the request target is no path, or not of the host in Host; send '
+            'one that begins with a slash'
         ),
         RejectionReason.PROTOCOL: (
             'a request that offers another protocol has a body; send one '
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -4,7 +4,6 @@
 from typing import final
 
 import attrs
-import httptools
 
 from catkindrift.clock import Clock
 from catkindrift.http1._head_checks import (
@@ -21,12 +20,12 @@
 )
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_body import BodySource, RequestBody
+from catkindrift.http1._request_target import RequestTarget, check_target
 from catkindrift.steering import CallerLimits
 
 # Colon, space, CR and LF around a header's name and value.
 _HEADER_OVERHEAD_BYTES = 4
 _CONTINUE = b'100-continue'
-_ENCODING = 'latin-1'
 
 
 @final
@@ -100,7 +99,7 @@
             check_version(self._headers, version)
             or self._check_framing(limits)
             or check_headers(self._headers, self._rules, version)
-            or self._check_target()
+            or check_target(self._target, self._headers)
         )
 
     def finish(self, method: bytes, version: str) -> CallerRequest:
@@ -112,14 +111,16 @@
         """
         self.has_begun = False
         self.raw_bytes = 0
-        parsed = httptools.parse_url(self._target)
+        target = RequestTarget.parse(self._target)
+        if target is None:
+            raise ValueError('a head that was rejected has no request')
         length = find_header(self._headers, b'content-length')
         coding = find_header(self._headers, b'transfer-encoding')
         return CallerRequest(
             method=method,
-            target=self._target,
-            path=parsed.path.decode(_ENCODING),
-            query=parsed.query or b'',
+            target=target.origin,
+            path=target.path,
+            query=target.query,
             headers=self._rules.without_reserved(self._headers),
             body=RequestBody(
                 self._source,
@@ -156,17 +157,6 @@
             )
         return None
 
-    def _check_target(self) -> Rejection | None:
-        try:
-            path = httptools.parse_url(self._target).path
-        except httptools.HttpParserInvalidURLError:
-            path = None
-        if path:
-            return None
-        return bad_request(
-            RejectionReason.TARGET, 'the request target has no path'
-        )
-
 
 def head_too_large(limits: CallerLimits) -> Rejection:
     """Return the rejection of a head above the limit."""
--- a/src/catkindrift/http1/_request.py
+++ b/src/catkindrift/http1/_request.py
@@ -15,7 +15,7 @@
 
     Args:
         method: HTTP method.
-        target: Request target as received.
+        target: Path and query, as received.
         path: Path of the target, without the query.
         query: Query of the target, without the question mark.
         headers: Names and values as received.
