Name the upstream as host for callers that state none

What callers saw: a request of HTTP/1.0 without Host, which that version allows, failed at upstreams of the product's own interface that parse strictly: it was passed on as HTTP/1.1 without Host.

Change: the address of the upstream is stated (RFC 9112, section 3.2).

Evidence: tests/test_old_http.py::test_own_interface_names_the_upstream_as_host, which fails without the change.

--- a/src/catkindrift/callers/_upstream_sender.py
+++ b/src/catkindrift/callers/_upstream_sender.py
@@ -146,6 +146,10 @@
             ),
             (b'Request-Timeout', b'%.3f' % seconds),
         ]
+        if not request.message.header(b'host'):
+            # HTTP/1.0 lets a caller leave it out, HTTP/1.1 does not.
+            authority = f'{dispatch.upstream.address}:{dispatch.upstream.port}'
+            headers.append((b'Host', authority.encode()))
         exchange.send_head(request.target, headers)
         await exchange.send_until(exchange.receiver.wait_for_head())
         return await self._classify_response(
--- a/tests/test_old_http.py
+++ b/tests/test_old_http.py
@@ -8,6 +8,7 @@
 
 from tests.platform_deployment import deployed, head
 from tests.platform_upstream import PART_BYTES
+from tests.test_callers import wait_until
 from tests.test_connection_options import seen_by, strict_deployment
 
 END = b'0\r\n\r\n'
@@ -120,3 +121,11 @@
                 )
 
     asyncio.run(scenario())
+
+
+def test_own_interface_names_the_upstream_as_host(connect, serve):
+    """A caller of HTTP/1.0 may leave Host out, this system may not."""
+    upstream, _ = serve('hostless', b'HTTP/1.1 200 OK\r\n\r\n')
+    connect().sendall(b'GET /services/hostless/x HTTP/1.0\r\n\r\n')
+    wait_until(lambda: upstream.requests)
+    assert f'Host: 127.0.0.1:{upstream.port}'.encode() in upstream.requests[0]
