Don't begin requests behind one that ends the connection

What callers saw: a request sent behind one of HTTP/1.0 ran and got no response, since the connection closes after the first.

Cause: the parser library ends such a connection itself unless HTTP/1.0 asks for `keep-alive`, which is not granted.

Change: what follows a request after which the connection closes is not read.

--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -127,6 +127,9 @@
         )
         keep_alive = version != OLD_VERSION and self._parser.should_keep_alive()
         self._on_request(self._request, keep_alive)
+        if not keep_alive:
+            # What follows would run although it gets no response.
+            self.stop_after_current()
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk to the body, within the size limit."""
