Forward an empty query on our own interface

What upstreams saw: `/x` for a caller's `/x?`.

Cause: the target was put together again from its parts, and an empty query left none.

Change: the query is taken from the target as received, with its question mark.

--- a/src/catkindrift/callers/_caller_app.py
+++ b/src/catkindrift/callers/_caller_app.py
@@ -32,9 +32,8 @@
                 return await self._lookups.serve(request)
             case ['', 'services', service, *rest]:
                 path = rest[0] if rest else ''
-                target = f'/{path}'.encode('latin-1')
-                if request.query:
-                    target = b'%b?%b' % (target, request.query)
+                _, mark, query = request.target.partition(b'?')
+                target = b'/%b%b%b' % (path.encode('latin-1'), mark, query)
                 return await self._forwarder.serve(
                     request,
                     unquote(service),
