Take a response of another transfer coding as malformed

What callers saw: the coded body of a response with `Transfer-Encoding: gzip, chunked`, without the name of its coding; of one with a tab behind `chunked` the chunks with their sizes, if it was long.

Cause: the transfer coding of a response was not checked, and is not forwarded; that of a request was.

Change: any other coding than `chunked` makes the response malformed, as `Content-Length` beside a coding does already: another attempt or a 502.

Evidence: tests/test_connection_reuse.py::test_other_coding_is_no_response, five cases: all fail on the parent commit and pass here.

--- a/src/catkindrift/http1/_response_parser.py
+++ b/src/catkindrift/http1/_response_parser.py
@@ -16,6 +16,7 @@
 from catkindrift.http1._response_head import ResponseHead
 
 _FIRST_FINAL_STATUS = 200
+_CHUNKED = b'chunked'
 # Statuses of responses without a body (RFC 9110, section 6.4.1).
 _BODILESS_STATUSES = frozenset((204, 304))
 _MILLISECONDS_PER_SECOND = 1000
@@ -45,6 +46,7 @@
     _parser: httptools.HttpResponseParser = attrs.field(init=False)
     _headers: Headers = attrs.field(init=False, factory=list)
     _is_head_complete: bool = attrs.field(init=False, default=False)
+    _has_other_coding: bool = attrs.field(init=False, default=False)
     _is_accepted: bool = attrs.field(init=False, default=False)
     _overhead_bytes: int = attrs.field(init=False, default=0)
 
@@ -79,17 +81,26 @@
         """Reset the state for the next response."""
         self._headers = []
         self._is_head_complete = False
+        self._has_other_coding = False
         self._is_accepted = False
         self.prevents_reuse = self.prevents_reuse or self._receiver.has_ended
 
     def on_header(self, name: bytes, found: bytes) -> None:
         """Collect a header; drop a trailer (RFC 9110, section 6.5.1)."""
-        if not self._is_head_complete:
-            self._headers.append((name, found.strip(BLANKS)))
+        if self._is_head_complete:
+            return
+        self._headers.append((name, found.strip(BLANKS)))
+        if name.lower() == b'transfer-encoding':
+            # The parser takes a tab behind it for a part of the coding.
+            is_chunked = found.rstrip(b' ').lower() == _CHUNKED
+            self._has_other_coding = self._has_other_coding or not is_chunked
 
     def on_headers_complete(self) -> None:
         """Check that the response matches the request, and how it ends."""
         self._is_head_complete = True
+        if self._has_other_coding:
+            self._fail_as_malformed()
+            return
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS or self._receiver.has_ended:
             return
