--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -25,6 +25,7 @@
     _attempt,
     _crash_watch,
     _forwarder,
+    _handed_over_requests,
     _handover,
     _upstream_check,
     _upstream_observer,
@@ -46,7 +47,9 @@
 from catkindrift.gateway._zone_changes_page import ZoneChangesPage
 from catkindrift.gateway._zone_message import ZoneMessage
 from catkindrift.http1 import (
+    CallerRequest,
     ClientConnection,
+    HeaderRules,
     Response,
     ResponseBodyStream,
     _response_parser,
@@ -81,6 +84,7 @@
 from catkindrift.steering._kept_pauses import KeptPauses
 from tests.breakage import always, report
 
+RANDOM_HEADS = 'tests/test_random_heads.py'
 GATEWAY = 'tests/test_gateway.py::test_'
 STOP = 'tests/test_stop_decisions.py::test_'
 CLOSING = 'tests/test_closing_connections.py::test_'
@@ -239,6 +243,54 @@
 
 
 BREAKAGES = (
+    PlatformBreakage(
+        'UNASKED',
+        'Connection removes no header for all recipients',
+        HeaderRules,
+        '_is_end_to_end',
+        always(False),
+        RANDOM_HEADS,
+    ),
+    PlatformBreakage(
+        'UNASKED',
+        'requests whose Connection names such a header are rejected',
+        HeaderRules,
+        'misused_option',
+        always(b''),
+        RANDOM_HEADS,
+    ),
+    PlatformBreakage(
+        'UNASKED',
+        'requests with two lines of a single header are rejected',
+        HeaderRules,
+        'repeated_header',
+        always(b''),
+        RANDOM_HEADS,
+    ),
+    PlatformBreakage(
+        'TWICE',
+        'callers and upstreams state no headers of hand-overs',
+        HeaderRules,
+        'without_reserved',
+        lambda _rules, headers: headers,
+        'tests/test_stated_headers.py',
+    ),
+    PlatformBreakage(
+        'UNASKED',
+        'the receiver of a hand-over reads the lines of its sender',
+        _handed_over_requests,
+        '_stated_by_sender',
+        CallerRequest.header,
+        'tests/test_stated_headers.py::test_receiver_believes_the_last_line_only',
+    ),
+    PlatformBreakage(
+        'MIXED',
+        'responses of other codings are malformed',
+        _response_parser,
+        '_CHUNKED',
+        b'gzip, chunked',
+        'tests/test_connection_reuse.py',
+    ),
     PlatformBreakage(
         'MIXED',
         'successful responses must be signed',
