--- a/tests/test_random_heads.py
+++ b/tests/test_random_heads.py
@@ -25,6 +25,7 @@
     strict_deployment,
 )
 
+MIN_EXAMPLES = 200
 STATUS = re.compile(rb'HTTP/1\.1 (\d+)')
 # Set by entry VMs on what they send to upstreams.
 ADDED = frozenset(
@@ -172,7 +173,7 @@
     return RandomRequest(b'GET', b'/last', b'1.1', headers, b'', b'', True)
 
 
-@settings(max_examples=200)
+@settings(max_examples=max(MIN_EXAMPLES, settings().max_examples))
 @given(data=strategies.data())
 def test_request_runs_as_sent_or_gets_400(path, data):
     """A proper request runs once, as sent; of any other nothing runs."""
