Test random responses through real entry VMs

The caller sees status, headers and body as sent, read strictly, or a failure without them, and the upstream ran the request once.

--- a/tests/random_heads.py
+++ b/tests/random_heads.py
@@ -34,6 +34,13 @@
     b'transfer-encoding',
     b'',
 )
+END_TO_END = (
+    b'attempt-id',
+    b'content-type',
+    b'retry-after',
+    b'server-signature',
+    b'set-cookie',
+)
 MISUSED_OPTIONS = (
     b'authorization',
     b'content-encoding',
@@ -90,22 +97,44 @@
 
     def forwarded(self, prefix):
         """Return what an upstream sees, without the headers that VMs set."""
-        options = {
-            option.strip(b' \t').lower()
-            for name, found in self.headers
-            if name.lower() == b'connection'
-            for option in found.split(b',')
-        }
-        headers = tuple(
-            (name.lower(), found.strip(b' \t'))
-            for name, found in self.headers
-            if name.lower() not in NOT_FORWARDED | options
-            and not name.lower().startswith(b'catkindrift-')
-        )
+        headers = _forwarded(self.headers)
         target = b'%b%b' % (prefix, self.path)
         return Seen(self.method, target, headers, self.body)
 
 
+@attrs.frozen
+class RandomResponse:
+    """A response of an upstream.
+
+    Args:
+        version: Version of HTTP.
+        status: Status line without the version.
+        headers: Names and values in the order in which they are sent.
+        encoded_body: Body with its framing.
+        body: Body as the caller sees it.
+        is_proper: Whether the caller gets it; else a failure.
+        closes: Whether the body ends with the connection.
+    """
+
+    version: bytes
+    status: bytes
+    headers: tuple
+    encoded_body: bytes
+    body: bytes
+    is_proper: bool
+    closes: bool
+
+    def encode(self):
+        """Return the bytes that the upstream sends."""
+        lines = [b'HTTP/%b %b' % (self.version, self.status)]
+        lines += [b'%b:%b' % header for header in self.headers]
+        return b'\r\n'.join((*lines, b'', self.encoded_body))
+
+    def forwarded(self):
+        """Return the headers that a caller sees, without framing."""
+        return _forwarded(self.headers)
+
+
 @attrs.frozen
 class _Framing:
     headers: tuple
@@ -114,6 +143,23 @@
     is_proper: bool = True
 
 
+def _forwarded(headers):
+    """Return the headers of a message that are not of one connection."""
+    options = {
+        option.strip(b' \t').lower()
+        for name, found in headers
+        if name.lower() == b'connection'
+        for option in found.split(b',')
+    }
+    dropped = NOT_FORWARDED | (options - set(END_TO_END))
+    return tuple(
+        (name.lower(), found.strip(b' \t'))
+        for name, found in headers
+        if name.lower() not in dropped
+        and not name.lower().startswith(b'catkindrift-')
+    )
+
+
 cases = st.sampled_from((bytes.lower, bytes.upper, bytes.title))
 blanks = st.sampled_from((b'', b' ', b'\t', b'  '))
 bodies = st.sampled_from((b'', b'abc', HIDDEN, HIDDEN * 2)) | st.binary(
@@ -246,3 +292,51 @@
         framing.body,
         framing.is_proper and not faults and not (is_old and is_coded),
     )
+
+
+@st.composite
+def ended_by_close(draw):
+    """Draw a body that ends with the connection."""
+    body = draw(bodies)
+    return _Framing((), body, body)
+
+
+@st.composite
+def responses(draw, own_headers):
+    """Draw a response.
+
+    Args:
+        draw: Draws from a strategy.
+        own_headers: Headers that the interface reads; empty if it reads none,
+            and then a body must not end with the connection.
+    """
+    kinds = [lengths(), chunks(), ambiguous_framings()]
+    is_closing = bool(own_headers) and draw(st.booleans())
+    framing = draw(ended_by_close() if is_closing else st.one_of(kinds))
+    headers = [*own_headers, *framing.headers, (b'Retry-After', b'7')]
+    headers += [
+        (draw(cased((*PRIVATE, b'set-cookie'))), draw(values))
+        for _ in range(draw(st.integers(0, 3)))
+    ]
+    headers += [
+        (b'Connection', draw(option_lists((*PROPER_OPTIONS, *END_TO_END))))
+        for _ in range(draw(st.integers(0, 2)))
+    ]
+    if own_headers and draw(st.booleans()):
+        headers.append((b'Catkindrift-Cut-Off', b'1'))
+    has_other_id = bool(own_headers) and draw(st.integers(0, 4)) == 0
+    if has_other_id:
+        headers.append((b'attempt-id', b'other'))
+    return RandomResponse(
+        draw(st.sampled_from((b'1.1', b'1.1', b'1.0'))),
+        draw(st.sampled_from((b'200 OK', b'201 X', b'404 No', b'500 Bad'))),
+        tuple(
+            (name, draw(blanks) + found + draw(blanks_behind(name)))
+            for name, found in draw(st.permutations(headers))
+        ),
+        framing.encoded_body,
+        framing.body,
+        framing.is_proper and not has_other_id,
+        # Such a response is passed over; the close ends the wait for another.
+        is_closing or has_other_id,
+    )
--- a/tests/strict_upstream.py
+++ b/tests/strict_upstream.py
@@ -37,6 +37,9 @@
         id: Name in the store, and instance id on the platform.
         extra: Lines that each response has besides.
         status: Status of its responses.
+        reply: Bytes of its next responses, instead of usual ones; the
+            connection closes after each if `closes` is set.
+        closes: Whether connections close after such a response.
         seen: Requests that have run.
         violations: What a strict parser refuses, with the bytes.
     """
@@ -44,6 +47,8 @@
     id: str
     extra: bytes = b''
     status: bytes = b'200 OK'
+    reply: bytes = b''
+    closes: bool = False
     seen: list = attrs.field(factory=list)
     violations: list = attrs.field(factory=list)
     port: int = 0
@@ -99,6 +104,9 @@
             )
             return True
         self.seen.append(seen)
+        if self.reply:
+            writer.write(self.reply)
+            return not self.closes
         attempt = b''.join(seen.lines(b'attempt-id'))
         body = b'' if seen.method == b'HEAD' else b'hello'
         writer.write(
@@ -125,6 +133,27 @@
     return attrs.evolve(seen, body=body)
 
 
+async def read_response(reader, raw):
+    """Return status, headers without framing, and body of a response.
+
+    Args:
+        reader: Stream that holds the body, and nothing behind it.
+        raw: The head.
+    """
+    first, *lines = raw.removesuffix(b'\r\n\r\n').split(b'\r\n')
+    found = [_HEADER.fullmatch(line) for line in lines]
+    if not all(found):
+        raise ViolationError('header line')
+    headers = tuple((each[1].lower(), each[2].strip()) for each in found)
+    seen = Seen(b'', b'', headers, b'')
+    body = await _read_body(reader, seen)
+    if await reader.read():
+        raise ViolationError('bytes behind the response')
+    framing = {b'connection', b'content-length', b'transfer-encoding'}
+    kept = tuple(each for each in headers if each[0] not in framing)
+    return int(first.split(b' ')[1]), kept, body
+
+
 async def _read_body(reader, seen):
     lengths = seen.lines(b'content-length')
     codings = seen.lines(b'transfer-encoding')
--- a/tests/test_random_heads.py
+++ b/tests/test_random_heads.py
@@ -16,9 +16,9 @@
 from catkindrift.domain import Vm, VmRole
 from tests.deployment import RunningDeployment
 from tests.platform_deployment import ask
-from tests.random_heads import HOST, RandomRequest, requests
+from tests.random_heads import HOST, RandomRequest, requests, responses
 from tests.stranded import UpstreamCut
-from tests.strict_upstream import StrictUpstream
+from tests.strict_upstream import StrictUpstream, read_response
 from tests.test_connection_options import (
     seen_by,
     send_until_cut_off,
@@ -193,6 +193,45 @@
     )
 
 
+SIGNED = ((b'Attempt-Id', b'random'), (b'Server-Signature', b's'))
+
+
+async def receive(address, encoded):
+    """Send a request that closes; return status, headers and body."""
+    reader, writer = await asyncio.open_connection(*address)
+    with contextlib.closing(writer):
+        writer.write(encoded)
+        async with asyncio.timeout(10):
+            raw = await reader.readuntil(b'\r\n\r\n')
+            return await read_response(reader, raw)
+
+
+@settings(max_examples=max(MIN_EXAMPLES, settings().max_examples))
+@given(data=strategies.data())
+def test_response_arrives_as_sent_or_not_at_all(path, data):
+    """A caller sees the upstream's response, or a failure without it."""
+    is_signed = path.own_headers[0][0] == b'Attempt-Id'
+    answer = data.draw(responses(SIGNED if is_signed else ()))
+    path.take_seen()
+    for upstream in path.upstreams:
+        upstream.reply = answer.encode()
+        upstream.closes = answer.closes
+    headers = (HOST, *path.own_headers, (b'Connection', b'close'))
+    sent = RandomRequest(b'POST', b'/x', b'1.1', headers, b'', b'', True)
+    status, found, body = path.run(
+        receive(path.address, sent.encode(path.prefix))
+    )
+    for upstream in path.upstreams:
+        upstream.reply = b''
+    assert len(path.take_seen()) == 1
+    if answer.is_proper:
+        assert (status, body) == (int(answer.status[:3]), answer.body)
+        assert found == answer.forwarded()
+    else:
+        assert status in {502, 504}
+        assert b'server-signature' not in dict(found)
+
+
 def test_tab_behind_a_coding_is_taken(path):
     """A tab may stand behind any value; the parser refuses it there."""
     coding = (b'Transfer-Encoding', b'chunked\t')
