Ignore connection options that name headers for all recipients

What callers saw: an upload whose Connection names Content-Length, Host, Attempt-Id, Cookie or another header for all recipients got 400 and ran nowhere. Callers don't retry after 400, so the upload was lost.

RFC 9110, section 7.6.1, forbids senders to name such a header, but asks nobody to refuse the message, and the platform's protocol forwards the method, path, body, id and all headers that don't concern one connection only. Responses were treated like that already.

Change: HeaderRules ignores such an option on requests as on responses, on both interfaces and both ways of a hand-over. Each is counted by option (catkindrift_ignored_connection_options_total) and logged, within the limits of the logs. The rejection reason connection_option is gone.

--- a/src/catkindrift/callers/__init__.py
+++ b/src/catkindrift/callers/__init__.py
@@ -6,6 +6,7 @@
 
 from catkindrift.callers._caller_app import CallerApp
 from catkindrift.callers._forwarder import Forwarder
+from catkindrift.callers._ignored_options import IgnoredOptions
 from catkindrift.callers._lookup_app import LookupApp
 from catkindrift.callers._pending_decisions import PendingDecisions
 from catkindrift.callers._rejected_requests import RejectedRequests
@@ -27,6 +28,7 @@
     'STATE_HEADER',
     'CallerApp',
     'Forwarder',
+    'IgnoredOptions',
     'LookupApp',
     'PendingDecisions',
     'RejectedRequests',
--- a/src/catkindrift/callers/_caller_app.py
+++ b/src/catkindrift/callers/_caller_app.py
@@ -7,6 +7,7 @@
 import attrs
 
 from catkindrift.callers._forwarder import Forwarder
+from catkindrift.callers._ignored_options import IgnoredOptions
 from catkindrift.callers._lookup_app import LookupApp
 from catkindrift.callers._problem_response import bad_request, problem_response
 from catkindrift.http1 import CallerRequest, Response
@@ -20,10 +21,12 @@
     Args:
         forwarder: Serves ``/services/NAME/...``.
         lookups: Serves ``/lookup``.
+        ignored_options: Records what Connection must not name.
     """
 
     _forwarder: Forwarder
     _lookups: LookupApp
+    _ignored_options: IgnoredOptions
 
     async def __call__(self, request: CallerRequest) -> Response:
         """Return the response to one request."""
@@ -31,6 +34,7 @@
             case ['', 'lookup']:
                 return await self._lookups.serve(request)
             case ['', 'services', service, *rest]:
+                self._ignored_options.record(request)
                 path = rest[0] if rest else ''
                 _, mark, query = request.target.partition(b'?')
                 target = b'/%b%b%b' % (path.encode('latin-1'), mark, query)
--- a/src/catkindrift/callers/_rejected_requests.py
+++ b/src/catkindrift/callers/_rejected_requests.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from catkindrift.callers._line_limit import line_limit
 from catkindrift.callers._problem_response import bad_request, problem_response
 from catkindrift.clock import Clock
 from catkindrift.http1 import RejectedRequest, RejectionReason, Response
@@ -13,10 +14,6 @@
 from catkindrift.serving import Metrics
 
 _LOG = logging.getLogger(__name__)
-# Rejected requests may come in large numbers. All are counted; lines beyond
-# this rate would cost more than the requests.
-_LINES_PER_SECOND = 20
-_BURST_LINES = 60
 _MAX_DETAIL_CHARS = 200
 _DETAIL = MappingProxyType(
     {
@@ -37,10 +34,6 @@
         RejectionReason.REPEATED_HEADER: (
             'a header that may occur once stands twice; send it once'
         ),
-        RejectionReason.CONNECTION_OPTION: (
-            'Connection names a header that is meant for all recipients; name '
-            'only headers of the connection'
-        ),
         RejectionReason.TARGET: (
             'the request target is no path, or not of the host in Host; send '
             'one that begins with a slash'
@@ -95,4 +88,4 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the limit on the rate of lines."""
-        self._lines = TokenBucket(self._clock, _LINES_PER_SECOND, _BURST_LINES)
+        self._lines = line_limit(self._clock)
--- a/src/catkindrift/gateway/_forwarder.py
+++ b/src/catkindrift/gateway/_forwarder.py
@@ -16,6 +16,7 @@
 )
 from catkindrift.gateway._final_response import final_response
 from catkindrift.gateway._handover import Handover
+from catkindrift.gateway._ignored_options import record_ignored_options
 from catkindrift.gateway._metrics import GatewayMetrics
 from catkindrift.gateway._overload_gate import OverloadGate
 from catkindrift.gateway._pending_request import (
@@ -102,6 +103,7 @@
 
     async def __call__(self, request: CallerRequest) -> Response:
         """Return the response to one request of a caller."""
+        record_ignored_options(request, self._metrics, self._log)
         stated = api_key(request.headers)
         return await self.forward(
             request, key_digest(stated) if stated else None
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -44,6 +44,9 @@
     rejected_requests: Labeled = _labeled(
         'reason', 'Requests that violate HTTP or a limit'
     )
+    ignored_connection_options: Labeled = _labeled(
+        'option', 'Options of Connection that name a header for all recipients'
+    )
     choices: Labeled = _labeled('reason', 'Upstreams chosen')
     failures: Labeled = _labeled('kind', 'Failed attempts')
     crash_blame: Labeled = _labeled(
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -1,5 +1,6 @@
 """Structured log of failed and refused requests."""
 
+from collections.abc import Iterable
 from typing import Any, final
 
 import attrs
@@ -9,7 +10,8 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._bounded_output import BoundedOutput
 from catkindrift.gateway._pending_request import PendingRequest
-from catkindrift.http1 import RejectedRequest
+from catkindrift.http1 import CallerRequest, RejectedRequest
+from catkindrift.platform import request_id
 from catkindrift.shutdown import Shutdown
 from catkindrift.steering import Placed, UpstreamLimits, UpstreamState
 from catkindrift.workspaces import QuotaShare
@@ -79,6 +81,23 @@
             caller=rejected.caller,
         )
 
+    def log_ignored_options(
+        self, request: CallerRequest, options: Iterable[bytes]
+    ) -> None:
+        """Log that Connection names headers that are meant for all recipients.
+
+        Args:
+            request: The request, which is forwarded as without the options.
+            options: The options in lower case.
+        """
+        named = b', '.join(sorted(options)).decode('latin-1')
+        self._write(
+            'ignored_option',
+            id=request_id(request.headers)[:_MAX_TARGET_CHARS],
+            options=named,
+            caller=request.caller,
+        )
+
     def log_over_quota(
         self,
         request_id: str,
@@ -127,7 +146,7 @@
             choice=choice.reason.value,
             expected_ms=round(choice.cost_ms),
             left_ms=pending.deadline_ms - now_ms,
-            **self._upstream_fields(choice.state, now_ms),
+            **_upstream_fields(choice.state, self._limits, now_ms),
         )
 
     def log_verdict(self, pending: PendingRequest, verdict: Verdict) -> None:
@@ -216,7 +235,9 @@
         now_ms = self._clock.now_ms()
         choice = pending.choice
         upstream_fields = (
-            self._upstream_fields(choice.state, now_ms) if choice else {}
+            _upstream_fields(choice.state, self._limits, now_ms)
+            if choice
+            else {}
         )
         self._write(
             'ended',
@@ -254,33 +275,35 @@
         }
         return f'{msgspec.json.encode(entry).decode()}\n'
 
-    def _upstream_fields(
-        self, state: UpstreamState, now_ms: int
-    ) -> dict[str, Any]:
-        upstream = state.upstream
-        return {
-            'upstream': upstream.id,
-            'zone': upstream.zone,
-            'revision': upstream.revision,
-            'born_ms': upstream.born_ms,
-            'known_for_ms': now_ms - state.first_seen_ms,
-            'load': round(state.load(now_ms), 1),
-            'load_age_ms': _age_ms(state.load_reported_ms, now_ms),
-            'host_speed': state.host_speed.percent,
-            'host_speed_age_ms': _age_ms(state.host_speed.reported_ms, now_ms),
-            'in_flight': state.in_flight,
-            'failure_rate': round(state.failure_rate, 2),
-            'limit_per_s': self._limits.per_second(upstream.incarnation),
-            'is_cold': state.is_cold(now_ms),
-            'is_ejected': state.ejected_until_ms > now_ms,
-        }
-
 
 def _age_ms(reported_ms: int, now_ms: int) -> int | None:
     """Return the age of a report, or None if there was none."""
     return now_ms - reported_ms if reported_ms > 0 else None
 
 
+def _upstream_fields(
+    state: UpstreamState, limits: UpstreamLimits, now_ms: int
+) -> dict[str, Any]:
+    """Return the state of an upstream, with the ages of what it reported."""
+    upstream = state.upstream
+    return {
+        'upstream': upstream.id,
+        'zone': upstream.zone,
+        'revision': upstream.revision,
+        'born_ms': upstream.born_ms,
+        'known_for_ms': now_ms - state.first_seen_ms,
+        'load': round(state.load(now_ms), 1),
+        'load_age_ms': _age_ms(state.load_reported_ms, now_ms),
+        'host_speed': state.host_speed.percent,
+        'host_speed_age_ms': _age_ms(state.host_speed.reported_ms, now_ms),
+        'in_flight': state.in_flight,
+        'failure_rate': round(state.failure_rate, 2),
+        'limit_per_s': limits.per_second(upstream.incarnation),
+        'is_cold': state.is_cold(now_ms),
+        'is_ejected': state.ejected_until_ms > now_ms,
+    }
+
+
 def _identity_fields(pending: PendingRequest) -> dict[str, str]:
     """Return by what repeats of a request can be recognized."""
     request = pending.request
--- a/src/catkindrift/http1/_head_checks.py
+++ b/src/catkindrift/http1/_head_checks.py
@@ -50,15 +50,9 @@
 
     Args:
         headers: Names and values as received.
-        rules: Which headers Connection may name, and which may be repeated.
+        rules: Which headers may be repeated.
         version: Version of HTTP, as `1.1`.
     """
-    option = rules.misused_option(headers)
-    if option:
-        return bad_request(
-            RejectionReason.CONNECTION_OPTION,
-            f'Connection names {option.decode(_ENCODING)}',
-        )
     repeated = rules.repeated_header(headers)
     if repeated:
         return bad_request(
--- a/src/catkindrift/http1/_header_rules.py
+++ b/src/catkindrift/http1/_header_rules.py
@@ -83,7 +83,8 @@
     A sender may name headers in Connection that end with the connection, but
     none that are meant for all recipients (RFC 9110, section 7.6.1). Removing
     one of those would change the message: its framing, its target or its
-    identity.
+    identity. An option that names one is ignored; the message is forwarded as
+    without it.
 
     Args:
         end_to_end: Names, in lower case, of an interface's own headers for all
@@ -97,19 +98,18 @@
     _single: frozenset[bytes] = frozenset()
     _reserved_prefix: bytes = b''
 
-    def misused_option(self, headers: Headers) -> bytes:
-        """Return a connection option that names a header for all recipients.
+    def ignored_options(self, headers: Headers) -> frozenset[bytes]:
+        """Return the connection options that name headers for all recipients.
 
         Args:
             headers: Names and values as received.
 
         Returns:
-            The option in lower case, or empty bytes if there is none.
+            The options in lower case.
         """
-        for option in sorted(connection_options(headers)):
-            if self._is_end_to_end(option):
-                return option
-        return b''
+        return frozenset(
+            filter(self._is_end_to_end, connection_options(headers))
+        )
 
     def repeated_header(self, headers: Headers) -> bytes:
         """Return a header that a request has twice, but may have once.
--- a/src/catkindrift/http1/_rejection.py
+++ b/src/catkindrift/http1/_rejection.py
@@ -19,7 +19,6 @@
     FRAMING = 'framing'
     HOST = 'host'
     REPEATED_HEADER = 'repeated_header'
-    CONNECTION_OPTION = 'connection_option'
     TARGET = 'target'
     PROTOCOL = 'protocol'
     HEAD_SIZE = 'head_size'
--- a/src/catkindrift/server/_listeners.py
+++ b/src/catkindrift/server/_listeners.py
@@ -8,6 +8,7 @@
     HEADER_RULES,
     CallerApp,
     Forwarder,
+    IgnoredOptions,
     LookupApp,
     RejectedRequests,
 )
@@ -53,7 +54,7 @@
     )
     return HttpServer(
         clock,
-        CallerApp(forwarder, lookup_app),
+        CallerApp(forwarder, lookup_app, IgnoredOptions(clock, metrics)),
         lambda: limits,
         RejectedRequests(clock, metrics),
         HEADER_RULES,
--- a/src/catkindrift/serving/_metrics.py
+++ b/src/catkindrift/serving/_metrics.py
@@ -37,12 +37,15 @@
         upstream_seconds: Time from dispatch to the head of the response, by
             service.
         rejected_requests: Requests that violate HTTP or a limit, by reason.
+        ignored_options: Options of Connection that name a header for all
+            recipients, by option.
     """
 
     registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
     request_seconds: Histogram = attrs.field(init=False)
     upstream_seconds: Histogram = attrs.field(init=False)
     rejected_requests: Counter = attrs.field(init=False)
+    ignored_options: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -66,3 +69,9 @@
             ('reason',),
             registry=self.registry,
         )
+        self.ignored_options = Counter(
+            'catkindrift_ignored_connection_options',
+            'Options of Connection that name a header for all recipients',
+            ('option',),
+            registry=self.registry,
+        )
