Leave tabs behind a transfer coding out of it

What callers saw: a request with 'Transfer-Encoding: chunked' and a tab behind it got 400 and ran nowhere; a response with such a line was lost, 502. RFC 9110, section 5.5: blanks around a value don't belong to it.

Cause: the parser library leaves out spaces at the end of a line, but takes a tab for a part of the coding. The checks behind it never saw the request.

Change: LineEnds feeds both parsers; within heads it writes spaces for tabs that end a line, also where the line end comes with later bytes. Bodies, trailers, values with tabs inside and request lines pass as they came.

--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -15,6 +15,7 @@
     head_too_large,
 )
 from catkindrift.http1._header_rules import HeaderRules
+from catkindrift.http1._line_ends import LineEnds
 from catkindrift.http1._rejection import (
     RejectedRequest,
     Rejection,
@@ -50,6 +51,7 @@
     _on_error: Callable[[RejectedRequest, bool], None]
     _collector: HeadCollector = attrs.field(init=False)
     _parser: httptools.HttpRequestParser = attrs.field(init=False)
+    _line_ends: LineEnds = attrs.field(init=False)
     _request: CallerRequest | None = attrs.field(init=False, default=None)
     _is_stopped: bool = attrs.field(init=False, default=False)
     _is_last: bool = attrs.field(init=False, default=False)
@@ -58,6 +60,9 @@
         """Create the parser."""
         self._collector = HeadCollector(self._clock, self._source, self._rules)
         self._parser = httptools.HttpRequestParser(self)
+        self._line_ends = LineEnds(
+            self._parse_all, lambda: self.has_partial_head
+        )
 
     @property
     def has_partial_head(self) -> bool:
@@ -73,9 +78,7 @@
         if self._is_stopped:
             return
         self._collector.count_raw_bytes(len(chunk))
-        rest = chunk
-        while rest:
-            rest = self._parse(rest)
+        self._line_ends.feed(chunk)
         if self._collector.raw_bytes > self._limits().header_bytes:
             self._reject(head_too_large(self._limits()))
 
@@ -146,6 +149,11 @@
             self._request = None
         self._is_stopped = self._is_stopped or self._is_last
 
+    def _parse_all(self, chunk: bytes) -> None:
+        rest = chunk
+        while rest and not self._is_stopped:
+            rest = self._parse(rest)
+
     def _parse(self, chunk: bytes) -> bytes:
         """Parse bytes and return those that follow an upgrade request."""
         try:
--- a/src/catkindrift/http1/_response_parser.py
+++ b/src/catkindrift/http1/_response_parser.py
@@ -12,6 +12,7 @@
     connection_options,
     find_header,
 )
+from catkindrift.http1._line_ends import LineEnds
 from catkindrift.http1._receiver import ResponseReceiver
 from catkindrift.http1._response_head import ResponseHead
 
@@ -44,8 +45,9 @@
     prevents_reuse: bool = attrs.field(init=False, default=False)
     keep_alive_ms: int | None = attrs.field(init=False, default=None)
     _parser: httptools.HttpResponseParser = attrs.field(init=False)
+    _line_ends: LineEnds = attrs.field(init=False)
     _headers: Headers = attrs.field(init=False, factory=list)
-    _is_head_complete: bool = attrs.field(init=False, default=False)
+    _is_in_head: bool = attrs.field(init=False, default=False)
     _has_other_coding: bool = attrs.field(init=False, default=False)
     _is_accepted: bool = attrs.field(init=False, default=False)
     _overhead_bytes: int = attrs.field(init=False, default=0)
@@ -53,14 +55,12 @@
     def __attrs_post_init__(self) -> None:
         """Create the parser."""
         self._parser = httptools.HttpResponseParser(self)
+        self._line_ends = LineEnds(self._parse, lambda: self._is_in_head)
 
     def feed(self, chunk: bytes) -> None:
         """Parse bytes of the response."""
         self._overhead_bytes += len(chunk)
-        try:
-            self._parser.feed_data(chunk)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
-            self._fail_as_malformed()
+        self._line_ends.feed(chunk)
         if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
             self._fail_as_malformed()
 
@@ -80,24 +80,23 @@
     def on_message_begin(self) -> None:
         """Reset the state for the next response."""
         self._headers = []
-        self._is_head_complete = False
+        self._is_in_head = True
         self._has_other_coding = False
         self._is_accepted = False
         self.prevents_reuse = self.prevents_reuse or self._receiver.has_ended
 
     def on_header(self, name: bytes, found: bytes) -> None:
         """Collect a header; drop a trailer (RFC 9110, section 6.5.1)."""
-        if self._is_head_complete:
+        if not self._is_in_head:
             return
         self._headers.append((name, found.strip(BLANKS)))
         if name.lower() == b'transfer-encoding':
-            # The parser takes a tab behind it for a part of the coding.
-            is_chunked = found.rstrip(b' ').lower() == _CHUNKED
+            is_chunked = found.strip(BLANKS).lower() == _CHUNKED
             self._has_other_coding = self._has_other_coding or not is_chunked
 
     def on_headers_complete(self) -> None:
         """Check that the response matches the request, and how it ends."""
-        self._is_head_complete = True
+        self._is_in_head = False
         if self._has_other_coding:
             self._fail_as_malformed()
             return
@@ -127,6 +126,12 @@
         if self._is_accepted and not self._receiver.has_ended:
             self._receiver.complete()
 
+    def _parse(self, chunk: bytes) -> None:
+        try:
+            self._parser.feed_data(chunk)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self._fail_as_malformed()
+
     def _fail_as_malformed(self) -> None:
         self.prevents_reuse = True
         self._receiver.fail(ResponseFailure.MALFORMED)
