Serve requests with a body that offer another protocol

What callers saw: a request with a body, 'Connection: Upgrade' and an Upgrade header got 400 and ran nowhere. RFC 9110, section 7.8: a server may ignore Upgrade; PROTOCOL.md knows no 400 for it.

Cause: the parser library takes the body of such a request for data of the other protocol. Since it would have run as a request of its own, such requests were refused.

Change: behind such a head a new parser, which is told the framing of the body only, reads the body and the requests behind it.

--- a/src/catkindrift/callers/_rejected_requests.py
+++ b/src/catkindrift/callers/_rejected_requests.py
@@ -38,10 +38,6 @@
             'the request target is no path, or not of the host in Host; send '
             'one that begins with a slash'
         ),
-        RejectionReason.PROTOCOL: (
-            'a request that offers another protocol has a body; send one '
-            'without Upgrade'
-        ),
         RejectionReason.HEAD_TIMEOUT: (
             'the head took too long to arrive; send it faster'
         ),
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -149,12 +149,6 @@
             return bad_request(reason, 'the length is not a number')
         if length and int(length) > limits.body_bytes:
             return body_too_large(limits)
-        has_body = bool(coding) or int(length or 0) > 0
-        if has_body and find_header(self._headers, b'upgrade'):
-            # The parser would treat the body as data of the new protocol.
-            return bad_request(
-                RejectionReason.PROTOCOL, 'a body beside an Upgrade header'
-            )
         return None
 
 
--- a/src/catkindrift/http1/_line_ends.py
+++ b/src/catkindrift/http1/_line_ends.py
@@ -18,7 +18,7 @@
 
     Blanks behind a header's value don't belong to it (RFC 9110, section 5.5).
     The parser leaves out spaces there, but takes a tab for a part of a
-    transfer coding and of a connection option.
+    transfer coding.
 
     Args:
         parse: Parses bytes.
--- a/src/catkindrift/http1/_rejection.py
+++ b/src/catkindrift/http1/_rejection.py
@@ -20,7 +20,6 @@
     HOST = 'host'
     REPEATED_HEADER = 'repeated_header'
     TARGET = 'target'
-    PROTOCOL = 'protocol'
     HEAD_SIZE = 'head_size'
     HEAD_TIMEOUT = 'head_timeout'
     BODY_SIZE = 'body_size'
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -55,6 +55,8 @@
     _request: CallerRequest | None = attrs.field(init=False, default=None)
     _is_stopped: bool = attrs.field(init=False, default=False)
     _is_last: bool = attrs.field(init=False, default=False)
+    _awaits_body_parser: bool = attrs.field(init=False, default=False)
+    _is_replaying: bool = attrs.field(init=False, default=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the parser."""
@@ -106,11 +108,13 @@
 
     def on_message_begin(self) -> None:
         """Start collecting the head of the next request."""
-        self._collector.begin()
+        if not self._is_replaying:
+            self._collector.begin()
 
     def on_url(self, url: bytes) -> None:
         """Collect a chunk of the request target."""
-        self._collector.add_target(url)
+        if not self._is_replaying:
+            self._collector.add_target(url)
 
     def on_header(self, name: bytes, found: bytes) -> None:
         """Collect a header or drop a trailer."""
@@ -118,7 +122,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the head and pass the request to the callback."""
-        if self._is_stopped:
+        if self._is_stopped or self._is_replaying:
             return
         version = self._parser.get_http_version()
         rejection = self._collector.check(self._limits(), version)
@@ -129,6 +133,9 @@
             self._parser.get_method(), version
         )
         keep_alive = version != OLD_VERSION and self._parser.should_keep_alive()
+        # The parser takes the body for data of the other protocol.
+        is_offer = self._parser.should_upgrade()
+        self._awaits_body_parser = is_offer and not self._request.body.is_empty
         self._on_request(self._request, keep_alive)
         if not keep_alive:
             # What follows would run although it gets no response.
@@ -144,6 +151,8 @@
 
     def on_message_complete(self) -> None:
         """Mark the body as complete."""
+        if self._awaits_body_parser:
+            return
         if self._request:
             self._request.body.finish()
             self._request = None
@@ -159,12 +168,31 @@
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade as offer:
-            # A server may ignore Upgrade; the next request follows it.
+            # A server may ignore Upgrade; the body or the next request follows
+            # the head (RFC 9110, section 7.8).
+            if self._awaits_body_parser:
+                self._replace_parser()
             return chunk[offer.args[0] :]
         except httptools.HttpParserError as error:
             self._reject(bad_request(RejectionReason.MALFORMED, str(error)))
         return b''
 
+    def _replace_parser(self) -> None:
+        """Continue with a parser that has read the framing of the body only."""
+        self._awaits_body_parser = False
+        if self._request is None:
+            return
+        body = self._request.body
+        framing = (
+            b'Transfer-Encoding: chunked'
+            if body.is_chunked
+            else b'Content-Length: %d' % body.length
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._is_replaying = True
+        self._parser.feed_data(b'POST / HTTP/1.1\r\n%b\r\n\r\n' % framing)
+        self._is_replaying = False
+
     def _reject(self, rejection: Rejection) -> None:
         if self._is_stopped:
             return
--- a/tests/random_heads.py
+++ b/tests/random_heads.py
@@ -258,6 +258,8 @@
     ]
     if draw(st.booleans()):
         headers.append((b'Catkindrift-Caller', b'192.0.2.7'))
+    if draw(st.integers(0, 4)) == 0:
+        headers += [(b'Upgrade', b'h2c'), (b'Connection', b'Upgrade')]
     if 'repeated' in faults:
         headers.append((draw(cased((b'host', *own_names))), b'other'))
     if 'host' in faults:
--- a/tests/test_connection_options.py
+++ b/tests/test_connection_options.py
@@ -232,6 +232,29 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('option', ['close\t', 'te,close\t, x-mine'])
+def test_close_with_a_tab_is_obeyed(tmp_path, option):
+    """The caller waits for the close, and its next request would run."""
+
+    async def scenario():
+        async with strict_deployment(tmp_path) as deployment:
+            reader, writer = await asyncio.open_connection(
+                *deployment.address()
+            )
+            with contextlib.closing(writer):
+                writer.write(
+                    head('/safe/x', extra=f'Connection: {option}\r\n')
+                    + head('/safe/y')
+                )
+                async with asyncio.timeout(5):
+                    received = await reader.read()
+            assert received.startswith(b'HTTP/1.1 200')
+            assert received.count(b'HTTP/1.1') == 1
+            assert take_only_seen(deployment).target == b'/safe/x'
+
+    asyncio.run(scenario())
+
+
 SPOILED = (
     b'Retry-After: 7\r\nX-Mine: 1\r\nConnection: keep-alive\r\n'
     b'Connection: x-mine, Retry-After, Attempt-Id, Server-Signature\r\n'
