Take an absolute target without a path as the root

What callers saw: 'GET http://quotes.example HTTP/1.1', or with a query right behind the host, got 400. RFC 9110, section 4.2.3: an empty path is the same as '/'; RFC 9112, section 3.2.2: servers accept the absolute form.

Change: such a target is forwarded as '/' with its query. The root is looked up as any path: 404 without a route, else the request runs.

--- a/src/catkindrift/http1/_request_target.py
+++ b/src/catkindrift/http1/_request_target.py
@@ -1,5 +1,6 @@
 """Targets of requests."""
 
+import re
 from typing import Self, final
 
 import attrs
@@ -12,6 +13,7 @@
     bad_request,
 )
 
+_AFTER_AUTHORITY = re.compile(rb'[/?]')
 _SCHEMES = frozenset((b'http', b'https'))
 
 
@@ -44,18 +46,24 @@
             parsed = httptools.parse_url(target)
         except httptools.HttpParserInvalidURLError:
             return None
-        if not parsed.path or parsed.fragment is not None or b'#' in target:
+        if parsed.fragment is not None or b'#' in target:
             return None
+        path = parsed.path
         authority = b''
         origin = target
         if parsed.schema:
             if parsed.schema.lower() not in _SCHEMES:
                 return None
-            authority, _, rest = target.partition(b'//')[2].partition(b'/')
-            origin = b'/%b' % rest
+            # An empty path is the same as `/` (RFC 9110, section 4.2.3).
+            path = path or b'/'
+            after_scheme = target.partition(b'//')[2]
+            authority = _AFTER_AUTHORITY.split(after_scheme, maxsplit=1)[0]
+            origin = b'/%b' % after_scheme[len(authority) :].removeprefix(b'/')
+        if not path:
+            return None
         return cls(
             origin,
-            parsed.path.decode('latin-1'),
+            path.decode('latin-1'),
             parsed.query or b'',
             authority,
         )
