--- a/tests/random_heads.py
+++ b/tests/random_heads.py
@@ -24,7 +24,16 @@
     b'POST /unsafe/hidden HTTP/1.1\r\nHost: quotes.example\r\n'
     b'Attempt-Id: hidden\r\nIdempotency-Key: hidden\r\n\r\n'
 )
-METHODS = (b'POST', b'PUT', b'PATCH', b'DELETE', b'GET', b'OPTIONS')
+METHODS = (
+    b'POST',
+    b'PUT',
+    b'PATCH',
+    b'DELETE',
+    b'GET',
+    b'HEAD',
+    b'OPTIONS',
+    b'REPORT',
+)
 PRIVATE = (b'x-mine', b'x-yours', b'x-absent')
 PROPER_OPTIONS = (
     *PRIVATE,
@@ -76,6 +85,7 @@
         encoded_body: Body with its framing.
         body: Body as the upstream sees it.
         is_proper: Whether it has to run; else it gets 400.
+        origin: Scheme and host of a target in absolute form, or empty.
     """
 
     method: bytes
@@ -85,12 +95,12 @@
     encoded_body: bytes
     body: bytes
     is_proper: bool
+    origin: bytes = b''
 
     def encode(self, prefix):
         """Return the bytes that a caller sends."""
-        lines = [
-            b'%b %b%b HTTP/%b' % (self.method, prefix, self.path, self.version)
-        ]
+        target = b'%b%b%b' % (self.origin, prefix, self.path)
+        lines = [b'%b %b HTTP/%b' % (self.method, target, self.version)]
         lines += [b'%b:%b' % header for header in self.headers]
         return b'\r\n'.join((*lines, b'', self.encoded_body))
 
@@ -169,6 +179,9 @@
 paths = st.sampled_from(
     (b'/x', b'/x?', b'/x?y=1&z=%2F', b'//x', b'/x/../y', b'/x?y=http://z/')
 )
+origins = st.sampled_from(
+    (b'', b'', b'http://quotes.example', b'HTTP://Quotes.Example')
+)
 trailers = st.lists(
     st.sampled_from(
         (
@@ -277,6 +290,7 @@
         framing.encoded_body,
         framing.body,
         framing.is_proper and not faults and not (is_old and is_coded),
+        draw(origins),
     )
 
 
