Run the sources beside the program, not a copy in the build folder

Cause: the build copied the sources to target/deps, and run started the copy.

Change: run starts src/catkindrift/source_loader.py, which loads the package from the sources beside it. target/compiled holds code that is used only if the digest of its source matches; all else is compiled at the start, with a warning. Each process logs 'runs build DIGEST' and serves catkindrift_build_info.

--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 
 from benchmarks.report import show
+from catkindrift.compile_sources import compile_sources
 
 STARTS = 9
 DEAREST = 20
@@ -24,7 +25,10 @@
     **os.environ,
     'PYTHONPATH': ':'.join(path for path in sys.path if path),
 }
-ENTRY_VM = (sys.executable, '-S', '-m', 'catkindrift.entry_vm')
+ROOT = Path(__file__).parents[1]
+PACKAGE = ROOT / 'src/catkindrift'
+# As in `deploy/system.toml`.
+ENTRY_VM = (sys.executable, '-S', str(PACKAGE / 'source_loader.py'))
 INTERPRETER = (sys.executable, '-S', '-c', 'pass')
 SETTINGS = """
 [vm]
@@ -119,8 +123,10 @@
 
 def main():
     """Print medians of processor time and memory, and the imports."""
+    (ROOT / 'target').mkdir(exist_ok=True)
+    compile_sources(str(PACKAGE), str(ROOT / 'target/compiled'))
     with tempfile.TemporaryDirectory() as folder:
-        # The first start may have to write byte code.
+        # The first start may have to write byte code of the libraries.
         start_once(folder)
         starts = [start_once(folder) for _ in range(STARTS)]
     seconds, memory = zip(*starts, strict=True)
--- a/src/catkindrift/entry_vm.py
+++ b/src/catkindrift/entry_vm.py
@@ -1,7 +1,11 @@
-"""Starts an entry VM of the platform: ``python -m catkindrift.entry_vm``."""
+"""Starts an entry VM of the platform: ``python -m catkindrift.entry_vm``.
+
+The platform starts it by `catkindrift.source_loader`.
+"""
 
 import gc
 import sys
+from collections.abc import Callable
 
 from catkindrift.process_signals import ProcessSignals
 
@@ -25,13 +29,19 @@
     gc.enable()
 
 
-def main() -> int:
-    """Run until SIGINT or SIGTERM; return the exit code."""
+def main(on_loaded: Callable[[], None] | None = None) -> int:
+    """Run until SIGINT or SIGTERM; return the exit code.
+
+    Args:
+        on_loaded: Called when all modules that a start needs are loaded.
+    """
     signals = ProcessSignals()
     signals.install()
     load()
     from catkindrift.gateway import main as run  # noqa: PLC0415
 
+    if on_loaded:
+        on_loaded()
     return run(signals)
 
 
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from catkindrift.build import running_build
 from catkindrift.clock import Clock, SystemClock
 from catkindrift.gateway._heartbeats import Heartbeats
 from catkindrift.gateway._parts import GatewayParts
@@ -53,6 +54,7 @@
         Raises:
             OSError: An address cannot be listened on.
         """
+        self._show_build()
         for server, address in self._parts.servers:
             endpoint = Endpoint.parse(address)
             await server.start(endpoint.host, endpoint.port)
@@ -92,6 +94,17 @@
             task.cancel()
         _LOG.info('stopped')
 
+    def _show_build(self) -> None:
+        build = running_build()
+        self._parts.metrics.build_info.labels(build.digest).set(1)
+        _LOG.info('runs build %s', build.digest)
+        if build.stale_count:
+            _LOG.warning(
+                'compiled %d modules at this start: the build folder is of '
+                'other sources; run the build command of deploy/system.toml',
+                build.stale_count,
+            )
+
     def _jobs(self) -> dict[str, Job]:
         return {
             'heartbeats': self._parts.heartbeats.run,
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -39,6 +39,9 @@
     metadata.
     """
 
+    build_info: Labeled = _labeled(
+        'digest', 'Build that this process runs', is_gauge=True
+    )
     answers: Labeled = _labeled('status', 'Answers')
     refusals: Labeled = _labeled('reason', 'Refusals')
     rejected_requests: Labeled = _labeled(
--- a/src/catkindrift/server/_entry_vm.py
+++ b/src/catkindrift/server/_entry_vm.py
@@ -7,6 +7,7 @@
 import attrs
 from absl import logging
 
+from catkindrift.build import running_build
 from catkindrift.clock import Clock, SystemClock
 from catkindrift.core import CoreClosed, EntryCore, Ticked
 from catkindrift.entry_settings import EntrySettings
@@ -62,6 +63,7 @@
             CannotListenError: An address is in use or cannot be bound.
         """
         parts = self._parts
+        logging.info('runs build %s', running_build().digest)
         try:
             await self._listen()
         except CannotListenError:
--- a/src/catkindrift/serving/_metrics.py
+++ b/src/catkindrift/serving/_metrics.py
@@ -3,7 +3,9 @@
 from typing import final
 
 import attrs
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from catkindrift.build import running_build
 
 _LATENCY_BUCKETS_SECONDS = (
     0.001,
@@ -49,6 +51,13 @@
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
+        build = Gauge(
+            'catkindrift_build_info',
+            'Build that this process runs',
+            ('digest',),
+            registry=self.registry,
+        )
+        build.labels(running_build().digest).set(1)
         self.request_seconds = Histogram(
             'catkindrift_request_seconds',
             'Time from dispatch to the last response byte',
