Break the repairs of refused heads one by one

Three entries for make breakage: a refusal of ignored options, tabs that end a line, and bodies beside an offer of another protocol.

--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -52,9 +52,12 @@
     HeaderRules,
     Response,
     ResponseBodyStream,
+    _head_collector,
+    _line_ends,
     _response_parser,
 )
-from catkindrift.http1._head_collector import HeadCollector
+from catkindrift.http1._head_checks import check_headers
+from catkindrift.http1._rejection import RejectionReason, bad_request
 from catkindrift.http1._request_body import RequestBody
 from catkindrift.http1._request_parser import RequestParser
 from catkindrift.http1._response_queue import ResponseQueue
@@ -145,6 +148,17 @@
     )
 
 
+def reject_ignored_options(check):
+    """Return `check` that rejects options that are ignored."""
+
+    def rejecting(headers, rules, version):
+        if rules.ignored_options(headers):
+            return bad_request(RejectionReason.FRAMING, 'misused option')
+        return check(headers, rules, version)
+
+    return rejecting
+
+
 def know_only_itself(limits, _names):
     """Divide a limit as if no other entry VM existed."""
     limits._members = (limits._own_name,)
@@ -251,6 +265,30 @@
         always(False),
         RANDOM_HEADS,
     ),
+    PlatformBreakage(
+        'DENIED',
+        'requests whose Connection names such a header run',
+        _head_collector,
+        'check_headers',
+        reject_ignored_options(check_headers),
+        RANDOM_HEADS,
+    ),
+    PlatformBreakage(
+        'DENIED',
+        'a tab that ends a line is no part of a coding',
+        _line_ends,
+        '_blanks_with_tabs',
+        always(()),
+        RANDOM_HEADS,
+    ),
+    PlatformBreakage(
+        'UNASKED',
+        'a body beside an offer of another protocol is read as a body',
+        RequestParser,
+        '_replace_parser',
+        return_immediately,
+        RANDOM_HEADS,
+    ),
     PlatformBreakage(
         'UNASKED',
         'options that name such a header are counted and logged',
@@ -318,7 +356,7 @@
     PlatformBreakage(
         'UNASKED',
         'requests with ambiguous framing are rejected',
-        HeadCollector,
+        _head_collector.HeadCollector,
         'check',
         always(None),
         f'{GATEWAY}bad_input_is_refused',
