--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from pathlib import Path
 
 import attrs
 import pytest
@@ -14,6 +15,8 @@
 from catkindrift.settings import load_gateway_settings
 from tests.platform_deployment import TEMPLATE, platform_fields, render
 
+ROOT = Path(__file__).parents[1]
+
 
 def write(folder, **changes):
     fields = {**platform_fields('front-1', 'ovd-a', 8642), **changes}
@@ -90,11 +93,16 @@
     assert 'Traceback' not in ended.stderr
 
 
-def test_process_serves_and_stops_on_a_signal(tmp_path):
+@pytest.mark.parametrize(
+    'arguments',
+    [('-m', 'catkindrift.entry_vm'), ('src/catkindrift/source_loader.py',)],
+)
+def test_process_serves_and_stops_on_a_signal(tmp_path, arguments):
     """The process starts while the store is down and exits 0 on SIGTERM."""
     path = write(tmp_path)
     with subprocess.Popen(
-        [sys.executable, '-m', 'catkindrift.entry_vm'],
+        [sys.executable, *arguments],
+        cwd=ROOT,
         env={**os.environ, 'CATKINDRIFT_SETTINGS': str(path)},
         stderr=subprocess.PIPE,
         text=True,
