Take a connect for reach only from its begin

What callers saw: requests that run at upstreams when an entry VM is cut off could be blamed for crashes of these upstreams; a repeat of theirs could be quarantined.

Cause: a refused connect is taken for a crash if any upstream was reached since the check began. A connection that an upstream had accepted before the cut, but whose connect ended behind the resets, counted as reach, and its arrival dropped all evidence of the cut.

Change: record_connect takes the time at which the connect began; only failures before it are dropped, and only a connect that began later shows reach.

--- a/src/catkindrift/gateway/_upstream_pool.py
+++ b/src/catkindrift/gateway/_upstream_pool.py
@@ -86,7 +86,7 @@
         self._metrics.upstream_connections_opened.labels('opened').inc()
         took_ms = self._clock.now_ms() - began_ms
         self._distances.add_sample(upstream.zone, took_ms)
-        self._reachability.record_connect()
+        self._reachability.record_connect(began_ms)
         self._on_connect(upstream.incarnation)
         return connection
 
--- a/src/catkindrift/steering/_upstream_reachability.py
+++ b/src/catkindrift/steering/_upstream_reachability.py
@@ -95,17 +95,30 @@
     def has_reached_since(self, at_ms: int) -> bool:
         """Return whether an upstream was reached after `at_ms`.
 
-        Only a new connection shows it: responses may still arrive on
-        connections that are older than a cut.
+        Only a connect that began later shows it: responses may still arrive
+        on connections that are older than a cut.
         """
         connected_ms = self._connected_ms
         return connected_ms is not None and connected_ms > at_ms
 
-    def record_connect(self) -> None:
-        """Record a new connection to any upstream."""
-        self._failed_ms.clear()
-        self._probe_failed_ms = None
-        self._connected_ms = self._clock.now_ms()
+    def record_connect(self, began_ms: int) -> None:
+        """Record a new connection to any upstream.
+
+        Failures since the connect began stand: the upstream may have accepted
+        it before a cut.
+
+        Args:
+            began_ms: When the connect began.
+        """
+        self._failed_ms = {
+            incarnation: failed_ms
+            for incarnation, failed_ms in self._failed_ms.items()
+            if failed_ms > began_ms
+        }
+        probed_ms = self._probe_failed_ms
+        if probed_ms is not None and probed_ms <= began_ms:
+            self._probe_failed_ms = None
+        self._connected_ms = max(self._connected_ms or 0, began_ms)
         self.silence.restart()
 
     def record_failed_connect(self, incarnation: str) -> None:
--- a/tests/platform_breakage.py
+++ b/tests/platform_breakage.py
@@ -192,6 +192,13 @@
     reachability.record_failed_probe()
 
 
+def connected_now(record_connect):
+    """Return `record_connect` that takes a connect for one that began now."""
+    return lambda reachability, _began_ms: record_connect(
+        reachability, reachability._clock.now_ms()
+    )
+
+
 def reached_by_peer(record_peer):
     """Return `record_peer` that takes any heartbeat for a reached upstream."""
     return lambda reachability, _age_ms: record_peer(reachability, 0)
@@ -922,6 +929,14 @@
         choose_any,
         f'{STRANDED}body_is_not_handed_over_to_another_region',
     ),
+    PlatformBreakage(
+        'RECOVER, BUDGET',
+        'a connect shows reach from its begin only',
+        UpstreamReachability,
+        'record_connect',
+        connected_now(UpstreamReachability.record_connect),
+        f'{REACH}connect_that_began_before_a_failure_is_no_proof_of_reach',
+    ),
     PlatformBreakage(
         'RECOVER, BUDGET',
         'a cut is not taken for crashes',
--- a/tests/stranded.py
+++ b/tests/stranded.py
@@ -16,10 +16,13 @@
         how: ``refuse`` (connections are reset, new ones refused), ``hang``
             (connections and connects hang) or ``live`` (connections live on,
             new ones are refused).
+        connect_delay_s: Time between the accept of a connection and its
+            arrival at the entry VM.
     """
 
     how: str
     pools: set = attrs.field(factory=set)
+    connect_delay_s: float = 0
 
     def apply(self, stack):
         """Replace connects and writes of the VMs that are cut off.
@@ -32,7 +35,9 @@
 
         async def connect_unless_cut(pool, *address):
             if pool not in self.pools:
-                return await connect(pool, *address)
+                connection = await connect(pool, *address)
+                await asyncio.sleep(self.connect_delay_s)
+                return connection
             if self.how == 'hang':
                 await asyncio.sleep(address[-1] / 1000)
                 raise TimeoutError
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -356,3 +356,27 @@
                 assert not gateway._parts.crashes.reports.count
 
     run(scenario())
+
+
+def test_connection_accepted_before_a_cut_shows_no_crash(tmp_path):
+    """Guard against blame since a connect ends while others are reset."""
+
+    async def scenario():
+        async with stranded(tmp_path, 'refuse') as (deployment, cut):
+            cut.end()
+            for upstream in deployment.upstreams:
+                upstream.delay_s = 0.3
+            parts = deployment.gateways[0]._parts
+            last = parts.registry.states[-1].upstream
+            traffic = asyncio.create_task(send(deployment, 1))
+            await asyncio.sleep(0.5)
+            cut.connect_delay_s = 0.01
+            accepted = asyncio.create_task(parts.pool.connect(last))
+            await asyncio.sleep(0.005)
+            cut.begin(deployment.gateways[0])
+            assert await accepted
+            await traffic
+            await eventually(lambda: not parts.crashes._checks)
+            assert not parts.crashes.reports.count
+
+    run(scenario())
--- a/tests/test_upstream_reachability.py
+++ b/tests/test_upstream_reachability.py
@@ -23,6 +23,10 @@
             self.reachability.record_failed_connect(f'i-{number}')
         self.clock.advance(100)
 
+    def connect(self):
+        """Let an upstream accept a connection at once."""
+        self.reachability.record_connect(self.clock.now_ms())
+
     def probe(self):
         """Let a probe of other upstreams fail."""
         self.reachability.begin_probe()
@@ -37,7 +41,7 @@
 def test_vm_that_others_outdo_is_cut_off():
     """Several upstreams and a probe fail while another VM reaches one."""
     evidence = Evidence()
-    evidence.reachability.record_connect()
+    evidence.connect()
     evidence.fail(3)
     assert evidence.reachability.needs_probe
     evidence.probe()
@@ -75,7 +79,7 @@
     evidence.clock.advance(500)
     evidence.hear()
     assert not evidence.reachability.is_cut_off
-    evidence.reachability.record_connect()
+    evidence.connect()
     assert not evidence.reachability.needs_probe
 
 
@@ -96,7 +100,7 @@
     evidence.hear()
     evidence.reachability.silence.record_response()
     assert evidence.reachability.is_cut_off
-    evidence.reachability.record_connect()
+    evidence.connect()
     assert not evidence.reachability.is_cut_off
 
 
@@ -104,13 +108,13 @@
     """In a cut that refuses connects, running requests may still end well."""
     evidence = Evidence()
     reachability = evidence.reachability
-    reachability.record_connect()
+    evidence.connect()
     evidence.clock.advance(1000)
     cut_ms = evidence.clock.now_ms()
     evidence.fail(2)
     reachability.silence.record_response()
     assert not reachability.has_reached_since(cut_ms)
-    reachability.record_connect()
+    evidence.connect()
     assert reachability.has_reached_since(cut_ms)
 
 
@@ -137,3 +141,23 @@
     assert not evidence.reachability.needs_probe
     evidence.clock.advance(500)
     assert evidence.reachability.needs_probe
+
+
+def test_connect_that_began_before_a_failure_is_no_proof_of_reach():
+    """Guard against a cut that ends with a connection accepted before it."""
+    evidence = Evidence()
+    began_ms = evidence.clock.now_ms()
+    evidence.clock.advance(1)
+    cut_ms = evidence.clock.now_ms()
+    evidence.fail(3)
+    evidence.reachability.record_connect(began_ms)
+    assert not evidence.reachability.has_reached_since(cut_ms)
+    assert evidence.reachability.is_suspicious
+    evidence.probe()
+    evidence.hear()
+    evidence.reachability.record_connect(began_ms)
+    assert evidence.reachability.is_cut_off
+    evidence.connect()
+    assert evidence.reachability.has_reached_since(cut_ms)
+    assert not evidence.reachability.is_cut_off
+    assert not evidence.reachability.is_suspicious
