Log and count rejected heads at every address of an entry VM

What callers and operators saw: a bad head at the directory, readiness or metrics address got 400 without a log line and without a count, so nothing told why a look-up failed.

Cause: these three servers were made with the default response to errors, which keeps no record.

Change: every server of an entry VM has RejectedRequests, which knows its listener; the line names it. The metric keeps its labels.

Tests: test_rejected_request_is_logged_and_counted runs for all five addresses; before, directory, readiness and metrics count 0 instead of 1, and no line names its listener.

--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -1,5 +1,6 @@
 """Composition root of an entry VM on the users' platform."""
 
+import functools
 import logging
 import random
 from collections.abc import Mapping
@@ -346,22 +347,35 @@
             self.metrics,
             self._configuration_version,
         )
-        rejected = RejectedRequests(self.metrics, self.log)
+        rejected_at = functools.partial(
+            RejectedRequests, self.metrics, self.log
+        )
         self.caller_server = HttpServer(
-            clock, forwarder, self._caller_limits, rejected, HEADER_RULES
+            clock,
+            forwarder,
+            self._caller_limits,
+            rejected_at('callers'),
+            HEADER_RULES,
         )
         self.peer_server = HttpServer(
             clock,
             self.handed_over,
             self._caller_limits,
-            rejected,
+            rejected_at('peers'),
             PEER_HEADER_RULES,
         )
+        pages = (
+            ('directory', self.directory, listen.directory),
+            ('readiness', readiness, listen.readiness),
+            ('metrics', MetricsPage(self.metrics), listen.metrics),
+        )
+        page_servers = [
+            (HttpServer(clock, page, error_response=rejected_at(name)), address)
+            for name, page, address in pages
+        ]
         self.servers = [
             (self.caller_server, listen.callers),
-            (HttpServer(clock, self.directory), listen.directory),
-            (HttpServer(clock, readiness), listen.readiness),
-            (HttpServer(clock, MetricsPage(self.metrics)), listen.metrics),
+            *page_servers,
             (self.peer_server, listen.peers),
         ]
 
--- a/src/catkindrift/gateway/_rejected_requests.py
+++ b/src/catkindrift/gateway/_rejected_requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers that the server rejects."""
+"""Requests that a server rejects."""
 
 from typing import final
 
@@ -18,14 +18,18 @@
     Args:
         metrics: Counts the requests.
         log: Log of requests.
+        listener: Name of the address at which the requests arrive.
     """
 
     _metrics: GatewayMetrics
     _log: RequestLog
+    _listener: str
 
     def __call__(self, rejected: RejectedRequest) -> Response:
         """Return the response to a rejected request."""
         reason = rejected.rejection.reason.value
         self._metrics.rejected_requests.labels(reason).inc()
-        self._log.log_rejection(request_id(rejected.headers), rejected)
+        self._log.log_rejection(
+            request_id(rejected.headers), rejected, self._listener
+        )
         return Response(rejected.rejection.status)
--- a/src/catkindrift/gateway/_request_log.py
+++ b/src/catkindrift/gateway/_request_log.py
@@ -64,12 +64,15 @@
             configuration=version,
         )
 
-    def log_rejection(self, request_id: str, rejected: RejectedRequest) -> None:
+    def log_rejection(
+        self, request_id: str, rejected: RejectedRequest, listener: str
+    ) -> None:
         """Log that a request violates HTTP or a limit and was not run.
 
         Args:
             request_id: Id that the caller gave the request.
             rejected: The request.
+            listener: Name of the address at which it arrived.
         """
         rejection = rejected.rejection
         self._write(
@@ -78,6 +81,7 @@
             status=rejection.status.value,
             reason=rejection.reason.value,
             detail=rejection.detail[:_MAX_TARGET_CHARS],
+            listener=listener,
             caller=rejected.caller,
         )
 
--- a/tests/test_rejected_requests.py
+++ b/tests/test_rejected_requests.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from catkindrift.settings import Endpoint
 from tests.deployment import HTTP
 from tests.platform_deployment import ask, deployed, head
 from tests.test_bad_input import send_raw
@@ -13,15 +14,22 @@
 METRIC = 'catkindrift_rejected_requests_total{reason="framing"}'
 
 
-def test_rejected_request_is_logged_and_counted(tmp_path, capfd):
+@pytest.mark.parametrize(
+    'listener', ['callers', 'peers', 'directory', 'readiness', 'metrics']
+)
+def test_rejected_request_is_logged_and_counted(tmp_path, capfd, listener):
     """A 400 used to leave no trace by which an operator finds its reason."""
 
     async def scenario():
         async with deployed(tmp_path) as deployment:
+            gateway = deployment.gateways[0]
+            endpoint = Endpoint.parse(
+                getattr(gateway._settings.listen, listener)
+            )
             request = head('/unsafe/x', 'POST', attempt='a7', extra=CODINGS)
-            status, _, _ = await ask(deployment.address(), request)
+            status, _, _ = await ask((endpoint.host, endpoint.port), request)
             assert status == 400
-            metrics = deployment.gateways[0]._parts.metrics
+            metrics = gateway._parts.metrics
             return metrics.rejected_requests.labels('framing').total
 
     assert asyncio.run(scenario()) == 1
@@ -30,9 +38,9 @@
         for line in capfd.readouterr().out.splitlines()
         if '"event":"rejected"' in line
     ]
-    assert [(each['id'], each['reason']) for each in lines] == [
-        ('a7', 'framing')
-    ]
+    assert [
+        (each['id'], each['reason'], each['listener']) for each in lines
+    ] == [('a7', 'framing', listener)]
 
 
 @pytest.mark.parametrize('times', [1, 2])
