--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -508,7 +508,9 @@
         ends = time.monotonic() + seconds
         while time.monotonic() < ends:
             if self.process.returncode is not None:
-                raise CouldNotRun(f'{self.name} ended at its start')
+                lines = self.log.read_text(errors='replace').splitlines()
+                last = lines[-1] if lines else 'no line of its log'
+                raise CouldNotRun(f'{self.name} ended at its start: {last}')
             if await self.is_ready():
                 self.record(f'{self.name} is ready')
                 return
@@ -638,6 +640,7 @@
     folder = tempfile.mkdtemp(prefix='catkindrift-review-')
     store = Store(record)
     machines = []
+    places = []
     proxies = []
     try:
         await store.start()
@@ -650,11 +653,21 @@
             if proxied:
                 proxies.append(await Proxy(port).start())
                 port = proxies[-1].port
-            machines.append(
-                EntryVm(folder, record, f'front-{zone}-{number}', zone, port)
-            )
-        await asyncio.gather(*(each.start() for each in machines))
-        await asyncio.gather(*(each.wait_ready() for each in machines))
+            places.append((f'front-{zone}-{number}', zone, port))
+        for tries_left in (2, 1, 0):
+            # Another program may have taken a port since it was found free.
+            machines[:] = [
+                EntryVm(folder, record, *place) for place in places
+            ]
+            try:
+                await asyncio.gather(*(each.start() for each in machines))
+                await asyncio.gather(*(each.wait_ready() for each in machines))
+                break
+            except CouldNotRun as failed:
+                if not tries_left:
+                    raise
+                record(f'starts all again: {failed}')
+                await asyncio.gather(*(each.end() for each in machines))
         yield store, machines, proxies
     finally:
         await asyncio.gather(*(each.end() for each in machines))
