Log whom a watch was polled from, and how far behind it was

Each change and each restart of a watch now names its source, the revisions and for how long the poll had been pending. No behaviour changes; tests/test_store_watch.py passes.

--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -167,7 +167,15 @@
         if self._stall_detector.is_stalled(
             revision, self._revision, uses_zone_watcher=uses_zone_watcher
         ):
-            _LOG.info('watch of %s stalled; restarting it', self.kind)
+            _LOG.info(
+                'watch of %s stalled; restarting it: revision %d, peers have '
+                '%d, from %s, pending for %d ms',
+                self.kind,
+                self._revision,
+                revision,
+                self._source.name,
+                self._source.waited_ms,
+            )
             if uses_zone_watcher:
                 self._source.bypass_zone_watcher()
             elif self._relists_when_behind:
@@ -219,6 +227,16 @@
             return
         self._revision = max(self._revision, page.revision)
         self.listed.apply(page.latest_changes, self._revision)
+        if page.objects:
+            _LOG.info(
+                'watch of %s: %d changes up to revision %d from %s, %d ms '
+                'after the poll began',
+                self.kind,
+                len(page.objects),
+                page.revision,
+                self._source.name,
+                self._source.waited_ms,
+            )
         for each in page.latest_changes:
             self._on_change(each)
         self.newest_revision = max(self.newest_revision, _newest_change(page))
--- a/src/catkindrift/gateway/_watch_source.py
+++ b/src/catkindrift/gateway/_watch_source.py
@@ -45,6 +45,18 @@
     _polled: ZoneClient | None = attrs.field(init=False, default=None)
     _bypass_until_ms: dict[str, int] = attrs.field(init=False, factory=dict)
     _last_response_ms: int | None = attrs.field(init=False, default=None)
+    _began_ms: int = attrs.field(init=False, default=0)
+
+    @property
+    def waited_ms(self) -> int:
+        """Time since the last poll began."""
+        return self._clock.now_ms() - self._began_ms
+
+    @property
+    def name(self) -> str:
+        """The store, or the address of the VM that was polled last."""
+        polled = self._polled
+        return polled.address if polled else 'the store'
 
     def set_zone_watcher(self, address: str, deputy: str = '') -> bool:
         """Set the VMs to poll and return whether the next poll changes.
@@ -89,6 +101,7 @@
         """
         zone = self._preferred()
         self._polled = zone
+        self._began_ms = self._clock.now_ms()
         self.uses_zone_watcher = zone is not None
         if zone is None:
             return await self._poll_store(revision, on_chunk)
