--- a/src/catkindrift/http1/_http_client.py
+++ b/src/catkindrift/http1/_http_client.py
@@ -32,7 +32,8 @@
     """Sends requests to one server and buffers each whole response.
 
     A connection carries one request at a time and is not reused after any
-    failure.
+    failure. After a timeout, those that are idle are not reused either: they
+    may have fallen silent together.
 
     Args:
         host: IP address of the server.
@@ -98,6 +99,9 @@
         connection = self._take_idle() or await self._connect()
         try:
             yield connection
+        except TimeoutError:
+            self.close()
+            raise
         finally:
             if connection.is_reusable:
                 self._idle.append(connection)
