Notice silent connections to the store within the bounds

Cause: a VM believes what it knows until somebody tells of a newer revision, and that rested on two sentinels of each kind, which noticed their own silent connection after a wait of 2.6 s and a timeout of 1 s, whatever the bounds. All others learnt of it by a second heartbeat, one hop at a time, and repeated their watch on any idle connection. The same holds for a zone that relies on its zone watcher, and nobody stood in for a sentinel that got no responses.

Change: how long a belief may go unconfirmed follows from the bounds. One sentinel of each kind waits 1.7 s less than its bound or the stable window, and asks again on a new connection when its response is 0.3 s late (more while the store is slow). If that is answered, it tells all VMs, which repeat their watches on new connections. Heartbeats carry the age at which the store confirmed a revision; two standbys poll where it gets too old. Lag is looked for ten times a second, not at the next heartbeat only. A zone's list states its true age. New fields of heartbeats and zone messages are optional.

--- a/src/catkindrift/errors.py
+++ b/src/catkindrift/errors.py
@@ -17,6 +17,7 @@
     'NotFoundError',
     'PlatformAmbiguousError',
     'PlatformConflictError',
+    'PlatformSilentError',
     'PlatformUnavailableError',
     'SettingError',
     'SettingsFileError',
@@ -93,6 +94,11 @@
     """The platform did not accept a call; no write took effect."""
 
 
+@final
+class PlatformSilentError(PlatformUnavailableError):
+    """A read got no response in time; repeat it on a new connection."""
+
+
 class PlatformAmbiguousError(CatkindriftError):
     """A write got no response, so it may or may not have taken effect."""
 
--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -137,6 +137,7 @@
                 is_ready=self.is_ready, reaches_upstreams=not is_cut_off
             )
             self._parts.watches.health.detect_stall()
+            self._parts.watches.check()
             self._parts.state.remove_expired()
             await asyncio.sleep(_SHORT_TICK_SECONDS)
 
@@ -147,6 +148,16 @@
             metrics.store_calls.labels(method).set(count)
         for request, total in client.request_counts.items():
             metrics.store_requests.labels(request).set(total)
+        self._export_confirmations()
+
+    def _export_confirmations(self) -> None:
+        metrics = self._parts.metrics
+        silence = self._parts.watches.silence
+        metrics.store_silences.labels('found').set(silence.found_count)
+        metrics.store_silences.labels('heard').set(silence.heard_count)
+        news = self._parts.watches.gossip.news
+        for kind, age_ms in news.confirmed_ages_ms.items():
+            metrics.store_confirmation_age_ms.labels(kind).set(age_ms)
 
     def _heartbeat_protocol(self) -> Heartbeats:
         return self._parts.heartbeats
--- a/src/catkindrift/gateway/_heartbeat_contents.py
+++ b/src/catkindrift/gateway/_heartbeat_contents.py
@@ -18,6 +18,7 @@
     MemberFacts,
     Members,
     Sighting,
+    StoreNews,
     UpstreamLimits,
     UpstreamReachability,
     process_key,
@@ -51,6 +52,7 @@
         reachability: When this VM has reached an upstream.
         relayed_limits: Returns limits of upstreams that others have seen.
         rng: Returns the source of random numbers.
+        store_news: Returns what this VM knows of the store.
     """
 
     _members: Members
@@ -62,6 +64,7 @@
     _reachability: UpstreamReachability
     _relayed_limits: Callable[[], tuple[LimitNotice, ...]]
     _rng: Callable[[], random.Random]
+    _store_news: Callable[[], StoreNews] = StoreNews
 
     @property
     def known_updates(self) -> tuple[int, int]:
@@ -94,6 +97,7 @@
             self._reachability.reached_age_ms,
             self._ages_ms(heard),
             sightings,
+            store=self._store_news(),
         )
 
     def by_zone(self, own: MemberFacts, *, is_digest: bool) -> Heartbeat:
@@ -123,6 +127,7 @@
             self._ages_ms(heard),
             signs=signs,
             relayed_limits=self._relayed_limits(),
+            store=self._store_news(),
         )
 
     def spread(self, own: MemberFacts, zone: str) -> Heartbeat:
--- a/src/catkindrift/gateway/_heartbeats.py
+++ b/src/catkindrift/gateway/_heartbeats.py
@@ -25,6 +25,7 @@
     LimitNotice,
     MemberFacts,
     Members,
+    StoreNews,
     UpstreamLimits,
     UpstreamReachability,
 )
@@ -66,6 +67,7 @@
         on_heartbeat: Called with each heartbeat received.
         on_update: Called when others of the zone need updates at once.
         relayed_limits: Returns limits of upstreams that others have seen.
+        store_news: Returns what this VM knows of the store.
     """
 
     _clock: Clock
@@ -79,6 +81,7 @@
     _on_heartbeat: Callable[[Heartbeat], None]
     on_update: Callable[[], None] = _do_nothing
     _relayed_limits: Callable[[], tuple[LimitNotice, ...]] = tuple
+    _store_news: Callable[[], StoreNews] = StoreNews
     _has_been_ready: bool = attrs.field(init=False, default=False)
     _receivers: ZoneReceivers = attrs.field(init=False)
     _builder: HeartbeatContents = attrs.field(init=False)
@@ -106,6 +109,7 @@
             self._reachability,
             self._relayed_limits,
             lambda: self._rng,
+            self._store_news,
         )
 
     @property
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -108,6 +108,14 @@
     store_calls: Labeled = _labeled(
         'method', 'Calls to the platform store since the start', is_gauge=True
     )
+    store_silences: Labeled = _labeled(
+        'source', 'Silences of connections to the store, found or heard of'
+    )
+    store_confirmation_age_ms: Labeled = _labeled(
+        'kind',
+        'Time since the store held nothing newer, as far as is known',
+        is_gauge=True,
+    )
     store_requests: Labeled = _labeled(
         'request', 'Calls to the platform store by what was asked'
     )
--- a/src/catkindrift/gateway/_object_list.py
+++ b/src/catkindrift/gateway/_object_list.py
@@ -52,22 +52,37 @@
             age_ms: Time since the list was known to be current.
         """
         self._objects = {each.name: each for each in found}
-        self._confirm(revision, age_ms)
+        self._revision = revision
+        self.confirm(age_ms)
         self._has_list.set()
 
-    def apply(self, changed: Iterable[StoreObject], revision: int) -> None:
+    def apply(
+        self,
+        changed: Iterable[StoreObject],
+        revision: int,
+        age_ms: int | None = 0,
+    ) -> None:
         """Apply changes in their order.
 
         Args:
             changed: Objects as changed or deleted.
             revision: Revision from which to watch for further changes.
+            age_ms: Time since the store held nothing newer; None if the
+                sender of the changes doesn't tell it.
         """
         for each in changed:
             if each.is_deleted:
                 self._objects.pop(each.name, None)
             else:
                 self._objects[each.name] = each
-        self._confirm(revision, 0)
+        self._revision = revision
+        if age_ms is not None:
+            self.confirm(age_ms)
+
+    def confirm(self, age_ms: int) -> None:
+        """Record that the store held nothing newer `age_ms` ago."""
+        confirmed_ms = self._clock.now_ms() - age_ms
+        self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
 
     async def wait_until_listed(self, wait_s: float) -> bool:
         """Wait up to `wait_s` seconds; return whether there is a list."""
@@ -75,7 +90,3 @@
             async with asyncio.timeout(wait_s):
                 await self._has_list.wait()
         return self.is_listed
-
-    def _confirm(self, revision: int, age_ms: int) -> None:
-        self._revision = revision
-        self._confirmed_ms = self._clock.now_ms() - age_ms
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -42,6 +42,7 @@
 from catkindrift.gateway._shutdown_log import ShutdownLog
 from catkindrift.gateway._steering_tick import SteeringTick
 from catkindrift.gateway._store_health import StoreHealth
+from catkindrift.gateway._store_silence import StoreSilence
 from catkindrift.gateway._store_watches import StoreWatches
 from catkindrift.gateway._suspect_isolation import SuspectIsolation
 from catkindrift.gateway._upstream_check import UpstreamCheck
@@ -187,6 +188,7 @@
         self.budget.bounds = bounds
         self.cold_limiter.bounds = bounds
         self.quotas.apply(_quota_bounds(settings.bounds))
+        self.watches.apply(settings.bounds)
         self.directory.max_ttl_s = settings.bounds.directory_lifetime_s
 
     def _wire_state(self) -> None:
@@ -203,22 +205,31 @@
             MissingEntries(clock, health),
         )
         self.watches = StoreWatches(
-            clock, client, settings, self.state, self.members, health
+            clock,
+            client,
+            settings,
+            self.state,
+            self.members,
+            health,
+            StoreSilence(clock),
         )
         self.heartbeats = Heartbeats(
             clock,
             self.members,
             _initial_member(settings, clock),
-            self.watches.revisions,
+            self.watches.gossip.revisions,
             self.crashes,
             health,
             self.limits,
             self.reachability,
             self._handle_heartbeat,
             relayed_limits=lambda: self.limits.notices(are_own=False),
+            store_news=lambda: self.watches.gossip.news,
         )
         self.urgent = UrgentHeartbeats(clock, self.heartbeats)
         self.heartbeats.on_update = self.urgent.pass_on
+        self.watches.silence.on_found = self.urgent.send
+        self.watches.silence.on_heard = self.urgent.pass_on
         self.quotas = Quotas(
             clock,
             self.state,
@@ -380,7 +391,7 @@
         ]
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        self.watches.handle_heartbeat(heartbeat)
+        self.watches.gossip.handle_heartbeat(heartbeat)
         self.crashes.merge_reports(heartbeat.crashes, heartbeat.cleared)
         self.limits.merge(heartbeat.limits)
         self.limits.merge(heartbeat.relayed_limits, are_relayed=True)
--- a/src/catkindrift/gateway/_stalled_watch_detector.py
+++ b/src/catkindrift/gateway/_stalled_watch_detector.py
@@ -29,7 +29,7 @@
     """
 
     _clock: Clock
-    _peer_revision: int = attrs.field(init=False, default=0)
+    peer_revision: int = attrs.field(init=False, default=0)
     _behind_since_ms: int | None = attrs.field(init=False, default=None)
     _limit_ms: int = attrs.field(init=False, default=_LAG_LIMIT_MS)
     _last_chunk_ms: int = attrs.field(init=False, default=0)
@@ -44,14 +44,15 @@
         """Return whether the pending watch has lagged behind for too long.
 
         Args:
-            peer_revision: Newest revision of a peer.
+            peer_revision: Newest revision of a peer; 0 to look again at what
+                peers have told.
             own_revision: Newest revision of this VM.
             uses_zone_watcher: Whether the zone watcher is polled instead of
                 the store.
         """
         now_ms = self._clock.now_ms()
-        self._peer_revision = max(self._peer_revision, peer_revision)
-        if self._peer_revision <= own_revision:
+        self.peer_revision = max(self.peer_revision, peer_revision)
+        if self.peer_revision <= own_revision:
             self._behind_since_ms = None
             return False
         if self._behind_since_ms is None:
--- a/src/catkindrift/gateway/_store_watch.py
+++ b/src/catkindrift/gateway/_store_watch.py
@@ -21,8 +21,13 @@
 from catkindrift.gateway._failure_backoff import FailureBackoff
 from catkindrift.gateway._list_source import ListSource
 from catkindrift.gateway._object_list import ObjectList
-from catkindrift.gateway._stalled_watch_detector import StalledWatchDetector
+from catkindrift.gateway._pending_poll import (
+    PendingPoll,
+    result_unless_cancelled,
+)
 from catkindrift.gateway._store_health import StoreHealth
+from catkindrift.gateway._store_poller import StorePoller
+from catkindrift.gateway._store_silence import StoreSilence
 from catkindrift.gateway._watch_source import WatchSource
 from catkindrift.jitter import jittered
 from catkindrift.platform import StoreClient, StoreObject, StorePage
@@ -61,6 +66,7 @@
             It also relists while objects change faster than they are polled.
         is_active: Whether to poll at all, after a first list.
         lists: Where lists come from.
+        silence: Silence of connections to the store; shared by all watches.
     """
 
     _clock: Clock
@@ -73,6 +79,11 @@
     _on_outage_end: Callable[[TimeSpan], None]
     _relists_when_behind: bool = False
     _lists: ListSource = attrs.field(factory=ListSource)
+    _silence: StoreSilence = attrs.field(
+        default=attrs.Factory(
+            lambda watch: StoreSilence(watch._clock), takes_self=True
+        )
+    )
     listed: ObjectList = attrs.field(
         init=False,
         default=attrs.Factory(
@@ -89,17 +100,19 @@
         init=False,
         default=attrs.Factory(
             lambda watch: WatchSource(
-                watch._clock, watch._client, watch.kind, watch._settings
+                watch._clock,
+                watch.kind,
+                StorePoller(
+                    watch._clock,
+                    watch._client,
+                    watch.kind,
+                    watch._settings,
+                    watch._silence,
+                ),
             ),
             takes_self=True,
         ),
     )
-    _stall_detector: StalledWatchDetector = attrs.field(
-        init=False,
-        default=attrs.Factory(
-            lambda watch: StalledWatchDetector(watch._clock), takes_self=True
-        ),
-    )
     _backoff: FailureBackoff = attrs.field(init=False, factory=FailureBackoff)
     _coalescing: CoalescingDelay = attrs.field(
         init=False,
@@ -107,8 +120,18 @@
             lambda watch: CoalescingDelay(watch._clock), takes_self=True
         ),
     )
-    _poll_task: asyncio.Task[StorePage] | None = attrs.field(
-        init=False, default=None
+    poll: PendingPoll = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watch: PendingPoll(
+                watch._clock,
+                watch.kind,
+                watch._source,
+                watch._coalescing,
+                watch.listed,
+            ),
+            takes_self=True,
+        ),
     )
     _list_task: asyncio.Task[StorePage] | None = attrs.field(
         init=False, default=None
@@ -154,66 +177,37 @@
         if not self._backoff.is_failing:
             return
         self._backoff.end_early()
-        for call in (self._poll_task, self._list_task):
-            if call:
-                call.cancel()
+        self.poll.cancel()
+        if self._list_task:
+            self._list_task.cancel()
 
-    def compare_with_peer(self, revision: int) -> None:
-        """Restart a stalled long poll that lags behind a peer's revision."""
-        if self._poll_task is None or self._poll_task.done():
-            self._stall_detector.clear_lag()
-            return
-        uses_zone_watcher = self._source.uses_zone_watcher
-        if self._stall_detector.is_stalled(
-            revision, self._revision, uses_zone_watcher=uses_zone_watcher
-        ):
-            _LOG.info(
-                'watch of %s stalled; restarting it: revision %d, peers have '
-                '%d, from %s, pending for %d ms',
-                self.kind,
-                self._revision,
-                revision,
-                self._source.name,
-                self._source.waited_ms,
-            )
-            if uses_zone_watcher:
-                self._source.bypass_zone_watcher()
-            elif self._relists_when_behind:
-                self._is_listed = False
-            self._poll_task.cancel()
+    def compare_with_peer(
+        self, revision: int, age_ms: int | None = None
+    ) -> None:
+        """Compare what this VM knows with what a peer knows.
 
-    def set_sentinel(self, *, is_sentinel: bool) -> None:
-        """Start or stop polling the store at short intervals."""
-        if is_sentinel and not self._source.is_sentinel and self._poll_task:
-            self._poll_task.cancel()
-        self._source.is_sentinel = is_sentinel
+        Args:
+            revision: Newest revision of the peer.
+            age_ms: Time since the store held nothing newer than that, as far
+                as the peer knows; None if it doesn't tell.
+        """
+        if age_ms is not None and revision <= self._revision:
+            self.listed.confirm(age_ms)
+        self.check(revision)
 
-    def set_zone_watcher(
-        self, address: str, *, is_shared: bool, deputy: str = ''
-    ) -> None:
-        """Choose whether to poll the zone watcher or the store.
+    def check(self, peer_revision: int = 0) -> None:
+        """Repeat the long poll if it is stalled, or if it has to serve all.
 
-        The zone watcher is the VM that polls the store for its whole zone.
+        Called several times a second.
 
         Args:
-            address: Peer address of the zone watcher; empty to poll the store.
-            is_shared: Whether the zone has a zone watcher.
-            deputy: Peer address of the VM to poll if the zone watcher can't
-                serve; empty to poll the store then.
+            peer_revision: Newest revision of a peer, if one has told it.
         """
-        self._coalescing.is_shared = is_shared
-        is_changed = self._source.set_zone_watcher(address, deputy)
-        # A long poll of the store would bring the next change to this VM too.
-        if is_changed and self._poll_task:
-            self._poll_task.cancel()
-
-    def take_over(self) -> None:
-        """Poll the store in place of the zone watcher for a while."""
-        if not self._source.uses_zone_watcher or not self._poll_task:
-            return
-        _LOG.info('watch of %s takes over from the zone watcher', self.kind)
-        self._source.bypass_zone_watcher()
-        self._poll_task.cancel()
+        is_repeated = self.poll.repeat_if_stalled(self._revision, peer_revision)
+        if is_repeated and self._relists_when_behind:
+            self._is_listed = False
+        elif not self._backoff.is_failing:
+            self.poll.stand_in_if_due()
 
     async def _step(self) -> None:
         if not self._is_listed:
@@ -226,17 +220,11 @@
         if page is None:
             return
         self._revision = max(self._revision, page.revision)
-        self.listed.apply(page.latest_changes, self._revision)
+        source = self._source
+        age_ms = source.page_age_ms if source.uses_zone_watcher else 0
+        self.listed.apply(page.latest_changes, self._revision, age_ms)
         if page.objects:
-            _LOG.info(
-                'watch of %s: %d changes up to revision %d from %s, %d ms '
-                'after the poll began',
-                self.kind,
-                len(page.objects),
-                page.revision,
-                self._source.name,
-                self._source.waited_ms,
-            )
+            self._log_news(page)
         for each in page.latest_changes:
             self._on_change(each)
         self.newest_revision = max(self.newest_revision, _newest_change(page))
@@ -266,7 +254,7 @@
         self._list_task = asyncio.get_running_loop().create_task(
             self._lists.list_store(self._client, self.kind, timeout_s),
         )
-        page = await _result_unless_cancelled(self._list_task)
+        page = await result_unless_cancelled(self._list_task)
         if page is None:
             return
         self._record_response()
@@ -307,12 +295,7 @@
 
     async def _long_poll(self) -> StorePage | None:
         """Return the next changes, or None if the long poll was cancelled."""
-        self._coalescing.record_request(is_long_poll=True)
-        loop = asyncio.get_running_loop()
-        self._poll_task = loop.create_task(
-            self._source.poll(self._revision, self._record_chunk),
-        )
-        page = await _result_unless_cancelled(self._poll_task)
+        page = await self.poll.run(self._revision)
         if page is None:
             return None
         if not self._source.uses_zone_watcher:
@@ -323,15 +306,21 @@
             self._on_outage_end(self._source.outage)
         return page
 
-    def _record_chunk(self) -> None:
-        """Record that a response is arriving, so the watch isn't stalled."""
-        self._stall_detector.record_chunk()
-        self._coalescing.record_chunk()
+    def _log_news(self, page: StorePage) -> None:
+        _LOG.info(
+            'watch of %s: %d changes up to revision %d from %s, %d ms after '
+            'the poll began',
+            self.kind,
+            len(page.objects),
+            page.revision,
+            self._source.name,
+            self._source.waited_ms,
+        )
 
     def _record_response(self) -> None:
         if self._source.uses_zone_watcher:
             return
-        self._stall_detector.record_response()
+        self.poll.record_response()
         self._backoff.reset()
         if self.health.record_response() and self.health.outage:
             self._on_outage_end(self.health.outage)
@@ -344,11 +333,3 @@
         for each in page.objects
     ]
     return max(changed, default=0)
-
-
-async def _result_unless_cancelled(
-    call: asyncio.Task[StorePage],
-) -> StorePage | None:
-    """Wait for a call and return its result, or None if it was cancelled."""
-    await asyncio.wait({call})
-    return None if call.cancelled() else call.result()
--- a/src/catkindrift/gateway/_store_watches.py
+++ b/src/catkindrift/gateway/_store_watches.py
@@ -8,9 +8,13 @@
 from catkindrift.clock import Clock
 from catkindrift.gateway._list_source import ListSource
 from catkindrift.gateway._platform_state import PlatformState
+from catkindrift.gateway._store_gossip import StoreGossip
 from catkindrift.gateway._store_health import StoreHealth
+from catkindrift.gateway._store_silence import StoreSilence
 from catkindrift.gateway._store_watch import StoreWatch
 from catkindrift.gateway._supervisor import Job
+from catkindrift.gateway._watch_roles import MIN_VMS_TO_SHARE, WatchRoles
+from catkindrift.gateway._watch_timing import platform_settings
 from catkindrift.gateway._zone_lists import ZoneLists
 from catkindrift.platform import (
     CONFIGURATION_KIND,
@@ -20,18 +24,15 @@
     StoreClient,
     StoreObject,
 )
-from catkindrift.rendezvous import rendezvous_order
-from catkindrift.settings import GatewaySettings
-from catkindrift.steering import Heartbeat, Members
+from catkindrift.settings import (
+    GatewayBoundSettings,
+    GatewaySettings,
+)
+from catkindrift.steering import Members
 
 _MILLISECONDS_PER_SECOND = 1000
-# Ready VMs that a zone needs for zone watchers. With fewer, they save few calls
-# but delay changes by up to a second when they fail.
-_MIN_VMS_TO_SHARE = 6
-# Entry VMs that poll the store at short intervals for each kind. They get
-# changes even when long polls stall, and the revisions in their heartbeats
-# reveal the stall to the others.
-_SENTINEL_COUNT = 2
+# VMs that watch the records of entry VMs.
+_RECORD_WATCHERS = 2
 
 
 @final
@@ -46,6 +47,7 @@
         state: Updated with lists and changes.
         members: Entry VMs among which roles are assigned.
         health: Reachability of the store.
+        silence: Silence of connections to the store.
     """
 
     _clock: Clock
@@ -54,9 +56,17 @@
     _state: PlatformState
     _members: Members
     health: StoreHealth
-    _peer_recovered_ms: int = attrs.field(init=False, default=0)
+    silence: StoreSilence
+    gossip: StoreGossip = attrs.field(init=False)
     _watches: tuple[StoreWatch, ...] = attrs.field(init=False)
     _zone_lists: ZoneLists = attrs.field(init=False)
+    _roles: WatchRoles = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda watches: WatchRoles(watches._members, watches._settings.vm),
+            takes_self=True,
+        ),
+    )
 
     def __attrs_post_init__(self) -> None:
         """Create the watches."""
@@ -65,7 +75,7 @@
         self._zone_lists = ZoneLists(
             self._members,
             self._settings.vm,
-            _MIN_VMS_TO_SHARE,
+            MIN_VMS_TO_SHARE,
             round(history_s * _MILLISECONDS_PER_SECOND),
             self._is_discovered,
         )
@@ -89,6 +99,22 @@
             for kind, on_list, on_change in kinds
         )
         self.health.add_recovery_listener(self._retry_now)
+        self.gossip = StoreGossip(
+            self._all_watches, self._members, self.health, self.silence
+        )
+        self.silence.on_notice = self.gossip.restart_soon
+
+    def check(self) -> None:
+        """Repeat stalled watches; called several times a second."""
+        for watch in self._watches:
+            watch.check()
+
+    def apply(self, bounds: GatewayBoundSettings) -> None:
+        """Apply reloaded bounds."""
+        for watch in self._watches:
+            watch.poll.source.store.settings = platform_settings(
+                watch.kind, self._settings.platform, bounds
+            )
 
     def watch_entry_vms(
         self,
@@ -108,20 +134,6 @@
         """Return the jobs of all watches, by the kind that they watch."""
         return {f'watch {watch.kind}': watch.run for watch in self._watches}
 
-    def revisions(self) -> dict[str, int]:
-        """Return the newest known revision of each kind."""
-        return {watch.kind: watch.newest_revision for watch in self._watches}
-
-    def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Update store health and detect stalled watches from a heartbeat."""
-        if heartbeat.answer_age_ms is not None:
-            self.health.record_peer_response(heartbeat.answer_age_ms)
-        if self._members.last_recovery_ms > self._peer_recovered_ms:
-            self._peer_recovered_ms = self._members.last_recovery_ms
-            self.health.record_peer_recovery()
-        for watch in self._watches:
-            watch.compare_with_peer(heartbeat.revisions.get(watch.kind, 0))
-
     def find_shared_watch(self, kind: str) -> StoreWatch | None:
         """Return the watch of a kind that the zone shares, None for others.
 
@@ -134,13 +146,18 @@
         return None
 
     def assign_roles(self) -> None:
-        """Assign sentinels and the zone watcher of each kind.
+        """Assign the sentinel, its standbys and zone watchers of each kind.
 
-        VMs that see the same members agree without coordination.
+        The records of entry VMs are watched by two VMs of those that hear
+        each other, which pass the news on in heartbeats.
         """
-        self._choose_sentinels()
-        for watch in self._shared_watches():
-            self._choose_zone_watcher(watch)
+        for watch in self._watches:
+            if watch.kind == ENTRY_VM_KIND:
+                watch.is_active = (
+                    self._roles.rank(watch.kind) < _RECORD_WATCHERS
+                )
+            else:
+                watch.poll.assign(self._roles.role(watch.kind))
 
     def _is_discovered(self) -> bool:
         """Return whether heartbeats go to all registered VMs."""
@@ -150,6 +167,9 @@
             if watch.kind == ENTRY_VM_KIND
         )
 
+    def _all_watches(self) -> tuple[StoreWatch, ...]:
+        return self._watches
+
     def _shared_watches(self) -> tuple[StoreWatch, ...]:
         return tuple(
             watch for watch in self._watches if watch.kind != ENTRY_VM_KIND
@@ -159,44 +179,6 @@
         for watch in self._watches:
             watch.retry_now()
 
-    def _choose_zone_watcher(self, watch: StoreWatch) -> None:
-        """Use a zone watcher if the zone has enough ready VMs.
-
-        The VMs before this one in the order of the kind may serve it: the
-        first is the zone watcher, the second its deputy.
-        """
-        vm = self._settings.vm
-        addresses = {
-            each.name: each.peers
-            for each in self._members.alive()
-            if each.zone == vm.zone and each.is_ready
-        }
-        addresses[vm.name] = ''
-        is_shared = len(addresses) >= _MIN_VMS_TO_SHARE
-        order = rendezvous_order(watch.kind, addresses)
-        before = order[: order.index(vm.name)] if is_shared else []
-        servers = [addresses[name] for name in before]
-        watch.set_zone_watcher(
-            next(iter(servers), ''),
-            is_shared=is_shared,
-            deputy=next(iter(servers[1:]), ''),
-        )
-
-    def _choose_sentinels(self) -> None:
-        """Start or stop being a sentinel for each kind.
-
-        The records of entry VMs are watched by two VMs of those that hear
-        each other, which pass the news on in heartbeats.
-        """
-        own = self._settings.vm.name
-        alive = [own, *(each.name for each in self._members.alive())]
-        for watch in self._watches:
-            chosen = rendezvous_order(watch.kind, alive)[:_SENTINEL_COUNT]
-            if watch.kind == ENTRY_VM_KIND:
-                watch.is_active = own in chosen
-            else:
-                watch.set_sentinel(is_sentinel=own in chosen)
-
     def _create(
         self,
         kind: str,
@@ -209,7 +191,9 @@
             self._clock,
             self._client,
             kind,
-            self._settings.platform,
+            platform_settings(
+                kind, self._settings.platform, self._settings.bounds
+            ),
             self.health,
             on_list,
             on_change,
@@ -219,6 +203,7 @@
                 None if kind == ENTRY_VM_KIND else self._zone_lists,
                 self.assign_roles,
             ),
+            self.silence,
         )
 
     def _apply_configurations(self, found: tuple[StoreObject, ...]) -> None:
--- a/src/catkindrift/gateway/_watch_source.py
+++ b/src/catkindrift/gateway/_watch_source.py
@@ -6,17 +6,15 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.gateway._store_poller import StorePoller
 from catkindrift.gateway._zone_client import ZoneClient
-from catkindrift.platform import StoreClient, StorePage
-from catkindrift.settings import GatewayPlatformSettings
+from catkindrift.platform import StorePage
 from catkindrift.steering import TimeSpan
 
 _MILLISECONDS_PER_SECOND = 1000
 # After a failure of the zone watcher or its deputy, it isn't polled for this
 # long, so that the next poll doesn't meet the same failure.
 _BYPASS_MS = 5000
-# A sentinel's shortest wait is its regular wait divided by this.
-_MIN_WAIT_DIVISOR = 3
 
 
 @final
@@ -28,25 +26,27 @@
 
     Args:
         clock: Source of time.
-        client: Client of the store.
         kind: Kind of the objects.
-        settings: Wait times and timeouts.
+        store: Polls the store.
     """
 
     _clock: Clock
-    _client: StoreClient
     _kind: str
-    _settings: GatewayPlatformSettings
-    is_sentinel: bool = attrs.field(init=False, default=False)
+    store: StorePoller
     uses_zone_watcher: bool = attrs.field(init=False, default=False)
     outage: TimeSpan | None = attrs.field(init=False, default=None)
+    page_age_ms: int | None = attrs.field(init=False, default=None)
     _zone_client: ZoneClient | None = attrs.field(init=False, default=None)
     _deputy_client: ZoneClient | None = attrs.field(init=False, default=None)
     _polled: ZoneClient | None = attrs.field(init=False, default=None)
     _bypass_until_ms: dict[str, int] = attrs.field(init=False, factory=dict)
-    _last_response_ms: int | None = attrs.field(init=False, default=None)
     _began_ms: int = attrs.field(init=False, default=0)
 
+    @property
+    def is_sentinel(self) -> bool:
+        """Whether this VM is the sentinel of the kind."""
+        return self.store.is_sentinel
+
     @property
     def waited_ms(self) -> int:
         """Time since the last poll began."""
@@ -82,6 +82,15 @@
                 polled.address: until_ms,
             }
 
+    def renew_connections(self) -> None:
+        """Poll on a new connection next; the store responds at once."""
+        self.store.close_idle()
+        for client in (self._zone_client, self._deputy_client):
+            if client:
+                client.close()
+        if self._preferred() is None:
+            self.store.ask_at_once()
+
     async def poll(
         self,
         revision: int,
@@ -104,12 +113,12 @@
         self._began_ms = self._clock.now_ms()
         self.uses_zone_watcher = zone is not None
         if zone is None:
-            return await self._poll_store(revision, on_chunk)
+            return await self.store.poll(revision, on_chunk)
         return await self._poll_zone_watcher(zone, revision, on_chunk)
 
     def _preferred(self) -> ZoneClient | None:
         """Return the VM to poll, None for the store."""
-        if self.is_sentinel:
+        if self.store.waits_briefly:
             return None
         bypassed = self._current_bypasses()
         for client in (self._zone_client, self._deputy_client):
@@ -125,58 +134,28 @@
             if until_ms > now_ms
         }
 
-    async def _poll_store(
-        self,
-        revision: int,
-        on_chunk: Callable[[], None],
-    ) -> StorePage:
-        wait_ms = self._settings.longest_wait_ms
-        if self.is_sentinel:
-            wait_ms = self._sentinel_wait_ms()
-        page = await self._client.watch(
-            self._kind,
-            revision,
-            wait_ms,
-            self._timeout_s(wait_ms),
-            on_chunk,
-        )
-        self._last_response_ms = self._clock.now_ms()
-        return page
-
-    def _sentinel_wait_ms(self) -> int:
-        """Return a wait that avoids long gaps between store responses.
-
-        The time since the last response is subtracted from the regular wait.
-        """
-        longest_ms = self._settings.sentinel_wait_ms
-        if self._last_response_ms is None:
-            return longest_ms
-        idle_ms = self._clock.now_ms() - self._last_response_ms
-        return max(longest_ms - idle_ms, longest_ms // _MIN_WAIT_DIVISOR)
-
     async def _poll_zone_watcher(
         self,
         zone: ZoneClient,
         revision: int,
         on_chunk: Callable[[], None],
     ) -> StorePage:
-        wait_ms = self._settings.longest_wait_ms
+        settings = self.store.settings
+        wait_ms = settings.longest_wait_ms
+        limit_ms = wait_ms + settings.call_timeout_ms
         message = await zone.watch(
             self._kind,
             revision,
             wait_ms,
-            self._timeout_s(wait_ms),
+            limit_ms / _MILLISECONDS_PER_SECOND,
             on_chunk,
             takes_over=zone is self._deputy_client,
         )
         ages = message.outage_ages
         self.outage = ages.convert_ages(self._clock.now_ms()) if ages else None
+        self.page_age_ms = message.age_ms
         return message.page
 
-    def _timeout_s(self, wait_ms: int) -> float:
-        limit_ms = wait_ms + self._settings.call_timeout_ms
-        return limit_ms / _MILLISECONDS_PER_SECOND
-
 
 def _renew(client: ZoneClient | None, address: str) -> ZoneClient | None:
     """Return a client of `address`, the same one if it hasn't changed."""
--- a/src/catkindrift/gateway/_zone_changes_page.py
+++ b/src/catkindrift/gateway/_zone_changes_page.py
@@ -54,7 +54,7 @@
             return Response(HTTPStatus.NOT_FOUND)
         wait_ms = min(int(parts['wait_ms']), _LONGEST_WAIT_MS)
         if TAKES_OVER.encode() in request.query.split(b'&'):
-            watch.take_over()
+            watch.poll.take_over()
         revision = int(parts['revision'])
         return await self._respond(watch, revision, wait_ms, request.query)
 
@@ -86,4 +86,5 @@
             return Response(HTTPStatus.GONE)
         outage = watch.health.outage
         ages = outage.convert_ages(self._clock.now_ms()) if outage else None
-        return pack(ZoneMessage(page, ages).to_json(), query)
+        message = ZoneMessage(page, ages, watch.listed.age_ms)
+        return pack(message.to_json(), query)
--- a/src/catkindrift/gateway/_zone_message.py
+++ b/src/catkindrift/gateway/_zone_message.py
@@ -19,10 +19,13 @@
         outage_ages: Ages of the start and end of the last store outage that
             the sender detected; None if there was none. Ages, because clocks
             of VMs differ.
+        age_ms: Time since the store held nothing newer; None from builds
+            that don't send it.
     """
 
     page: StorePage
     outage_ages: TimeSpan | None
+    age_ms: int | None = None
 
     @classmethod
     def from_json(cls, content: bytes) -> 'ZoneMessage':
--- a/src/catkindrift/platform/_store_client.py
+++ b/src/catkindrift/platform/_store_client.py
@@ -12,6 +12,7 @@
 from catkindrift.errors import (
     HistoryGoneError,
     PlatformAmbiguousError,
+    PlatformSilentError,
     PlatformUnavailableError,
 )
 from catkindrift.http1 import HttpClient
@@ -103,6 +104,7 @@
         Raises:
             AnswerTooLargeError: The response has too many changes.
             HistoryGoneError: The store has dropped changes since `revision`.
+            PlatformSilentError: There was no response in time.
             PlatformUnavailableError: There was no usable response.
         """
         self.request_counts[f'watch {kind}'] += 1
@@ -119,6 +121,10 @@
             self._qualify(changes), self.era.qualify(_revision(reply))
         )
 
+    def close_idle(self) -> None:
+        """Close idle connections, so that the next calls open new ones."""
+        self._client.close()
+
     async def put(
         self,
         kind: str,
@@ -164,8 +170,9 @@
             head, content = await self._client.request(
                 method, path, body, timeout_s, on_chunk
             )
+        except TimeoutError as silent:
+            raise _silence_error(method) from silent
         except OSError as broken:
-            # TimeoutError is a subclass of OSError.
             raise _no_response_error(method) from broken
         self.era.record(head)
         return _decode_response(method, head.status, content)
@@ -181,6 +188,12 @@
         )
 
 
+def _silence_error(method: str) -> Exception:
+    if method == _READ:
+        return PlatformSilentError(f'no response to a read in time; {_REMEDY}')
+    return _no_response_error(method)
+
+
 def _no_response_error(method: str) -> Exception:
     if method == _READ:
         return PlatformUnavailableError(f'no response to a read; {_REMEDY}')
--- a/src/catkindrift/settings/_gateway.py
+++ b/src/catkindrift/settings/_gateway.py
@@ -54,7 +54,8 @@
         watch_wait_ms: Longest time that a watch waits for a change; the
             platform allows at most 30 s.
         sentinel_wait_ms: The same limit on the sentinels, the few entry VMs
-            that detect silent watches and store outages for the others.
+            that detect silent watches and store outages for the others; the
+            bounds may require less.
         history_s: Time in seconds for which the store keeps changes.
         call_timeout_ms: Timeout of a call, in addition to the time that a
             watch waits.
@@ -106,6 +107,12 @@
             are counted.
         quota_overshoot: Fraction by which its quota may be exceeded.
         quota_slack: Requests allowed in each window in addition to that.
+        stable_window_s: Time in seconds after a disturbance of its
+            connections from which a VM keeps the bounds again.
+        config_apply_s: Time in seconds in which a configuration takes effect.
+        drain_s: Time in seconds after which an upstream that leaves gets no
+            more requests.
+        evacuation_s: The same for an evacuated zone.
         grace_s: Time in seconds between the stop signal and the kill.
         directory_lifetime_s: Longest time in seconds for which callers may
             cache a directory response.
@@ -121,6 +128,10 @@
     )
     quota_overshoot: float = attrs.field(default=0.1, validator=_check_bound)
     quota_slack: float = attrs.field(default=20, validator=_check_bound)
+    stable_window_s: float = attrs.field(default=3, validator=_check_bound)
+    config_apply_s: float = attrs.field(default=2.5, validator=_check_bound)
+    drain_s: float = attrs.field(default=2.5, validator=_check_bound)
+    evacuation_s: float = attrs.field(default=5, validator=_check_bound)
     grace_s: float = attrs.field(default=6, validator=_check_bound)
     directory_lifetime_s: float = attrs.field(default=5, validator=_check_bound)
 
--- a/src/catkindrift/steering/__init__.py
+++ b/src/catkindrift/steering/__init__.py
@@ -13,6 +13,7 @@
     Heartbeat,
     MemberFacts,
     Sighting,
+    StoreNews,
 )
 from catkindrift.steering._limit_change import LimitChange
 from catkindrift.steering._limit_notice import LimitNotice
@@ -84,6 +85,7 @@
     'SharedRetryBudget',
     'Sighting',
     'SteeringBounds',
+    'StoreNews',
     'TimeSpan',
     'UnseenRestarts',
     'Upstream',
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -121,6 +121,22 @@
         )
 
 
+@final
+@attrs.frozen
+class StoreNews:
+    """What an entry VM knows of the platform's store, besides revisions.
+
+    Args:
+        confirmed_ages_ms: By kind, time since the store held nothing newer
+            than the sender's revision.
+        silence_age_ms: Time since some VM found that its connections to the
+            store were silent; None if long ago.
+    """
+
+    confirmed_ages_ms: dict[str, int] = attrs.field(factory=dict)
+    silence_age_ms: int | None = None
+
+
 @final
 @attrs.frozen
 class Heartbeat:
@@ -148,6 +164,8 @@
         spread_zone: Other zone whose signs of life the sender spreads in its
             own; empty if it spreads none.
         quota: Message on the quotas of workspaces, if any.
+        store: What the sender knows of the store; nothing from builds that
+            don't tell it.
     """
 
     sender: MemberFacts
@@ -166,3 +184,4 @@
     relayed_limits: tuple[LimitNotice, ...] = ()
     spread_zone: str = ''
     quota: QuotaMessage | None = None
+    store: StoreNews = StoreNews()
