Check again before a request is sent to an upstream

A request could reach an upstream after its entry VM knew that it leaves (DRAIN), that its zone is evacuated or that it has started again: the choice was made before the connect and the health check of a new connection, which take over a second together, and only pauses and crashes were looked at again. Now all of it is, and the request goes to another upstream.

--- a/src/catkindrift/gateway/_attempt.py
+++ b/src/catkindrift/gateway/_attempt.py
@@ -3,7 +3,7 @@
 import contextlib
 import functools
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import final
 
@@ -62,6 +62,7 @@
         check: Health checks of upstreams.
         restarts: Restarts of upstreams that may not have been seen.
         silence: Silence of all upstreams.
+        is_eligible: Returns whether an upstream may get requests.
     """
 
     _clock: Clock
@@ -71,6 +72,7 @@
     _check: UpstreamCheck
     _restarts: UnseenRestarts
     _silence: ResponseSilence
+    _is_eligible: Callable[[UpstreamState], bool]
     _tokens: Iterator[int] = attrs.field(
         init=False,
         factory=itertools.count,
@@ -124,10 +126,7 @@
             self._restarts.expect(upstream.incarnation)
             self._crashes.record_connect_failure(upstream)
             return self._observer.record_connect_failure(state)
-        # While the connection was opened, a crash may have been reported, or
-        # the upstream may have asked for a pause.
-        is_paused = state.paused_until_ms > self._clock.now_ms()
-        if is_paused or self._crashes.is_quarantined(pending.fingerprint):
+        if not self._may_send(pending, state, upstream):
             self._pool.give_back(upstream, connection)
             return NotRun(has_reached_upstream=False)
         exchange = Exchange(
@@ -147,6 +146,22 @@
             running.mark_abandoned(upstream.incarnation, pending.fingerprint)
             raise
 
+    def _may_send(
+        self, pending: PendingRequest, state: UpstreamState, upstream: Upstream
+    ) -> bool:
+        """Return whether what was decided before the connect still holds.
+
+        Meanwhile a crash may have been reported, and the upstream may have
+        begun to leave, have been replaced or have asked for a pause.
+        """
+        if state.is_leaving or not self._is_eligible(state):
+            return False
+        is_paused = state.paused_until_ms > self._clock.now_ms()
+        is_replaced = state.upstream.incarnation != upstream.incarnation
+        if is_paused or is_replaced:
+            return False
+        return not self._crashes.is_quarantined(pending.fingerprint)
+
     async def _confirm_start(self, upstream: Upstream) -> bool:
         """Return whether a request may go to an upstream.
 
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -310,6 +310,7 @@
                 self.check,
                 self.restarts,
                 self.reachability.silence,
+                self.registry.is_eligible,
             ),
             self.budget,
             self.cold_limiter,
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -21,6 +21,8 @@
         state: State in its status.
         cold_left_s: Remaining cold start in its status, in seconds.
         delay_s: Delay before each response, in seconds.
+        health_delay_s: Delay before each response to a health check, in
+            seconds.
         rest_delay_s: Delay before the last byte of each response, in seconds.
         draw_delay: Returns the delay of one response instead.
         body: Body of the responses that are not scripted.
@@ -58,6 +60,7 @@
     state: str = 'ready'
     cold_left_s: float = 0
     delay_s: float = 0
+    health_delay_s: float = 0
     rest_delay_s: float = 0
     draw_delay: Callable | None = None
     body: bytes = b'hello'
@@ -179,6 +182,7 @@
         )
         body = await _read_body(reader, headers)
         if lines[0].startswith(b'GET /health '):
+            await asyncio.sleep(self.health_delay_s)
             writer.write(self._health())
             return
         self.requests.append((lines[0], headers, body))
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from catkindrift.http1 import ConnectionPool
 from tests.platform_deployment import ask, deployed, eventually, head
 
@@ -153,3 +155,38 @@
             assert (await ask(deployment.address(), request))[0] == 200
 
     run(scenario())
+
+
+def test_upstream_that_leaves_during_a_connect_gets_no_request(tmp_path):
+    """Guard against sending by what was known before a slow health check."""
+
+    async def scenario():
+        async with deployed(tmp_path, upstreams=2) as deployment:
+            store = deployment.store
+            for upstream in deployment.upstreams:
+                upstream.born_ms = 1_790_000_000_000
+                upstream.health_delay_s = 0.4
+                await store.put('servers', upstream.id, upstream.spec)
+            registry = deployment.gateways[0]._parts.registry
+            await eventually(
+                lambda: all(each.upstream.born_ms for each in registry.states)
+            )
+            asked = asyncio.create_task(
+                ask(deployment.address(), head('/safe/1'))
+            )
+            upstreams = deployment.upstreams
+            await eventually(
+                lambda: any(each.connections for each in upstreams)
+            )
+            leaving = max(upstreams, key=lambda each: each.connections)
+            known = registry.find(leaving.id).upstream
+            registry.put(
+                attrs.evolve(
+                    known, is_draining=True, revision=known.revision + 1
+                ),
+                0,
+            )
+            assert (await asked)[0] == 200
+            assert not leaving.began_ids
+
+    run(scenario())
