Act once on each notice of silent connections

- A notice was known by its age only.
Notices have an id now and are acted on once, at most one a second; ages count suspension, and are not believed after a stall.
- A stall of the sentinel's own process counted as a silence, as its timeout ran before the bytes that had arrived were taken.
They are taken now.
- A restart cut off a response that was arriving.
- A standby took changes of that moment for missed ones; it tells of no silence any more, and waits for the first list.

--- a/src/catkindrift/gateway/_pending_poll.py
+++ b/src/catkindrift/gateway/_pending_poll.py
@@ -67,10 +67,14 @@
             self._task.cancel()
 
     def restart(self) -> None:
-        """Repeat the pending poll at once, on a new connection."""
-        if self._task and not self._task.done():
-            self.source.renew_connections()
-            self._task.cancel()
+        """Poll on a new connection from now on.
+
+        A response that is arriving is not cut off.
+        """
+        if self._stall_detector.is_receiving:
+            return
+        self.source.renew_connections()
+        self.cancel()
 
     def assign(self, role: WatchRole) -> None:
         """Choose whom to poll, and for how long."""
@@ -132,7 +136,7 @@
         """Poll as a sentinel if no VM tells that the store confirms a kind."""
         rank = self._role.standby_rank
         poller = self.source.store
-        if rank is None or poller.waits_briefly:
+        if rank is None or poller.waits_briefly or not self._listed.is_listed:
             return
         age_ms = self._listed.age_ms
         limit_ms = unconfirmed_limit_ms(poller.settings.sentinel_wait_ms)
@@ -144,7 +148,7 @@
             self._kind,
             age_ms,
         )
-        poller.stand_in(age_ms)
+        poller.stand_in()
         self.restart()
 
     def _record_chunk(self) -> None:
--- a/src/catkindrift/gateway/_stalled_watch_detector.py
+++ b/src/catkindrift/gateway/_stalled_watch_detector.py
@@ -12,6 +12,8 @@
 # dead connection.
 _LAG_LIMIT_MS = 250
 _MAX_LAG_LIMIT_MS = 2000
+# Chunks of a response follow each other within this time on a slow link.
+_RECEIVING_MS = 300
 # The zone watcher delays its next poll by at most 0.84 s after changes that it
 # has served, while other VMs may receive more. After that, the shorter limit
 # applies.
@@ -32,7 +34,12 @@
     peer_revision: int = attrs.field(init=False, default=0)
     _behind_since_ms: int | None = attrs.field(init=False, default=None)
     _limit_ms: int = attrs.field(init=False, default=_LAG_LIMIT_MS)
-    _last_chunk_ms: int = attrs.field(init=False, default=0)
+    _last_chunk_ms: int = attrs.field(init=False, default=-_RECEIVING_MS)
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a chunk of a response has arrived lately."""
+        return self._clock.now_ms() - self._last_chunk_ms < _RECEIVING_MS
 
     def is_stalled(
         self,
--- a/src/catkindrift/gateway/_store_gossip.py
+++ b/src/catkindrift/gateway/_store_gossip.py
@@ -39,7 +39,7 @@
             for watch in self._watches()
             if watch.kind != ENTRY_VM_KIND and watch.listed.is_listed
         }
-        return StoreNews(ages_ms, self._silence.age_ms)
+        return StoreNews(ages_ms, self._silence.age_ms, self._silence.notice_id)
 
     def revisions(self) -> dict[str, int]:
         """Return the newest known revision of each kind."""
@@ -52,14 +52,16 @@
         if self._members.last_recovery_ms > self._peer_recovered_ms:
             self._peer_recovered_ms = self._members.last_recovery_ms
             self._health.record_peer_recovery()
+        # The age of a datagram that waited during a stall isn't known.
+        self._health.detect_stall()
+        news = StoreNews() if self._health.ignores_peers else heartbeat.store
         for watch in self._watches():
             watch.compare_with_peer(
                 heartbeat.revisions.get(watch.kind, 0),
-                heartbeat.store.confirmed_ages_ms.get(watch.kind),
+                news.confirmed_ages_ms.get(watch.kind),
             )
-        silence_age_ms = heartbeat.store.silence_age_ms
-        if silence_age_ms is not None:
-            self._silence.learn(silence_age_ms)
+        if news.silence_age_ms is not None:
+            self._silence.learn(news.silence_id, news.silence_age_ms)
 
     def restart_soon(self) -> None:
         """Repeat all watches on new connections.
--- a/src/catkindrift/gateway/_store_health.py
+++ b/src/catkindrift/gateway/_store_health.py
@@ -79,6 +79,11 @@
             return None
         return self._clock.elapsed_ms() - self._last_response_elapsed_ms
 
+    @property
+    def ignores_peers(self) -> bool:
+        """Whether reports of peers may be outdated, after a stall."""
+        return self._clock.now_ms() < self._ignore_peers_until_ms
+
     def add_recovery_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` when the store may be reachable after failures."""
         self._listeners.append(listener)
@@ -122,9 +127,8 @@
     def record_peer_response(self, answer_age_ms: int) -> None:
         """Record the age of the newest response to a peer."""
         self.detect_stall()
-        now_ms = self._clock.now_ms()
-        if now_ms >= self._ignore_peers_until_ms:
-            self._extend_reachable_span(now_ms - answer_age_ms)
+        if not self.ignores_peers:
+            self._extend_reachable_span(self._clock.now_ms() - answer_age_ms)
 
     def record_peer_recovery(self) -> None:
         """Record that a failed peer's heartbeats have resumed.
--- a/src/catkindrift/gateway/_store_poller.py
+++ b/src/catkindrift/gateway/_store_poller.py
@@ -49,7 +49,6 @@
     _asks_at_once: bool = attrs.field(init=False, default=False)
     _is_failing: bool = attrs.field(init=False, default=False)
     _standby_until_ms: int = attrs.field(init=False, default=0)
-    _overdue_ms: int | None = attrs.field(init=False, default=None)
     _grace: ResponseGrace = attrs.field(
         init=False,
         default=attrs.Factory(
@@ -63,15 +62,9 @@
         """Whether this VM polls as a sentinel, or in place of one."""
         return self.is_sentinel or self._clock.now_ms() < self._standby_until_ms
 
-    def stand_in(self, overdue_ms: int) -> None:
-        """Poll in place of the sentinel for a while.
-
-        Args:
-            overdue_ms: Time since the store was last known to confirm the
-                kind.
-        """
+    def stand_in(self) -> None:
+        """Poll in place of the sentinel for a while."""
         self._standby_until_ms = self._clock.now_ms() + _STANDBY_MS
-        self._overdue_ms = overdue_ms
 
     def close_idle(self) -> None:
         """Close idle connections, so that the next poll opens a new one."""
@@ -124,10 +117,6 @@
             return await self._ask_again(revision, waited_ms, on_chunk)
         if not page.objects:
             self._grace.record(self._clock.now_ms() - began_ms - wait_ms)
-        elif self._overdue_ms is not None:
-            # The poll before, on an older connection, did not bring these.
-            self._silence.record_found(self._kind, self._overdue_ms)
-        self._overdue_ms = None
         return page
 
     async def _ask_again(
--- a/src/catkindrift/gateway/_watch_timing.py
+++ b/src/catkindrift/gateway/_watch_timing.py
@@ -28,6 +28,8 @@
 _SHORTEST_GRACE_MS = 300
 # The next response of a slow store may be so many times later than the last.
 _LATENESS_FACTOR = 3
+# One quick response doesn't show that a store is no longer slow.
+_GRACE_DECAY = 0.7
 _BOUND_NAMES: Final[Mapping[str, str]] = MappingProxyType(
     {
         CONFIGURATION_KIND: 'config_apply_s',
@@ -95,11 +97,7 @@
     """
 
     _longest_ms: int
-    _grace_ms: int = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Start with the shortest grace."""
-        self.record(0)
+    _grace_ms: int = attrs.field(init=False, default=_SHORTEST_GRACE_MS)
 
     @property
     def grace_ms(self) -> int:
@@ -108,5 +106,9 @@
 
     def record(self, late_ms: int) -> None:
         """Record by how much a response was late."""
-        wanted_ms = max(_SHORTEST_GRACE_MS, late_ms * _LATENESS_FACTOR)
+        wanted_ms = max(
+            _SHORTEST_GRACE_MS,
+            late_ms * _LATENESS_FACTOR,
+            round(self._grace_ms * _GRACE_DECAY),
+        )
         self._grace_ms = min(wanted_ms, self._longest_ms)
--- a/src/catkindrift/http1/_http_client.py
+++ b/src/catkindrift/http1/_http_client.py
@@ -139,8 +139,7 @@
     content = bytearray()
     chunk_timeout_s = timeout_s
     while not receiver.has_ended:
-        async with asyncio.timeout(chunk_timeout_s):
-            await receiver.wait_for_body(1)
+        await _wait_for_chunk(receiver, chunk_timeout_s)
         on_chunk()
         content += receiver.take_buffered()
         chunk_timeout_s = _CHUNK_TIMEOUT_S
@@ -152,5 +151,16 @@
     return bytes(content)
 
 
+async def _wait_for_chunk(receiver: ResponseReceiver, timeout_s: float) -> None:
+    try:
+        async with asyncio.timeout(timeout_s):
+            await receiver.wait_for_body(1)
+    except TimeoutError:
+        # After a stall of the process, the timeout runs before the bytes that
+        # arrived meanwhile are taken.
+        if not receiver.buffered_bytes and not receiver.has_ended:
+            raise
+
+
 def _accept_any(_head: object) -> bool:
     return True
--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -131,10 +131,12 @@
             than the sender's revision.
         silence_age_ms: Time since some VM found that its connections to the
             store were silent; None if long ago.
+        silence_id: Id of the notice of that; 0 without one.
     """
 
     confirmed_ages_ms: dict[str, int] = attrs.field(factory=dict)
     silence_age_ms: int | None = None
+    silence_id: int = 0
 
 
 @final
