Bound the memory that heads of requests take, over all connections

Cause: a read of 256 KiB was parsed whole before any limit was looked at, and headers take 30 times their bytes once parsed; requests beyond the 32 that may be ahead were parsed and begun too; rejected heads were kept while the connection lingered; nothing bounded the sum over connections.

Change, for all listeners and the product's own interface: reads take 32 KiB, slices of 2 KiB are parsed between looks at the limits, and what may not begin yet waits as bytes.

--- a/src/catkindrift/callers/_rejected_requests.py
+++ b/src/catkindrift/callers/_rejected_requests.py
@@ -44,6 +44,9 @@
         RejectionReason.BODY_SIZE: (
             'the body is too large; send a smaller one'
         ),
+        RejectionReason.MEMORY: (
+            'too many headers are arriving at a time; try again later'
+        ),
         RejectionReason.HEAD_SIZE: (
             'the headers are too large; send fewer or shorter ones'
         ),
--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -51,7 +51,7 @@
 from catkindrift.gateway._upstream_probes import UpstreamProbes
 from catkindrift.gateway._urgent_heartbeats import UrgentHeartbeats
 from catkindrift.gateway._zone_changes_page import ZoneChangesPage
-from catkindrift.http1 import HttpServer
+from catkindrift.http1 import HeldHeads, HttpServer
 from catkindrift.platform import StoreClient
 from catkindrift.settings import GatewayBoundSettings, GatewaySettings
 from catkindrift.shutdown import RecentDurations, Shutdown
@@ -359,6 +359,7 @@
             self.metrics,
             self._configuration_version,
         )
+        held = HeldHeads()
         rejected_at = functools.partial(
             RejectedRequests, self.metrics, self.log
         )
@@ -368,6 +369,7 @@
             self._caller_limits,
             rejected_at('callers'),
             HEADER_RULES,
+            held=held,
         )
         self.peer_server = HttpServer(
             clock,
@@ -375,19 +377,24 @@
             self._caller_limits,
             rejected_at('peers'),
             PEER_HEADER_RULES,
+            held=held,
         )
         pages = (
             ('directory', self.directory, listen.directory),
             ('readiness', readiness, listen.readiness),
             ('metrics', MetricsPage(self.metrics), listen.metrics),
         )
-        page_servers = [
-            (HttpServer(clock, page, error_response=rejected_at(name)), address)
-            for name, page, address in pages
-        ]
         self.servers = [
             (self.caller_server, listen.callers),
-            *page_servers,
+            *(
+                (
+                    HttpServer(
+                        clock, page, error_response=rejected_at(name), held=held
+                    ),
+                    address,
+                )
+                for name, page, address in pages
+            ),
             (self.peer_server, listen.peers),
         ]
 
--- a/src/catkindrift/http1/__init__.py
+++ b/src/catkindrift/http1/__init__.py
@@ -12,6 +12,7 @@
     encode_head,
     find_header,
 )
+from catkindrift.http1._held_heads import HeldHeads
 from catkindrift.http1._http_client import HttpClient
 from catkindrift.http1._receiver import ResponseReceiver
 from catkindrift.http1._rejection import RejectedRequest, RejectionReason
@@ -33,6 +34,7 @@
     'Handler',
     'HeaderRules',
     'Headers',
+    'HeldHeads',
     'HttpClient',
     'HttpServer',
     'RejectedRequest',
--- a/src/catkindrift/http1/_head_collector.py
+++ b/src/catkindrift/http1/_head_collector.py
@@ -25,6 +25,9 @@
 
 # Colon, space, CR and LF around a header's name and value.
 _HEADER_OVERHEAD_BYTES = 4
+# Objects that hold one header once it is parsed: a tuple, two byte strings
+# and a place in the list.
+_HEADER_OBJECT_BYTES = 160
 _CONTINUE = b'100-continue'
 
 
@@ -55,6 +58,11 @@
         """Return the headers that have arrived."""
         return self._headers
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the head takes."""
+        return self._size + len(self._headers) * _HEADER_OBJECT_BYTES
+
     @property
     def age_ms(self) -> int:
         """Return the milliseconds since the head began to arrive."""
@@ -74,6 +82,12 @@
         self._size = 0
         self._began_ms = self._clock.now_ms()
 
+    def clear(self) -> None:
+        """Drop what has arrived of a head that is rejected."""
+        self._target = b''
+        self._headers = []
+        self._size = 0
+
     def add_target(self, chunk: bytes) -> None:
         """Append a chunk of the request target."""
         self._target += chunk
--- a/src/catkindrift/http1/_rejection.py
+++ b/src/catkindrift/http1/_rejection.py
@@ -23,6 +23,7 @@
     HEAD_SIZE = 'head_size'
     HEAD_TIMEOUT = 'head_timeout'
     BODY_SIZE = 'body_size'
+    MEMORY = 'memory'
 
 
 @final
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import final
+from typing import Protocol, final
 
 import attrs
 import httptools
@@ -15,6 +15,7 @@
     head_too_large,
 )
 from catkindrift.http1._header_rules import HeaderRules
+from catkindrift.http1._held_heads import HeadHolder, HeldHeads
 from catkindrift.http1._line_ends import LineEnds
 from catkindrift.http1._rejection import (
     RejectedRequest,
@@ -26,6 +27,16 @@
 from catkindrift.http1._request_body import BodySource
 from catkindrift.steering import CallerLimits
 
+# Bytes that are parsed before limits are looked at again. Headers take many
+# times their bytes once parsed.
+_SLICE_BYTES = 2048
+# The same within a body whose length is known.
+_BODY_SLICE_BYTES = 65_536
+
+
+class RequestSource(BodySource, HeadHolder, Protocol):
+    """Connection that requests arrive on."""
+
 
 @final
 @attrs.define(eq=False, repr=False)
@@ -37,17 +48,21 @@
         source: The caller's connection.
         rules: Rules for the headers of requests.
         limits: Returns the current limits.
-        on_request: Called with a request whose head is complete, and whether
-            the connection may be kept alive.
+        held: Memory that heads take on all connections.
+        may_parse: Returns whether another request may be parsed now.
+        on_request: Called with a request whose head is complete, whether the
+            connection may be kept alive, and the memory that the head takes.
         on_error: Called with the request whose error response ends the
             connection, and whether its body was arriving.
     """
 
     _clock: Clock
-    _source: BodySource
+    _source: RequestSource
     _rules: HeaderRules
     _limits: Callable[[], CallerLimits]
-    _on_request: Callable[[CallerRequest, bool], None]
+    _held: HeldHeads
+    _may_parse: Callable[[], bool]
+    _on_request: Callable[[CallerRequest, bool, int], None]
     _on_error: Callable[[RejectedRequest, bool], None]
     _collector: HeadCollector = attrs.field(init=False)
     _parser: httptools.HttpRequestParser = attrs.field(init=False)
@@ -57,6 +72,7 @@
     _is_last: bool = attrs.field(init=False, default=False)
     _awaits_body_parser: bool = attrs.field(init=False, default=False)
     _is_replaying: bool = attrs.field(init=False, default=False)
+    _unparsed: bytes = attrs.field(init=False, default=b'')
 
     def __attrs_post_init__(self) -> None:
         """Create the parser."""
@@ -71,18 +87,37 @@
         """Return whether an incomplete head has arrived."""
         return self._collector.has_begun
 
+    @property
+    def has_unparsed_bytes(self) -> bool:
+        """Return whether bytes are kept for `resume`."""
+        return bool(self._unparsed)
+
     def set_caller(self, address: str) -> None:
         """Set the caller's IP address for the requests that follow."""
         self._collector.caller = address
 
     def feed(self, chunk: bytes) -> None:
-        """Parse bytes; ignore them after an error."""
-        if self._is_stopped:
-            return
-        self._collector.count_raw_bytes(len(chunk))
-        self._line_ends.feed(chunk)
-        if self._collector.raw_bytes > self._limits().header_bytes:
-            self._reject(head_too_large(self._limits()))
+        """Parse bytes; ignore them after an error.
+
+        Bytes that may not be parsed yet are kept for `resume`.
+        """
+        self._unparsed += chunk
+        self.resume()
+
+    def resume(self) -> None:
+        """Parse the bytes that were kept, as far as that is allowed now."""
+        received = self._unparsed
+        position = 0
+        while position < len(received) and not self._is_stopped:
+            if not self._may_parse():
+                break
+            end = position + self._slice_bytes()
+            self._feed_slice(received[position:end])
+            position = end
+        self._unparsed = b'' if self._is_stopped else received[position:]
+        self._held.set_partial(
+            self._source, self._collector.held_bytes * self.has_partial_head
+        )
 
     def check_head_timeout(self) -> None:
         """Reject a head that exceeds the header timeout."""
@@ -97,9 +132,21 @@
                 )
             )
 
+    def refuse_partial_head(self) -> None:
+        """Reject the head that is arriving, as heads take too much memory."""
+        self._reject(
+            Rejection(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                RejectionReason.MEMORY,
+                'the heads that are arriving take too much memory',
+            )
+        )
+
     def stop(self) -> None:
-        """Ignore all further input."""
+        """Ignore all further input, and drop what is kept of it."""
         self._is_stopped = True
+        self._unparsed = b''
+        self._held.set_partial(self._source, 0)
 
     def stop_after_current(self) -> None:
         """Ignore all input after the request whose body is arriving."""
@@ -129,6 +176,10 @@
         if rejection:
             self._reject(rejection)
             return
+        if self._held.is_full:
+            self.refuse_partial_head()
+            return
+        held_bytes = self._collector.held_bytes
         self._request = self._collector.finish(
             self._parser.get_method(), version
         )
@@ -136,7 +187,7 @@
         # The parser takes the body for data of the other protocol.
         is_offer = self._parser.should_upgrade()
         self._awaits_body_parser = is_offer and not self._request.body.is_empty
-        self._on_request(self._request, keep_alive)
+        self._on_request(self._request, keep_alive, held_bytes)
         if not keep_alive:
             # What follows would run although it gets no response.
             self.stop_after_current()
@@ -158,6 +209,20 @@
             self._request = None
         self._is_stopped = self._is_stopped or self._is_last
 
+    def _slice_bytes(self) -> int:
+        """Return how many bytes to parse before limits are looked at."""
+        body = self._request.body if self._request else None
+        if body is None or body.is_chunked:
+            return _SLICE_BYTES
+        left_bytes = body.length - body.received_bytes
+        return max(1, min(left_bytes, _BODY_SLICE_BYTES))
+
+    def _feed_slice(self, piece: bytes) -> None:
+        self._collector.count_raw_bytes(len(piece))
+        self._line_ends.feed(piece)
+        if self._collector.raw_bytes > self._limits().header_bytes:
+            self._reject(head_too_large(self._limits()))
+
     def _parse_all(self, chunk: bytes) -> None:
         rest = chunk
         while rest and not self._is_stopped:
@@ -201,3 +266,4 @@
             rejection, self._collector.headers, self._collector.caller
         )
         self._on_error(rejected, self._request is not None)
+        self._collector.clear()
--- a/src/catkindrift/http1/_response_queue.py
+++ b/src/catkindrift/http1/_response_queue.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from catkindrift.http1._held_heads import HeldHeads
 from catkindrift.http1._held_response import hold_response
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._response import Response
@@ -28,6 +29,7 @@
 @attrs.define(eq=False, repr=False)
 class _PendingResponse:
     keep_alive: bool
+    head_bytes: int = 0
     may_write: asyncio.Event = attrs.field(factory=asyncio.Event)
     task: asyncio.Task[None] | None = None
     has_begun: bool = False
@@ -59,6 +61,7 @@
         on_response_sent: Called after each response.
         on_close: Called when the connection has to close, with whether the
             caller may still be sending.
+        held: Memory that heads take on all connections.
     """
 
     _handler: Handler
@@ -66,6 +69,7 @@
     _on_last_response: Callable[[], None]
     _on_response_sent: Callable[[], None]
     _on_close: Callable[[bool], None]
+    _held: HeldHeads
     is_draining: bool = False
     _pending: deque[_PendingResponse] = attrs.field(init=False, factory=deque)
     _streamed: set[_PendingResponse] = attrs.field(init=False, factory=set)
@@ -80,14 +84,19 @@
         """Return whether a response is being written."""
         return bool(self._pending) and self._pending[0].is_being_sent
 
-    def add(self, request: CallerRequest, *, keep_alive: bool) -> None:
+    def add(
+        self, request: CallerRequest, head_bytes: int, *, keep_alive: bool
+    ) -> None:
         """Start handling a request.
 
         Args:
             request: Request whose head is complete.
+            head_bytes: Memory that the head takes.
             keep_alive: Whether the connection may stay open after it.
         """
         pending = self._append(keep_alive=keep_alive)
+        pending.head_bytes = head_bytes
+        self._held.add_request(head_bytes)
         loop = asyncio.get_running_loop()
         pending.task = loop.create_task(self._run(pending, request))
 
@@ -107,7 +116,7 @@
             self._pending[-1].keep_alive = False
             return
         if replaces_last:
-            self._pending.pop().cancel()
+            self._drop(self._pending.pop())
         pending = self._append(keep_alive=False)
         loop = asyncio.get_running_loop()
         pending.task = loop.create_task(self._run_error(pending, response))
@@ -118,9 +127,14 @@
         Args:
             reason: Argument of the `CancelledError` that handlers get.
         """
-        for pending in self._pending:
-            pending.cancel(reason)
-        self._pending.clear()
+        while self._pending:
+            self._drop(self._pending.popleft(), reason)
+
+    def _drop(
+        self, pending: _PendingResponse, reason: str | None = None
+    ) -> None:
+        pending.cancel(reason)
+        self._held.remove_request(pending.head_bytes)
 
     def _append(self, *, keep_alive: bool) -> _PendingResponse:
         pending = _PendingResponse(keep_alive)
@@ -209,6 +223,7 @@
     def _finish(self, pending: _PendingResponse) -> None:
         if pending in self._pending:
             self._pending.remove(pending)
+            self._held.remove_request(pending.head_bytes)
             self._streamed.discard(pending)
         if self._pending:
             self._pending[0].may_write.set()
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -9,6 +9,7 @@
 from catkindrift.clock import Clock
 from catkindrift.errors import CannotListenError
 from catkindrift.http1._header_rules import HeaderRules
+from catkindrift.http1._held_heads import HeldHeads
 from catkindrift.http1._rejection import empty_response
 from catkindrift.http1._response_queue import Handler
 from catkindrift.http1._server_connection import (
@@ -39,6 +40,8 @@
             HTTP or exceeds a limit.
         rules: Rules for the headers of requests.
         tls: Context with certificate and key; None for plain TCP.
+        held: Memory that heads take on all connections; several servers of a
+            process share it.
     """
 
     _clock: Clock
@@ -47,6 +50,7 @@
     _error_response: ErrorResponseFactory = empty_response
     _rules: HeaderRules = HeaderRules()
     _tls: 'ssl.SSLContext | None' = None
+    _held: HeldHeads = attrs.field(factory=HeldHeads)
     _is_draining: bool = attrs.field(init=False, default=False)
     _is_closed: bool = attrs.field(init=False, default=False)
     _server: asyncio.Server | None = attrs.field(init=False, default=None)
@@ -130,6 +134,7 @@
             self._limits,
             self._connections,
             lambda: self._is_closed,
+            self._held,
         )
         if self._is_draining:
             connection.drain()
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import final
+from typing import Final, final
 
 import attrs
 
 from catkindrift.clock import Clock
 from catkindrift.http1._header_rules import HeaderRules
+from catkindrift.http1._held_heads import HeldHeads
 from catkindrift.http1._rejection import RejectedRequest
 from catkindrift.http1._request import CallerRequest
 from catkindrift.http1._request_parser import RequestParser
@@ -24,11 +25,16 @@
 # it is closed with unread bytes, the caller gets a reset, which may overtake
 # the response.
 _LINGER_SECONDS = 1.0
+# Most bytes of one read. What is read may wait for the responses to earlier
+# requests, on each connection.
+_READ_BYTES = 32_768
+# All connections read into the same buffer, one at a time.
+_READ_BUFFER: Final = memoryview(bytearray(_READ_BYTES))
 
 
 @final
 @attrs.define(eq=False, repr=False)
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """Connects a transport to the request parser and response queue.
 
     Args:
@@ -39,6 +45,7 @@
         limits: Returns the current limits.
         connections: Set of open connections, kept up to date.
         is_closed: Returns whether the server has been closed.
+        held: Memory that heads take on all connections.
     """
 
     _clock: Clock
@@ -48,6 +55,7 @@
     _limits: Callable[[], CallerLimits]
     _connections: set['ServerConnection']
     _is_closed: Callable[[], bool]
+    _held: HeldHeads
     _parser: RequestParser = attrs.field(init=False)
     _queue: ResponseQueue = attrs.field(init=False)
     _writer: ResponseWriter = attrs.field(init=False, factory=ResponseWriter)
@@ -62,6 +70,8 @@
             self,
             self._rules,
             self._limits,
+            self._held,
+            self._may_parse,
             self._start_request,
             self._add_error,
         )
@@ -71,6 +81,7 @@
             self._parser.stop_after_current,
             self._record_response_sent,
             self._close_connection,
+            self._held,
         )
 
     @property
@@ -121,9 +132,15 @@
         """Resume writing."""
         self._writer.resume()
 
-    def data_received(self, chunk: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes of requests."""
-        self._parser.feed(chunk)
+        self._parser.feed(bytes(_READ_BUFFER[:nbytes]))
+        if self._parser.has_unparsed_bytes:
+            self.set_paused('ahead', is_paused=True)
 
     def set_paused(self, reason: str, *, is_paused: bool) -> None:
         """Add or remove a reason for which reading is paused."""
@@ -158,9 +175,21 @@
         """Close the connection after buffered data is sent."""
         self._writer.close()
 
-    def _start_request(self, request: CallerRequest, keep_alive: bool) -> None:
-        self._queue.add(request, keep_alive=keep_alive)
-        if self._queue.length >= _MAX_PIPELINED_REQUESTS:
+    def refuse_partial_head(self) -> None:
+        """Refuse the head that is arriving, and drop it."""
+        self._parser.refuse_partial_head()
+
+    def _may_parse(self) -> bool:
+        """Return whether another request may begin."""
+        return self._queue.length < _MAX_PIPELINED_REQUESTS and not (
+            self._queue.length and self._held.is_full
+        )
+
+    def _start_request(
+        self, request: CallerRequest, keep_alive: bool, held_bytes: int
+    ) -> None:
+        self._queue.add(request, held_bytes, keep_alive=keep_alive)
+        if not self._may_parse():
             self.set_paused('ahead', is_paused=True)
 
     def _add_error(
@@ -171,7 +200,8 @@
 
     def _record_response_sent(self) -> None:
         self._idle_since_ms = self._clock.now_ms()
-        if self._queue.length < _MAX_PIPELINED_REQUESTS:
+        self._parser.resume()
+        if self._may_parse():
             self.set_paused('ahead', is_paused=False)
 
     def _close_connection(self, caller_is_sending: bool) -> None:
