Join small pieces of a request's body

Cause: tabs before line ends were looked for in bodies too, so a body reached the parser in pieces of a few bytes; each was an object and a write of its own, and each read of a body over 1 MiB copied the list of those that waited.

Change: bodies of known length pass by that search; pieces are joined up to 16 KiB while nobody has read them.

--- a/src/catkindrift/http1/_request_body.py
+++ b/src/catkindrift/http1/_request_body.py
@@ -10,6 +10,9 @@
 # Unread bytes buffered for a slow upstream before reading from the caller is
 # paused.
 _MAX_UNREAD_BYTES = 262_144
+# Smaller chunks are joined until one has so many bytes: each that waits takes
+# memory and a call of its own.
+_JOINED_BYTES = 16_384
 _PAUSE_REASON = 'body'
 
 
@@ -44,7 +47,8 @@
     can_replay: bool = attrs.field(init=False, default=True)
     received_bytes: int = attrs.field(init=False, default=0)
     _is_discarded: bool = attrs.field(init=False, default=False)
-    _chunks: list[bytes] = attrs.field(init=False, factory=list)
+    _chunks: list[bytes | bytearray] = attrs.field(init=False, factory=list)
+    _read_count: int = attrs.field(init=False, default=0)
     _first_index: int = attrs.field(init=False, default=0)
     _total_bytes: int = attrs.field(init=False, default=0)
     _unread_bytes: int = attrs.field(init=False, default=0)
@@ -74,7 +78,12 @@
         self.received_bytes += len(chunk)
         if self._is_discarded:
             return
-        self._chunks.append(chunk)
+        if self._can_join(chunk):
+            self._chunks[-1] += chunk
+        elif len(chunk) < _JOINED_BYTES:
+            self._chunks.append(bytearray(chunk))
+        else:
+            self._chunks.append(chunk)
         self._total_bytes += len(chunk)
         self._unread_bytes += len(chunk)
         if self._total_bytes > _MAX_REPLAY_BYTES:
@@ -134,10 +143,18 @@
                 return None
             self._changed.clear()
             await self._changed.wait()
-        chunk = self._chunks[index - self._first_index]
+        chunk = bytes(self._chunks[index - self._first_index])
         self._mark_read(index, len(chunk))
         return chunk
 
+    def _can_join(self, chunk: bytes) -> bool:
+        """Return whether the last chunk is unread, and small with this one."""
+        if self._first_index + len(self._chunks) <= self._read_count:
+            return False
+        last = self._chunks[-1]
+        is_open = isinstance(last, bytearray)
+        return is_open and len(last) + len(chunk) <= _JOINED_BYTES
+
     def _resume(self) -> None:
         self._source.set_paused(_PAUSE_REASON, is_paused=False)
 
@@ -150,6 +167,7 @@
         self._unread_bytes = max(0, self._unread_bytes - size)
         if self._unread_bytes < _MAX_UNREAD_BYTES and not self.is_complete:
             self._resume()
+        self._read_count = max(self._read_count, index + 1)
         if not self.can_replay:
             read_count = index + 1 - self._first_index
             self._chunks = self._chunks[read_count:]
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -209,17 +209,28 @@
             self._request = None
         self._is_stopped = self._is_stopped or self._is_last
 
+    @property
+    def _is_in_sized_body(self) -> bool:
+        """Return whether bytes of a body of known length come next."""
+        if self._request is None:
+            return False
+        body = self._request.body
+        return not body.is_chunked and body.received_bytes < body.length
+
     def _slice_bytes(self) -> int:
         """Return how many bytes to parse before limits are looked at."""
-        body = self._request.body if self._request else None
-        if body is None or body.is_chunked:
+        if self._request is None or not self._is_in_sized_body:
             return _SLICE_BYTES
-        left_bytes = body.length - body.received_bytes
-        return max(1, min(left_bytes, _BODY_SLICE_BYTES))
+        body = self._request.body
+        return min(body.length - body.received_bytes, _BODY_SLICE_BYTES)
 
     def _feed_slice(self, piece: bytes) -> None:
         self._collector.count_raw_bytes(len(piece))
-        self._line_ends.feed(piece)
+        if self._is_in_sized_body:
+            # No head begins in it, so the ends of its lines don't matter.
+            self._parse_all(piece)
+        else:
+            self._line_ends.feed(piece)
         if self._collector.raw_bytes > self._limits().header_bytes:
             self._reject(head_too_large(self._limits()))
 
