Limit the open connections of clients by the process's descriptors

Clients that connect and stay silent took all descriptors of an entry VM, and of the product's own process, so that nobody else got in and upstreams could not be reached: 256 of 256 with 400 clients.

Sixteen connections are accepted at a time instead of 1,024, as each takes a descriptor before it is looked at.

--- a/src/catkindrift/gateway/_parts.py
+++ b/src/catkindrift/gateway/_parts.py
@@ -51,7 +51,7 @@
 from catkindrift.gateway._upstream_probes import UpstreamProbes
 from catkindrift.gateway._urgent_heartbeats import UrgentHeartbeats
 from catkindrift.gateway._zone_changes_page import ZoneChangesPage
-from catkindrift.http1 import HeldHeads, HttpServer
+from catkindrift.http1 import ConnectionLimit, HeldHeads, HttpServer
 from catkindrift.platform import StoreClient
 from catkindrift.settings import GatewayBoundSettings, GatewaySettings
 from catkindrift.shutdown import RecentDurations, Shutdown
@@ -359,25 +359,23 @@
             self.metrics,
             self._configuration_version,
         )
-        held = HeldHeads()
+        create_server = functools.partial(
+            HttpServer, clock, held=HeldHeads(), limit=ConnectionLimit()
+        )
         rejected_at = functools.partial(
             RejectedRequests, self.metrics, self.log
         )
-        self.caller_server = HttpServer(
-            clock,
+        self.caller_server = create_server(
             forwarder,
             self._caller_limits,
             rejected_at('callers'),
             HEADER_RULES,
-            held=held,
         )
-        self.peer_server = HttpServer(
-            clock,
+        self.peer_server = create_server(
             self.handed_over,
             self._caller_limits,
             rejected_at('peers'),
             PEER_HEADER_RULES,
-            held=held,
         )
         pages = (
             ('directory', self.directory, listen.directory),
@@ -388,9 +386,7 @@
             (self.caller_server, listen.callers),
             *(
                 (
-                    HttpServer(
-                        clock, page, error_response=rejected_at(name), held=held
-                    ),
+                    create_server(page, error_response=rejected_at(name)),
                     address,
                 )
                 for name, page, address in pages
--- a/src/catkindrift/http1/__init__.py
+++ b/src/catkindrift/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on asyncio: a server for callers and client connections."""
 
 from catkindrift.http1._client_connection import ClientConnection
+from catkindrift.http1._connection_limit import ConnectionLimit
 from catkindrift.http1._connection_pool import ConnectionPool
 from catkindrift.http1._exchange import Exchange
 from catkindrift.http1._failure import ResponseFailure
@@ -29,6 +30,7 @@
     'BodyStream',
     'CallerRequest',
     'ClientConnection',
+    'ConnectionLimit',
     'ConnectionPool',
     'Exchange',
     'Handler',
--- a/src/catkindrift/http1/_server.py
+++ b/src/catkindrift/http1/_server.py
@@ -1,6 +1,7 @@
 """HTTP server."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING, final
 
@@ -8,6 +9,7 @@
 
 from catkindrift.clock import Clock
 from catkindrift.errors import CannotListenError
+from catkindrift.http1._connection_limit import ConnectionLimit
 from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._held_heads import HeldHeads
 from catkindrift.http1._rejection import empty_response
@@ -23,6 +25,9 @@
     import ssl
 
 _BACKLOG = 1024
+# Connections that are accepted before any of them is looked at: all of them
+# take descriptors.
+_ACCEPTED_AT_ONCE = 16
 # Interval between checks of idle and header timeouts, and so their precision.
 _TIMEOUT_CHECK_SECONDS = 0.25
 
@@ -42,6 +47,8 @@
         tls: Context with certificate and key; None for plain TCP.
         held: Memory that heads take on all connections; several servers of a
             process share it.
+        limit: Limit on open connections; several servers of a process share
+            it.
     """
 
     _clock: Clock
@@ -51,6 +58,7 @@
     _rules: HeaderRules = HeaderRules()
     _tls: 'ssl.SSLContext | None' = None
     _held: HeldHeads = attrs.field(factory=HeldHeads)
+    _limit: ConnectionLimit = attrs.field(factory=ConnectionLimit)
     _is_draining: bool = attrs.field(init=False, default=False)
     _is_closed: bool = attrs.field(init=False, default=False)
     _server: asyncio.Server | None = attrs.field(init=False, default=None)
@@ -84,17 +92,19 @@
         Raises:
             CannotListenError: The address is in use or cannot be bound.
         """
-        loop = asyncio.get_running_loop()
         try:
-            self._server = await loop.create_server(
-                self._connect,
-                host,
-                port,
-                backlog=_BACKLOG,
-                ssl=self._tls,
-            )
+            listener = _listen(host, port)
         except OSError as failure:
             raise CannotListenError(host, port, failure) from failure
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._connect,
+            sock=listener,
+            backlog=_ACCEPTED_AT_ONCE,
+            ssl=self._tls,
+        )
+        # The event loop has set the length of the queue to its own limit.
+        listener.listen(_BACKLOG)
         self._check_timeouts()
 
     def drain(self) -> None:
@@ -135,6 +145,7 @@
             self._connections,
             lambda: self._is_closed,
             self._held,
+            self._limit,
         )
         if self._is_draining:
             connection.drain()
@@ -147,3 +158,17 @@
         self._timeout_timer = loop.call_later(
             _TIMEOUT_CHECK_SECONDS, self._check_timeouts
         )
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    """Return a listening socket.
+
+    Raises:
+        OSError: The address is in use or cannot be bound.
+    """
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.create_server(
+        (host, port), family=family, backlog=_BACKLOG
+    )
+    listener.setblocking(False)
+    return listener
--- a/src/catkindrift/http1/_server_connection.py
+++ b/src/catkindrift/http1/_server_connection.py
@@ -7,6 +7,7 @@
 import attrs
 
 from catkindrift.clock import Clock
+from catkindrift.http1._connection_limit import ConnectionLimit
 from catkindrift.http1._header_rules import HeaderRules
 from catkindrift.http1._held_heads import HeldHeads
 from catkindrift.http1._rejection import RejectedRequest
@@ -46,6 +47,7 @@
         connections: Set of open connections, kept up to date.
         is_closed: Returns whether the server has been closed.
         held: Memory that heads take on all connections.
+        limit: Limit on the open connections of all servers.
     """
 
     _clock: Clock
@@ -56,6 +58,7 @@
     _connections: set['ServerConnection']
     _is_closed: Callable[[], bool]
     _held: HeldHeads
+    _limit: ConnectionLimit
     _parser: RequestParser = attrs.field(init=False)
     _queue: ResponseQueue = attrs.field(init=False)
     _writer: ResponseWriter = attrs.field(init=False, factory=ResponseWriter)
@@ -93,6 +96,11 @@
             or self._writer.has_unsent_bytes
         )
 
+    @property
+    def has_request(self) -> bool:
+        """Return whether a request has no complete response yet."""
+        return bool(self._queue.length) or self._writer.has_unsent_bytes
+
     @property
     def is_sending(self) -> bool:
         """Return whether a response is being sent."""
@@ -116,10 +124,12 @@
         self._parser.set_caller(peer[0] if peer else '')
         self._idle_since_ms = self._clock.now_ms()
         self._connections.add(self)
+        self._limit.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all requests of the disconnected caller."""
         self._connections.discard(self)
+        self._limit.discard(self)
         self._writer.detach()
         self._parser.stop()
         self._queue.cancel()
@@ -200,6 +210,7 @@
 
     def _record_response_sent(self) -> None:
         self._idle_since_ms = self._clock.now_ms()
+        self._limit.record_response(self)
         self._parser.resume()
         if self._may_parse():
             self.set_paused('ahead', is_paused=False)
