Stop requests to an upstream whose entry names none

Cause: each state but `draining` counted as ready, a missing one too; an entry refused for another reason left the upstream in use as it was before.

Any other entry suspends the known upstream until a newer entry names it, by list and by change; an unknown one isn't added.

--- a/src/catkindrift/gateway/_platform_state.py
+++ b/src/catkindrift/gateway/_platform_state.py
@@ -107,14 +107,16 @@
             self._handle_missing(stored.name)
             return
         self.missing.mark_present(stored.name)
+        known = self.registry.find(stored.name)
         upstream = decode_upstream(stored, self.regions)
         if upstream is None:
+            if known:
+                _log_suspension(known.upstream, stored)
+                self.registry.put(known.upstream.suspend(stored.revision), 0)
             return
-        known = self.registry.find(upstream.id)
         if known:
             _log_restart(known.upstream, upstream)
-        if upstream.is_draining:
-            self._log_draining_start(upstream)
+        _log_draining_start(known.upstream if known else None, upstream)
         rules = self.rules.get(upstream.service)
         self.registry.put(upstream, rules.cold_start_ms if rules else 0)
         if known is None and self.has_upstreams:
@@ -168,15 +170,6 @@
         )
         self.registry.remove(name)
 
-    def _log_draining_start(self, upstream: Upstream) -> None:
-        known = self.registry.find(upstream.id)
-        if known is None or not known.upstream.is_draining:
-            _LOG.info(
-                'upstream %s is draining, revision %d',
-                upstream.id,
-                upstream.revision,
-            )
-
     def _apply_evacuations(self) -> None:
         longest_ms = max(
             (rules.cold_start_ms for rules in self.rules.values()),
@@ -188,6 +181,25 @@
             _LOG.info('evacuated zones: %s', sorted(self._evacuated))
 
 
+def _log_suspension(known: Upstream, stored: StoreObject) -> None:
+    if stored.revision > known.revision:
+        _LOG.warning(
+            'upstream %s gets no requests until an entry newer than '
+            'revision %d names it',
+            stored.name,
+            stored.revision,
+        )
+
+
+def _log_draining_start(known: Upstream | None, upstream: Upstream) -> None:
+    if upstream.is_draining and (known is None or not known.is_draining):
+        _LOG.info(
+            'upstream %s is draining, revision %d',
+            upstream.id,
+            upstream.revision,
+        )
+
+
 def _log_restart(known: Upstream, newer: Upstream) -> None:
     is_newer = newer.revision > known.revision
     if is_newer and known.born_ms and newer.born_ms != known.born_ms:
--- a/src/catkindrift/steering/_upstream.py
+++ b/src/catkindrift/steering/_upstream.py
@@ -23,6 +23,8 @@
         revision: Store revision of the entry.
         born_ms: Unix time of the start; 0 if not stated, and then each start
             has another id.
+        is_named: Whether the newest entry can be used; if not, the upstream
+            is as the last one described it, and must get no new requests.
     """
 
     id: str
@@ -36,8 +38,19 @@
     cold_remaining_ms: int
     revision: int
     born_ms: int = 0
+    is_named: bool = True
 
     @property
     def incarnation(self) -> str:
         """Identity of this start of the upstream."""
         return f'{self.id}@{self.born_ms}' if self.born_ms else self.id
+
+    def suspend(self, revision: int) -> 'Upstream':
+        """Return the upstream without use, until a newer entry names it.
+
+        Args:
+            revision: Store revision of the entry that can't be used.
+        """
+        return attrs.evolve(
+            self, is_named=False, cold_remaining_ms=0, revision=revision
+        )
--- a/src/catkindrift/steering/_upstream_registry.py
+++ b/src/catkindrift/steering/_upstream_registry.py
@@ -77,10 +77,11 @@
     def is_eligible(self, state: UpstreamState) -> bool:
         """Return whether an upstream may get requests.
 
-        Draining, removed and evacuated upstreams may not.
+        Draining, suspended, removed and evacuated upstreams may not.
         """
         upstream = state.upstream
-        if upstream.is_draining or upstream.id not in self._states:
+        is_usable = upstream.is_named and not upstream.is_draining
+        if not is_usable or upstream.id not in self._states:
             return False
         return upstream.zone not in self.evacuated_zones
 
