--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -14,8 +14,10 @@
 from tests.platform_deployment import (
     SAFE,
     PlatformDeployment,
+    ask,
     eventually,
     free_port,
+    head,
 )
 from tests.platform_store import PlatformStore
 from tests.silent_connections import OpenConnections
@@ -74,6 +76,7 @@
     async def start(self, count):
         """Start entry VMs together."""
         await self.platform.start()
+        await self.platform.add_upstream('i-far', zone='snt-a')
         for number in range(count):
             await self._create(f'front-{number}', ZONES[number % len(ZONES)])
         for gateway in self.platform.gateways:
@@ -112,6 +115,13 @@
                 stale.append(gateway._settings.vm.name)
         return stale
 
+    def caller_addresses(self):
+        """Return the addresses for callers, split at the colon."""
+        return [
+            gateway._settings.listen.callers.partition(':')
+            for gateway in self.platform.gateways
+        ]
+
     async def _create(self, name, zone):
         port = free_port()
 
@@ -185,6 +195,38 @@
     asyncio.run(scenario())
 
 
+def test_homes_that_change_bind_though_connections_are_silent(
+    tmp_path, monkeypatch
+):
+    """A VM with an old configuration sent requests out of their new home."""
+    connections = OpenConnections(monkeypatch)
+
+    async def scenario():
+        async with running_fleet(tmp_path, 12) as fleet:
+            platform = fleet.platform
+            await young_watches(platform.store, 'config')
+            connections.silence(set(fleet.store_ports.values()))
+            await asyncio.sleep(CHANGE_S)
+            await platform.configure(
+                2, [{**SAFE, 'home_regions': ['cantabria']}]
+            )
+            await asyncio.sleep(max(STABLE_WINDOW_S - CHANGE_S, APPLY_S))
+            await asyncio.gather(
+                *(
+                    ask((host, int(port)), head('/safe/1', attempt=host))
+                    for host, _, port in fleet.caller_addresses()
+                )
+            )
+            away = [
+                each.id
+                for each in platform.upstreams
+                if each.zone == 'ovd-a' and each.began_ids
+            ]
+            assert not away
+
+    asyncio.run(scenario())
+
+
 def sentinels(fleet, kind):
     """Return the names of the entry VMs that are sentinels of a kind."""
     return {
