Read endless uploads in a sink in the tests of hostile clients

The usual upstreams of the tests took seconds of the test's own processor time for uploads in chunks of one byte. Crowds, bounds and forms are unchanged.

--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -247,6 +247,14 @@
             await asyncio.sleep(0)
 
 
+async def discard(reader, writer):
+    """Read requests until their connection ends, and answer none."""
+    with contextlib.closing(writer), contextlib.suppress(OSError):
+        received = await reader.read(WRITE_BYTES)
+        while received:
+            received = await reader.read(WRITE_BYTES)
+
+
 def open_head(method, target, headers=b''):
     """Return a head without its end.
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -6,12 +6,14 @@
 import logging
 from types import MappingProxyType
 
+import attrs
 import pytest
 
 from tests.entry_vm_processes import READY, process_deployment
 from tests.hostile_clients import (
     ANSWER_S,
     Crowd,
+    discard,
     endless_frames,
     endless_messages,
     garbage_datagrams,
@@ -146,11 +148,17 @@
     async with own_deployment(
         folder, work_ms=5, max_header_bytes=HEADER_BYTES
     ) as deployment:
+        # Reading endless uploads takes too long in the usual upstreams.
+        sink = await asyncio.start_server(discard, '127.0.0.1', 0)
+        store = deployment.local.store
+        for each in store.list_vms():
+            if each.service == 'upload':
+                port = sink.sockets[0].getsockname()[1]
+                store.put_vm(attrs.evolve(each, port=port))
         vm = deployment.vms[0]
-        if options:
-            await vm.stop()
-            await vm.start(*options)
-            await vm.wait_ready()
+        await vm.stop()
+        await vm.start(*options)
+        await vm.wait_ready()
         crowd = Crowd(
             vm, ((vm.address(), PROBE), (vm.address('operators'), OWN_READY))
         )
