Read lists and watches entry by entry when one can't be decoded

Cause: the page of a list or watch was decoded as a whole. One value that can't be decoded made the call fail, and the next one got the same page. An entry nested too deeply raised an error that the watch did not expect.

Change: a page that can't be decoded as a whole is cut at its brackets and commas and decoded entry by entry. A bad entry keeps its name and revision and has no spec, so that an upstream gets no requests, a configuration is passed over, an evacuation holds and a deletion counts. One without a readable name is left out. Each is logged once for its revision, with its reason, and counted in catkindrift_store_unreadable_entries_total by kind.

--- a/src/catkindrift/gateway/_gateway.py
+++ b/src/catkindrift/gateway/_gateway.py
@@ -148,6 +148,8 @@
             metrics.store_calls.labels(method).set(count)
         for request, total in client.request_counts.items():
             metrics.store_requests.labels(request).set(total)
+        for kind, unreadable in client.unreadable.counts.items():
+            metrics.store_unreadable_entries.labels(kind).set(unreadable)
         self._export_confirmations()
 
     def _export_confirmations(self) -> None:
--- a/src/catkindrift/gateway/_metrics.py
+++ b/src/catkindrift/gateway/_metrics.py
@@ -1,11 +1,13 @@
 """Metrics of one entry VM."""
 
-from typing import final
+from typing import Final, final
 
 import attrs
 
 from catkindrift.gateway._metric import Durations, Labeled, Sample
 
+_KIND: Final = 'kind'
+
 
 def _labeled(label: str, text: str, *, is_gauge: bool = False) -> Labeled:
     field: Labeled = attrs.field(
@@ -94,7 +96,7 @@
         'decision', 'Requests of workspaces with a quota'
     )
     quota_messages: Labeled = _labeled(
-        'kind', 'Messages about quotas to other entry VMs'
+        _KIND, 'Messages about quotas to other entry VMs'
     )
     extra_attempts: Labeled = _labeled(
         'granted', 'Attempts beyond the first of a request'
@@ -108,11 +110,15 @@
     store_calls: Labeled = _labeled(
         'method', 'Calls to the platform store since the start', is_gauge=True
     )
+    store_unreadable_entries: Labeled = _labeled(
+        _KIND,
+        'Entries of the platform store that could not be read, at each reading',
+    )
     store_silences: Labeled = _labeled(
         'source', 'Silences of connections to the store, found or heard of'
     )
     store_confirmation_age_ms: Labeled = _labeled(
-        'kind',
+        _KIND,
         'Time since the store held nothing newer, as far as is known',
         is_gauge=True,
     )
--- a/src/catkindrift/platform/_store_client.py
+++ b/src/catkindrift/platform/_store_client.py
@@ -19,6 +19,8 @@
 from catkindrift.platform._store_era import StoreEra
 from catkindrift.platform._store_object import StoreObject
 from catkindrift.platform._store_page import StorePage
+from catkindrift.platform._store_reply import StoreReply
+from catkindrift.platform._unreadable_entries import UnreadableEntries
 
 _READ = 'GET'
 _REMEDY = 'check platform.url and the state of the platform'
@@ -40,6 +42,7 @@
         request_counts: Calls so far by what was asked, such as
             ``watch config``; a write may take two calls.
         era: Era of the store.
+        unreadable: Entries that could not be decoded.
     """
 
     _host: str
@@ -47,6 +50,9 @@
     call_counts: Counter[str] = attrs.field(init=False, factory=Counter)
     request_counts: Counter[str] = attrs.field(init=False, factory=Counter)
     era: StoreEra = attrs.field(init=False, factory=StoreEra)
+    unreadable: UnreadableEntries = attrs.field(
+        init=False, factory=UnreadableEntries
+    )
     _client: HttpClient = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -72,9 +78,11 @@
         """
         self.request_counts[f'list {kind}'] += 1
         query = f'?after={quote(after)}' if after else ''
-        _, reply = await self._call(
+        _, decoded = await self._call(
             _READ, f'/objects/{kind}{query}', None, timeout_s
         )
+        self.unreadable.record(kind, decoded.unreadable)
+        reply = decoded.document
         objects = [
             StoreObject.from_document(each) for each in _listed_items(reply)
         ]
@@ -110,12 +118,16 @@
         self.request_counts[f'watch {kind}'] += 1
         since = self.era.plain(revision)
         path = f'/objects/{kind}?watch={since}&wait_ms={wait_ms}'
-        status, reply = await self._call(_READ, path, None, timeout_s, on_chunk)
+        status, decoded = await self._call(
+            _READ, path, None, timeout_s, on_chunk
+        )
         self.era.plain(revision)
         if status == HTTPStatus.GONE:
             raise HistoryGoneError(
                 f'the store dropped changes of {kind}; list the kind again',
             )
+        self.unreadable.record(kind, decoded.unreadable)
+        reply = decoded.document
         changes = [_decode_event(each) for each in reply.get('events', ())]
         return StorePage(
             self._qualify(changes), self.era.qualify(_revision(reply))
@@ -163,7 +175,7 @@
         document: Any,
         timeout_s: float,
         on_chunk: Callable[[], None] = _ignore,
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> tuple[int, StoreReply]:
         self.call_counts[method] += 1
         body = b'' if document is None else msgspec.json.encode(document)
         try:
@@ -206,18 +218,17 @@
     method: str,
     status: int,
     content: bytes,
-) -> tuple[int, dict[str, Any]]:
+) -> tuple[int, StoreReply]:
     if status in {HTTPStatus.GONE, HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND}:
-        return status, {}
+        return status, StoreReply({})
     if status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
         raise PlatformUnavailableError(
             f'the store responded {status}; {_REMEDY}'
         )
     try:
-        reply = msgspec.json.decode(content)
-    except msgspec.DecodeError as malformed:
+        return status, StoreReply.from_json(content)
+    except (msgspec.DecodeError, RecursionError, ValueError) as malformed:
         raise _no_response_error(method) from malformed
-    return status, reply if isinstance(reply, dict) else {}
 
 
 def _listed_items(reply: dict[str, Any]) -> list[Any]:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -548,6 +548,28 @@
     run(scenario())
 
 
+def test_metrics_count_unreadable_entries(tmp_path):
+    """An entry that can't be read is counted by its kind."""
+
+    async def scenario():
+        async with deployed(tmp_path) as deployment:
+            await deployment.store.put('servers', 'odd', {'x': '\ud83d'})
+            port = deployment.fields[0]['internal_ports'][1]
+            await ask_until(
+                ('127.0.0.1', port),
+                b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n',
+                lambda body: (
+                    (
+                        b'catkindrift_store_unreadable_entries_total'
+                        b'{kind="servers"} 1.0'
+                    )
+                    in body
+                ),
+            )
+
+    run(scenario())
+
+
 def test_long_answer_that_waits_for_its_turn_is_cancelled(tmp_path):
     """A disconnect cancels a response that is not being read yet.
 
