Drop the heads of closed connections at once

The head is dropped when the connection ends.

A watch that is stalled is repeated whether or not a chunk has just arrived, as before; only notices of silence spare it.

--- a/src/catkindrift/gateway/_pending_poll.py
+++ b/src/catkindrift/gateway/_pending_poll.py
@@ -71,10 +71,8 @@
 
         A response that is arriving is not cut off.
         """
-        if self._stall_detector.is_receiving:
-            return
-        self.source.renew_connections()
-        self.cancel()
+        if not self._stall_detector.is_receiving:
+            self._renew()
 
     def assign(self, role: WatchRole) -> None:
         """Choose whom to poll, and for how long."""
@@ -129,7 +127,7 @@
         )
         if not is_of_store:
             self.source.bypass_zone_watcher()
-        self.restart()
+        self._renew()
         return is_of_store
 
     def stand_in_if_due(self) -> None:
@@ -151,6 +149,10 @@
         poller.stand_in()
         self.restart()
 
+    def _renew(self) -> None:
+        self.source.renew_connections()
+        self.cancel()
+
     def _record_chunk(self) -> None:
         """Record that a response is arriving, so the watch isn't stalled."""
         self._stall_detector.record_chunk()
--- a/src/catkindrift/http1/_request_parser.py
+++ b/src/catkindrift/http1/_request_parser.py
@@ -143,9 +143,14 @@
         )
 
     def stop(self) -> None:
-        """Ignore all further input, and drop what is kept of it."""
+        """Ignore all further input, and drop what is kept of it.
+
+        A closed connection is part of reference cycles, so it lives on until
+        the next garbage collection.
+        """
         self._is_stopped = True
         self._unparsed = b''
+        self._collector.clear()
         self._held.set_partial(self._source, 0)
 
     def stop_after_current(self) -> None:
