--- a/src/catkindrift/steering/_heartbeat.py
+++ b/src/catkindrift/steering/_heartbeat.py
@@ -165,9 +165,9 @@
         relayed_limits: Limits of upstreams that the sender has from others.
         spread_zone: Other zone whose signs of life the sender spreads in its
             own; empty if it spreads none.
-        quota: Message on the quotas of workspaces, if any.
         store: What the sender knows of the store; nothing from builds that
             don't tell it.
+        quota: Message on the quotas of workspaces, if any.
     """
 
     sender: MemberFacts
@@ -185,5 +185,5 @@
     wanted: tuple[int, ...] = ()
     relayed_limits: tuple[LimitNotice, ...] = ()
     spread_zone: str = ''
-    quota: QuotaMessage | None = None
     store: StoreNews = StoreNews()
+    quota: QuotaMessage | None = None
