--- a/review/12/case.py
+++ b/review/12/case.py
@@ -30,10 +30,10 @@
 # The zone is without power for so long.
 DARK_S = 5.5
 LEAVERS = 2
-LEAVE_AFTER_S = 0.3
+LEAVE_AFTER_S = 0.25
 # It goes on serving for `drain_s` and a little longer, at times many seconds.
 SERVES_S = 6.0
-EVERY_S = 0.008
+EVERY_S = 0.005
 
 
 async def send_requests(vms, attempts):
--- a/review/standins-3/backend.py
+++ b/review/standins-3/backend.py
@@ -20,8 +20,10 @@
         record: Called with a line for each event.
         slots: Requests that run at once.
         work_s: Time that a request takes.
-        crashes_on: Part of a path; a request for it ends the process as soon
-            as it begins to run. None for none.
+        crashes_on: Part of a path; a request for it ends the process that
+            has begun to run it. None for none.
+        crash_after_s: Time from when such a request begins to run until then.
+        drops: Whether it drops a request when its connection closes.
         back_after_s: Time after which an ended process starts again, with a
             new id, at the same address.
         cold_s: Time for which it is cold after a start during traffic.
@@ -36,6 +38,8 @@
         slots=4,
         work_s=0.05,
         crashes_on=None,
+        crash_after_s=0.0,
+        drops=True,
         back_after_s=2.0,
         cold_s=0.0,
     ):
@@ -47,6 +51,8 @@
         self.slots = slots
         self.work_s = work_s
         self.crashes_on = crashes_on
+        self.crash_after_s = crash_after_s
+        self.drops = drops
         self.back_after_s = back_after_s
         self.cold_s = cold_s
         self.id = ''
@@ -173,6 +179,18 @@
         await asyncio.sleep(self.back_after_s)
         await self.start(cold=True)
 
+    async def _work(self, reader, work_s):
+        """Work for a time, or until the caller closes the connection."""
+        if not self.drops:
+            await asyncio.sleep(work_s)
+            return
+        closed = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait({closed}, timeout=work_s)
+        if done:
+            raise ConnectionResetError
+        closed.cancel()
+        await asyncio.wait({closed})
+
     async def respond(self, reader, writer, first, headers, body):
         method, target, _ = first.split(' ', 2)
         attempt = headers.get('attempt-id', '')
@@ -194,8 +212,8 @@
             writer.write(encode_response(503, refusal, b''))
             return
         incarnation = self.id
-        self.waiting += 1
         slots = self._slots
+        self.waiting += 1
         await slots.acquire()
         try:
             self.waiting -= 1
@@ -204,12 +222,15 @@
             self.running[attempt] = target
             self.ran.append((time.monotonic(), attempt, target, incarnation))
             self.record(f'RUN   {self.service} {incarnation} {attempt} {target}')
-            if self.crashes_on and self.crashes_on in target:
-                self._crash(attempt)
-                raise ConnectionResetError
-            await asyncio.sleep(self.work_s)
+            is_fatal = self.crashes_on and self.crashes_on in target
+            await self._work(
+                reader, self.crash_after_s if is_fatal else self.work_s
+            )
             if self.id != incarnation:
                 raise ConnectionResetError
+            if is_fatal:
+                self._crash(attempt)
+                raise ConnectionResetError
         finally:
             self.running.pop(attempt, None)
             slots.release()
--- a/review/standins-3/cut_path.py
+++ b/review/standins-3/cut_path.py
@@ -4,6 +4,7 @@
 import json
 
 from http_server import HttpStandIn
+from ports import free_port
 
 
 class PathTo:
@@ -16,14 +17,13 @@
         self._target = target
         self._server = None
         self._writers = set()
-        self.port = 0
+        self.port = free_port()
 
     async def open(self):
         if self._server is None:
             self._server = await asyncio.start_server(
                 self._relay, '127.0.0.1', self.port, backlog=256
             )
-            self.port = self._server.sockets[0].getsockname()[1]
 
     def cut(self):
         if self._server:
--- a/review/standins-3/http_server.py
+++ b/review/standins-3/http_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from ports import free_port
+
 REASONS = {
     200: 'OK',
     201: 'Created',
@@ -51,10 +53,10 @@
 
     async def listen(self, port=0):
         """Listen on loopback; port 0 takes a free one."""
+        self.port = port or free_port()
         self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', port, backlog=512
+            self._serve, '127.0.0.1', self.port, backlog=512
         )
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self):
         """Stop listening and reset all connections, as a killed process."""
--- a/review/standins-3/vm.py
+++ b/review/standins-3/vm.py
@@ -4,10 +4,11 @@
 import json
 import os
 import re
-import socket
 import tomllib
 from pathlib import Path
 
+from ports import free_port
+
 ROOT = Path(__file__).resolve().parents[2]
 _SECTION = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _JSON = re.compile(r'\{\{([\w.]+)\|json\}\}')
@@ -18,25 +19,6 @@
     """The case could not run, which shows nothing about the rule."""
 
 
-def free_ports(count):
-    """Return ports that are free on loopback, for TCP and UDP."""
-    held = []
-    ports = []
-    while len(ports) < count:
-        tcp = socket.socket()
-        tcp.bind(('127.0.0.1', 0))
-        udp = socket.socket(type=socket.SOCK_DGRAM)
-        held += [tcp, udp]
-        try:
-            udp.bind(tcp.getsockname())
-        except OSError:
-            continue
-        ports.append(tcp.getsockname()[1])
-    for each in held:
-        each.close()
-    return ports
-
-
 def render(template, fields):
     """Fill a template with fields, as DEPLOY.md says (what this one uses)."""
 
@@ -68,7 +50,7 @@
     """One entry VM as a process of its own."""
 
     def __init__(self, name, zone, zones, store_port, bounds, folder):
-        ports = free_ports(5)
+        ports = [free_port() for _ in range(5)]
         self.name = name
         self.zone = zone
         self.front, self.ready, self.directory = ports[:3]
