Stand-ins of the third review: other ports if another program takes one

Case 13 with TROUBLE=0 couldn't run (exit 2) in one of twelve scripts beside each other: an entry VM's port was taken between the choice and its start.

--- a/review/standins-3/http_server.py
+++ b/review/standins-3/http_server.py
@@ -53,10 +53,17 @@
 
     async def listen(self, port=0):
         """Listen on loopback; port 0 takes a free one."""
-        self.port = port or free_port()
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', self.port, backlog=512
-        )
+        while True:
+            self.port = port or free_port()
+            try:
+                self._server = await asyncio.start_server(
+                    self._serve, '127.0.0.1', self.port, backlog=512
+                )
+            except OSError:
+                if port:
+                    raise
+            else:
+                return
 
     def close(self):
         """Stop listening and reset all connections, as a killed process."""
--- a/review/standins-3/vm.py
+++ b/review/standins-3/vm.py
@@ -50,27 +50,19 @@
     """One entry VM as a process of its own."""
 
     def __init__(self, name, zone, zones, store_port, bounds, folder):
-        ports = [free_port() for _ in range(5)]
         self.name = name
         self.zone = zone
-        self.front, self.ready, self.directory = ports[:3]
         self.log = folder / f'{name}.log'
         self._process = None
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         role = next(iter(deploy['roles'].values()))
         self._command = role['run'].split()
-        fields = {
+        self._fields = {
             'node_name': name,
             'zone': zone,
             'region': zones[zone],
             'zones': zones,
             'ip': '127.0.0.1',
-            'listen': {
-                'front': f'127.0.0.1:{self.front}',
-                'ready': f'127.0.0.1:{self.ready}',
-                'directory': f'127.0.0.1:{self.directory}',
-            },
-            'internal_ports': ports[3:],
             'platform': {
                 'address': f'127.0.0.1:{store_port}',
                 'history_s': 20,
@@ -78,8 +70,23 @@
             'bounds': bounds,
         }
         self._settings = folder / f'{name}.toml'
-        template = (ROOT / role['template']).read_text()
-        self._settings.write_text(render(template, fields))
+        self._template = (ROOT / role['template']).read_text()
+        self._choose_ports()
+
+    def _choose_ports(self):
+        ports = [free_port() for _ in range(5)]
+        self.front, self.ready, self.directory = ports[:3]
+        listen = {
+            'front': f'127.0.0.1:{self.front}',
+            'ready': f'127.0.0.1:{self.ready}',
+            'directory': f'127.0.0.1:{self.directory}',
+        }
+        fields = {
+            **self._fields,
+            'listen': listen,
+            'internal_ports': ports[3:],
+        }
+        self._settings.write_text(render(self._template, fields))
 
     async def start(self):
         """Start the process."""
@@ -99,6 +106,12 @@
                 while not await self._is_ready():
                     if self._process.returncode is not None:
                         told = self.log.read_text(errors='replace')[-600:]
+                        if 'cannot listen on' in told:
+                            # Another program has taken the port meanwhile.
+                            self.log.unlink()
+                            self._choose_ports()
+                            await self.start()
+                            continue
                         raise CouldNotRun(
                             f'{self.name} ended at its start: {told}'
                         )
